--- /dev/null
+++ b/spokeroute/dispatch/placement.py
@@ -0,0 +1,334 @@
+"""The placement role: on every core node, deciding only where the term is held.
+
+It reads the exchanges' reports, the platform's listing and the proved copies, writes the
+floor, pushes LAAF's lists ahead of failures, applies ROME's shifts, and calls the platform.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from immutables import Map
+
+from spokeroute.dial.effects import Effect, Effects, From, Launch, Note, Send, Tell, Tick
+from spokeroute.dial.ids import DESIRED_STATE, FLOOR, Ms, NodeId
+from spokeroute.dispatch.desired import Table
+from spokeroute.dispatch.flare import Limits, Picture, Ranking, Shift, laaf, rome
+from spokeroute.dispatch.floor import (
+    NO_FLOOR,
+    Floor,
+    FloorSwap,
+    packFloor,
+    unpackEvacuated,
+    unpackFloor,
+)
+from spokeroute.dispatch.plan import Plan, Seen, plan
+from spokeroute.dispatch.platform import (
+    BURST,
+    STARTS_PER_S,
+    ListPlatform,
+    PlatformDone,
+    PlatformListed,
+)
+from spokeroute.dispatch.reports import (
+    Reported,
+    demandNow,
+    liveHolders,
+    meansOf,
+    suspectsOf,
+)
+from spokeroute.dispatch.role import TermIs
+from spokeroute.dispatch.scaler import Demand, WorkerSeat
+from spokeroute.dispatch.sense import PolicyPair, compilePolicy, picture
+from spokeroute.dispatch.upkeep import Marks, platformCalls, remark, takeListing
+from spokeroute.logbook.entries import Record, pictureDoc, rankingDoc
+from spokeroute.register.copies import Fresh
+from spokeroute.register.proposer import Ask, Read, Settled
+from spokeroute.register.steward import RosterChanged
+from spokeroute.trunk.colleagues import ViewNow
+from spokeroute.trunk.messages import Lists, Probe, Successors
+
+PLAN_MS = 100
+LIST_MS = 400
+PUSH_MS = 1_000
+SHIFT_REST_MS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """All that placement knows. The floor here is the one this node knows to be chosen."""
+
+    me: NodeId
+    coreIds: frozenset[str] = frozenset()
+    term: int = 0
+    leaseUntilMs: Ms = Ms(-1)
+    floor: Floor = NO_FLOOR
+    floorVersion: int = -1  # -1: to be read at the term's start
+    floorOp: str = ""
+    reports: Map[str, Reported] = field(default_factory=Map)
+    listing: PlatformListed = PlatformListed(False, 0, (), ())
+    listingMs: Ms = Ms(-(10**6))
+    listAsked: bool = False
+    listAskedMs: Ms = Ms(-(10**6))
+    missing: Map[str, int] = field(default_factory=Map)
+    marks: Marks = Marks()
+    demand: Map[str, Demand] = field(default_factory=Map)
+    demandMs: Ms = Ms(0)
+    table: Table | None = None
+    policy: PolicyPair = PolicyPair()
+    evacuated: frozenset[str] = frozenset()
+    versions: Map[str, int] = field(default_factory=Map)
+    nextPlanMs: Ms = Ms(0)
+    tokens: float = BURST
+    tokensMs: Ms = Ms(0)
+    rankings: tuple[Ranking, ...] = ()
+    ranked: Picture | None = None
+    sequence: int = 0
+    rankedMs: Ms = Ms(0)
+    pushedMs: Ms = Ms(0)
+    shifts: tuple[Shift, ...] = ()
+    shiftedMs: Map[tuple[str, str], int] = field(default_factory=Map)
+    draws: int = 0
+
+
+def step(state: State, event: object, nowMs: Ms) -> tuple[State, Effects]:
+    """The placement core.
+
+    Example:
+        state, effects = step(State(NodeId("m1")), Tick(), nowMs)
+    """
+    match event:
+        case Tick():
+            return _tick(state, nowMs)
+        case From(node, incarnation, Probe(_, _, held, demand)):
+            if state.coreIds.isdisjoint((node,)):
+                known = Reported(incarnation, nowMs, held, demand)
+                return replace(state, reports=state.reports.set(node, known)), ()
+        case ViewNow(known):
+            core = frozenset(e.node for e in known if e.role == "registry")
+            kept = {n: r for n, r in state.reports.items() if n not in core}
+            return replace(state, coreIds=core | {state.me}, reports=Map(kept)), ()
+        case Fresh() as fresh:
+            return _fresh(state, fresh), ()
+        case TermIs(term, leaseUntilMs):
+            return _term(state, term, leaseUntilMs)
+        case PlatformListed() as listing:
+            state = replace(state, listAsked=False)
+            if not listing.ok or listing.sequence <= state.listing.sequence:
+                return state, ()
+            missing = takeListing(state.floor, listing, state.missing)
+            return replace(state, listing=listing, listingMs=nowMs, missing=missing), ()
+        case PlatformDone() as done:
+            marks = state.marks.done(done, nowMs)
+            failed = done.outcome not in ("ok", "late", "refused")
+            note = (Note(f"platform {done.op} {done.instance}: {done.reason}"),) if failed else ()
+            return replace(state, marks=marks), note
+        case Settled(opId, _, outcome, version, value) if opId == state.floorOp:
+            return _floorSettled(state, outcome, version, value, nowMs)
+        case RosterChanged(roster):
+            record = Record("roster", {"epoch": roster.epoch}, list(roster.ids))
+            return state, (_record(state, record),)
+    return state, ()
+
+
+def _record(state: State, record: Record) -> Tell:
+    return Tell(
+        "ledger",
+        replace(
+            record,
+            term=state.term,
+            versions=dict(state.versions),
+            programs=state.policy.digest,
+        ),
+    )
+
+
+def _fresh(state: State, fresh: Fresh) -> State:
+    if not fresh.changed:
+        return state
+    table = fresh.table if isinstance(fresh.table, Table) else None
+    policy = state.policy
+    old = state.table.programs if state.table else None
+    if table is not None and table.programs != old:
+        policy = compilePolicy(table)
+    floor = state.floor
+    if not state.term:
+        floor = unpackFloor(fresh.values.get(FLOOR, b""))
+    return replace(
+        state,
+        table=table,
+        policy=policy,
+        floor=floor,
+        evacuated=unpackEvacuated(fresh.values.get("evacuation", b"")),
+        versions=Map(fresh.versions),
+    )
+
+
+def _term(state: State, term: int, leaseUntilMs: Ms) -> tuple[State, Effects]:
+    if term == state.term:
+        return replace(state, leaseUntilMs=leaseUntilMs), ()
+    state = replace(
+        state, term=term, leaseUntilMs=leaseUntilMs, floorVersion=-1, floorOp="", ranked=None,
+        marks=Marks(), missing=Map(), shifts=(),
+    )  # fmt: skip
+    record = Record("term", {"holder": state.me}, term)
+    return state, ((_record(state, record),) if term else ())
+
+
+def _tick(state: State, nowMs: Ms) -> tuple[State, Effects]:
+    effects: list[Effect] = []
+    waitedMs = nowMs - state.listAskedMs
+    if (not state.listAsked and waitedMs >= LIST_MS) or waitedMs >= 10 * LIST_MS:
+        state = replace(state, listAsked=True, listAskedMs=nowMs)
+        effects.append(Launch(ListPlatform()))
+    if not state.term or nowMs >= state.leaseUntilMs or nowMs < state.nextPlanMs:
+        return state, tuple(effects)
+    state = replace(state, nextPlanMs=Ms(nowMs + PLAN_MS))
+    if state.floorVersion < 0 and not state.floorOp:
+        opId = f"floor-read/{state.me}/{state.term}/{state.draws}"
+        state = replace(state, floorOp=opId, draws=state.draws + 1)
+        effects.append(Tell("proposer", Ask(opId, FLOOR, Read(), "placement")))
+        return state, tuple(effects)
+    table = state.table
+    if table is None or state.floorVersion < 0 or not state.listing.seats:
+        return state, tuple(effects)
+    state = _fold(state, nowMs)
+    state, more = _flare(state, table, nowMs)
+    effects.extend(more)
+    if not state.floorOp:
+        state, more = _plan(state, table, nowMs)
+        effects.extend(more)
+    tokens = min(BURST, state.tokens + STARTS_PER_S * (nowMs - state.tokensMs) / 1000.0)
+    calls, marks, tokens = platformCalls(
+        state.floor, table, state.marks, tokens, state.leaseUntilMs, nowMs
+    )
+    state = replace(state, marks=marks, tokens=tokens, tokensMs=nowMs)
+    effects.extend(Launch(call) for call in calls)
+    return state, tuple(effects)
+
+
+def _fold(state: State, nowMs: Ms) -> State:
+    demand = demandNow(state.demand, state.reports, nowMs, nowMs - state.demandMs)
+    marks = remark(state.marks, state.floor, state.table, nowMs)
+    return replace(state, demand=demand, demandMs=nowMs, marks=marks)
+
+
+def _seats(state: State) -> dict[str, WorkerSeat]:
+    return {s.id: s for s in state.listing.seats}
+
+
+def _plan(state: State, table: Table, nowMs: Ms) -> tuple[State, Effects]:
+    seen = Seen(
+        nowMs=nowMs,
+        table=table,
+        evacuated=state.evacuated,
+        seats=_seats(state),
+        listed={p.id: p for p in state.listing.listed},
+        missing=state.missing,
+        demand=state.demand,
+        suspects=suspectsOf(state.reports, nowMs),
+        holders=liveHolders(state.reports, nowMs),
+        readyMs=state.marks.readyMs,
+        upSinceMs=state.marks.upSinceMs,
+        surplusMs=state.marks.surplusMs,
+        cuPct=dict(state.ranked.cuPct) if state.ranked else {},
+        shifts=state.shifts,
+        avoid=frozenset(k for k, atMs in state.shiftedMs.items() if nowMs - atMs < SHIFT_REST_MS),
+        startsLeft=int(state.tokens),
+        nextId=f"{state.term}-{state.draws}",
+    )
+    made: Plan = plan(state.floor, seen)
+    instances = state.marks.stopped(made.instances, table, nowMs)
+    state = replace(state, marks=state.marks.surplus(made.surplus, nowMs), shifts=())
+    stale = state.floor.term != state.term
+    if instances == state.floor.instances and not stale:
+        return state, ()
+    floor = Floor(state.term, state.floor.sequence + 1, instances)
+    opId = f"floor/{state.me}/{state.term}/{state.draws}"
+    change = FloorSwap(state.floorVersion, state.term, packFloor(floor))
+    state = replace(state, floorOp=opId, draws=state.draws + 1)
+    records = [Record(d.kind, d.inputs, d.output) for d in made.decisions]
+    return state, (
+        *(_record(state, r) for r in records),
+        Tell("proposer", Ask(opId, FLOOR, change, "placement", 1_500)),
+    )
+
+
+def _floorSettled(
+    state: State, outcome: str, version: int, value: bytes, nowMs: Ms
+) -> tuple[State, Effects]:
+    state = replace(state, floorOp="")
+    if outcome != "done":
+        return replace(state, floorVersion=-1), ()
+    floor = unpackFloor(value)
+    if floor.term > state.term:
+        return replace(state, floorVersion=-1, term=0), (
+            Note("a newer term wrote the floor: this node stops deciding"),
+        )
+    marks = state.marks.acked(state.floor, floor, nowMs)
+    return replace(state, floor=floor, floorVersion=version, marks=marks), ()
+
+
+def _flare(state: State, table: Table, nowMs: Ms) -> tuple[State, Effects]:
+    """LAAF when a utilization moved past the trigger or the candidates changed; then ROME."""
+    suspects = suspectsOf(state.reports, nowMs)
+    now, faults = picture(
+        state.floor, table, meansOf(state.reports), _seats(state),
+        state.evacuated, suspects, state.policy,
+    )  # fmt: skip
+    effects: list[Effect] = []
+    if _moved(state.ranked, now, table.thresholds.triggerPct):
+        state = replace(
+            state, rankings=laaf(now), ranked=now, sequence=state.sequence + 1, rankedMs=nowMs
+        )
+        record = Record("laaf", pictureDoc(now), rankingDoc(state.rankings))
+        effects.append(_record(state, record))
+        if faults:
+            record = Record("program-fault", {"faults": list(faults)}, "default used")
+            effects.append(_record(state, record))
+        limits = Limits(table.thresholds.overloadPct, table.thresholds.migrationPct)
+        rested = replace(
+            now,
+            vetoes=(
+                *now.vetoes,
+                *(k for k, atMs in state.shiftedMs.items() if nowMs - atMs < SHIFT_REST_MS),
+            ),
+        )
+        relief = rome(rested, limits)
+        if relief.shifts:
+            inputs = {
+                **pictureDoc(rested),
+                "limits": [limits.overloadPct, limits.migrationPct],
+            }
+            output = [[s.service, s.fromWorker, s.toWorker, s.cause] for s in relief.shifts]
+            effects.append(_record(state, Record("rome", inputs, output)))
+            shifted = state.shiftedMs
+            for s in relief.shifts:
+                shifted = shifted.set((s.service, s.fromWorker), nowMs)
+                shifted = shifted.set((s.service, s.toWorker), nowMs)
+            state = replace(state, shifts=relief.shifts, shiftedMs=shifted)
+    elif nowMs - state.pushedMs < PUSH_MS:
+        return state, tuple(effects)
+    lists = Lists(
+        state.term,
+        state.sequence,
+        state.versions.get(DESIRED_STATE, 0),
+        0,
+        tuple(Successors(r.service, r.worker, r.instances) for r in state.rankings),
+    )
+    state = replace(state, pushedMs=nowMs)
+    effects.extend(Send(NodeId(n), lists) for n in sorted(liveHolders(state.reports, nowMs)))
+    return state, tuple(effects)
+
+
+def _moved(old: Picture | None, now: Picture, triggerPct: float) -> bool:
+    if old is None or old.sites != now.sites:
+        return True
+    if {(f.service, f.worker) for f in old.functions} != {
+        (f.service, f.worker) for f in now.functions
+    }:
+        return True
+    before = dict(old.cuPct)
+    return set(before) != {w for w, _ in now.cuPct} or any(
+        abs(cu - before[w]) > triggerPct for w, cu in now.cuPct
+    )
--- /dev/null
+++ b/tests/test_flare.py
@@ -0,0 +1,120 @@
+"""The paper's worked examples, from its Table 1, Figure 2, Table 2 and section 4.2."""
+
+from __future__ import annotations
+
+from spokeroute.dispatch.flare import Function, Limits, Picture, Site, laaf, rome
+
+
+def site(worker: str, instance: str) -> Site:
+    return Site(worker, (instance,))
+
+
+def test_laafFollowsDynamicLoadInTable1() -> None:
+    """A-1 (40%) and B-1 (30%) on TANGO; DY-1 and DY-2 (50% each) came to LAMBADA and
+    CHARLIE. The static order was A-3 then A-2 and B-3 then B-2; LAAF turns both round."""
+    before = Picture(
+        (("TANGO", 70.0), ("LAMBADA", 0.0), ("CHARLIE", 0.0), ("ALPHA", 20.0), ("BETA", 10.0)),
+        (Function("A", "TANGO", 40.0), Function("B", "TANGO", 30.0)),
+        (
+            ("A", (site("LAMBADA", "A-3"), site("ALPHA", "A-2"))),
+            ("B", (site("CHARLIE", "B-3"), site("BETA", "B-2"))),
+        ),
+    )
+    assert [r.instances for r in laaf(before)] == [("A-3", "A-2"), ("B-3", "B-2")]
+    loaded = Picture(
+        (("TANGO", 70.0), ("LAMBADA", 50.0), ("CHARLIE", 50.0), ("ALPHA", 20.0), ("BETA", 10.0)),
+        before.functions,
+        before.sites,
+    )
+    ranks = laaf(loaded)
+    assert [r.instances for r in ranks] == [("A-2", "A-3"), ("B-2", "B-3")]
+    after = {"ALPHA": 20.0 + 40.0, "BETA": 10.0 + 30.0}
+    assert max(after.values()) <= 60.0  # the paper: none is greater than 60%
+
+
+def test_colocatedFunctionsGetDifferentSuccessors() -> None:
+    """Two functions of one worker with the same candidates: the first head's expected
+    utilization grows before the second is ranked."""
+    both = (site("a", "x-a"), site("b", "x-b"))
+    picture = Picture(
+        (("t", 70.0), ("a", 10.0), ("b", 15.0)),
+        (Function("x", "t", 40.0), Function("y", "t", 30.0)),
+        (("x", both), ("y", (site("a", "y-a"), site("b", "y-b")))),
+    )
+    assert [r.workers[0] for r in laaf(picture)] == ["a", "b"]
+
+
+def test_laafRunsOnSuccessorlessAndUnknownWorkers() -> None:
+    picture = Picture((("t", 5.0),), (Function("x", "t", 5.0),), ())
+    assert laaf(picture)[0].instances == ()
+
+
+def test_romeMovesTheHeaviestOffBeta() -> None:
+    """Case 1: A-2 (40%) and H-1 (50%) make 90% on BETA; H has no replica, so A goes to
+    the least loaded of its hosts, LAMBADA at 0."""
+    picture = Picture(
+        (("BETA", 90.0), ("LAMBADA", 0.0), ("ALPHA", 10.0), ("CHARLIE", 30.0)),
+        (Function("A", "BETA", 40.0), Function("H", "BETA", 50.0)),
+        (("A", (site("BETA", "A-2"), site("LAMBADA", "A-3"), site("ALPHA", "A-4"))),),
+    )
+    relief = rome(picture, Limits())
+    assert [(s.service, s.toWorker, s.cause) for s in relief.shifts] == [
+        ("A", "LAMBADA", "overload")
+    ]
+    eu = dict(relief.euPct)
+    assert (eu["BETA"], eu["LAMBADA"]) == (50.0, 40.0)
+
+
+def test_romeSkipsAMoveThatOverloadsItsTarget() -> None:
+    """Case 2: A (40%), B (30%) and D (10%) on ALPHA, 80% in all. A can't go to BETA at
+    50% (90 is over 70), so B goes to PRINCE; ALPHA settles at 50%."""
+    picture = Picture(
+        (("ALPHA", 80.0), ("BETA", 50.0), ("PRINCE", 0.0)),
+        (
+            Function("A", "ALPHA", 40.0),
+            Function("B", "ALPHA", 30.0),
+            Function("D", "ALPHA", 10.0),
+        ),
+        (("A", (site("BETA", "A-2"),)), ("B", (site("PRINCE", "B-3"),))),
+    )
+    relief = rome(picture, Limits())
+    assert [(s.service, s.toWorker) for s in relief.shifts] == [("B", "PRINCE")]
+    assert dict(relief.euPct)["ALPHA"] == 50.0
+
+
+def test_imbalanceMovesDAndDoesNotThrash() -> None:
+    """Case 3: D (10%) on ALPHA at 50%, its replica on LAMBADA at 0: 50 is over 120% of 10.
+    A second look after the move leaves it there."""
+    sites = (("D", (site("ALPHA", "D-1"), site("LAMBADA", "D-2"))),)
+    picture = Picture(
+        (("ALPHA", 50.0), ("LAMBADA", 0.0)),
+        (Function("A", "ALPHA", 40.0), Function("D", "ALPHA", 10.0)),
+        sites,
+    )
+    relief = rome(picture, Limits())
+    assert [(s.service, s.toWorker, s.cause) for s in relief.shifts] == [
+        ("D", "LAMBADA", "imbalance")
+    ]
+    after = Picture(
+        relief.euPct, (Function("A", "ALPHA", 40.0), Function("D", "LAMBADA", 10.0)), sites
+    )
+    assert rome(after, Limits()).shifts == ()
+
+
+def test_imbalanceLeavesAMoveThatWouldNotShrinkTheGap() -> None:
+    """One function of 50% between two workers: moving it only turns the gap round."""
+    sites = (("A", (site("a", "A-1"), site("b", "A-2"))),)
+    picture = Picture((("a", 50.0), ("b", 0.0)), (Function("A", "a", 50.0),), sites)
+    assert rome(picture, Limits(migrationPct=80.0)).shifts == ()
+
+
+def test_vetoHoldsAndWishMoves() -> None:
+    sites = (("A", (site("b", "A-2"),)),)
+    picture = Picture((("a", 90.0), ("b", 0.0)), (Function("A", "a", 40.0),), sites)
+    vetoed = Picture(picture.cuPct, picture.functions, sites, vetoes=(("A", "a"),))
+    assert rome(vetoed, Limits()).shifts == ()
+    calm = Picture((("a", 30.0), ("b", 0.0)), (Function("A", "a", 10.0),), sites)
+    high = Limits(migrationPct=1000.0)
+    assert rome(calm, high).shifts == ()
+    wished = Picture(calm.cuPct, calm.functions, sites, wishes=(("A", "a"),))
+    assert [s.cause for s in rome(wished, high).shifts] == ["program"]
