--- /dev/null
+++ b/spokeroute/desk/commands.py
@@ -0,0 +1,160 @@
+"""`spokeroute desk …`: apply, show, evacuate, restore, ledger, replay, status."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from spokeroute.desk.client import Said, Unreached, ask
+from spokeroute.logbook.replay import Replayed, replay
+
+EXIT_REFUSED = 1
+EXIT_PROPS = 2
+EXIT_UNREACHED = 3
+
+Registry = Annotated[
+    str,
+    cappa.Arg(
+        long="registry",
+        help="registries' operator addresses, with commas (or SPOKEROUTE_REGISTRIES)",
+    ),
+]
+
+
+def _finish(got: Said | Unreached) -> None:
+    if isinstance(got, Unreached):
+        print(f"spokeroute desk: no registry answered: {got.reason}", file=sys.stderr)
+        sys.exit(EXIT_UNREACHED)
+    doc = got.doc()
+    if got.status >= 400:
+        print(f"refused ({got.status}): {doc.get('title')}: {doc.get('detail')}", file=sys.stderr)
+        for fault in doc.get("faults", []):
+            print(f"  {fault['path']}: {fault['reason']}; {fault['remedy']}", file=sys.stderr)
+        print(f"remedy: {doc.get('remedy')}", file=sys.stderr)
+        sys.exit(EXIT_REFUSED)
+    print(json.dumps(doc, indent=2))
+
+
+@cappa.command(name="apply", help="Hand over a whole configuration (JSON file, - for stdin).")
+@dataclass
+class Apply:
+    file: Annotated[str, cappa.Arg(help="the configuration")]
+    ifVersion: Annotated[
+        int, cappa.Arg(long="if-version", help="only if this version rules now")
+    ] = -1
+    registry: Registry = ""
+
+    def __call__(self) -> None:
+        try:
+            body = sys.stdin.buffer.read() if self.file == "-" else Path(self.file).read_bytes()
+        except OSError as fault:
+            print(f"spokeroute desk: {self.file} can't be read: {fault}", file=sys.stderr)
+            sys.exit(EXIT_PROPS)
+        headers = {"Content-Type": "application/json"}
+        if self.ifVersion >= 0:
+            headers["If-Match"] = f'"{self.ifVersion}"'
+        _finish(ask(self.registry, "PUT", "/desired-state", body, headers, onlyOnce=True))
+
+
+@cappa.command(name="show", help="Print the configuration that rules, whole and newest.")
+@dataclass
+class Show:
+    registry: Registry = ""
+
+    def __call__(self) -> None:
+        _finish(ask(self.registry, "GET", "/desired-state"))
+
+
+@cappa.command(name="evacuate", help="Empty a locality: its instances get nothing more.")
+@dataclass
+class Evacuate:
+    locality: Annotated[str, cappa.Arg(help="the locality")]
+    registry: Registry = ""
+
+    def __call__(self) -> None:
+        _finish(ask(self.registry, "PUT", f"/evacuation/{self.locality}"))
+
+
+@cappa.command(name="restore", help="Take a locality back into use.")
+@dataclass
+class Restore:
+    locality: Annotated[str, cappa.Arg(help="the locality")]
+    registry: Registry = ""
+
+    def __call__(self) -> None:
+        _finish(ask(self.registry, "DELETE", f"/evacuation/{self.locality}"))
+
+
+@cappa.command(name="status", help="Print what a registry sees: core, versions, instances.")
+@dataclass
+class Status:
+    registry: Registry = ""
+
+    def __call__(self) -> None:
+        _finish(ask(self.registry, "GET", "/status"))
+
+
+def _pages(registry: str, after: str) -> Iterator[str]:
+    while True:
+        got = ask(registry, "GET", f"/ledger?after={after}&limit=1000")
+        if isinstance(got, Unreached) or got.status != 200:
+            _finish(got)
+            return
+        lines = got.body.decode().splitlines()
+        yield from lines
+        if len(lines) < 1000:
+            return
+        after = json.loads(lines[-1])["key"]
+
+
+@cappa.command(name="ledger", help="Print decisions, oldest first, one JSON object a line.")
+@dataclass
+class Ledger:
+    after: Annotated[str, cappa.Arg(long="after", help="only entries after this key")] = ""
+    kind: Annotated[str, cappa.Arg(long="kind", help="only this kind of decision")] = ""
+    registry: Registry = ""
+
+    def __call__(self) -> None:
+        for line in _pages(self.registry, self.after):
+            if not self.kind or json.loads(line).get("kind") == self.kind:
+                print(line)
+
+
+@cappa.command(name="replay", help="Recompute the ledger's decisions; report the first difference.")
+@dataclass
+class Replay:
+    file: Annotated[
+        str, cappa.Arg(long="file", help="a saved ledger, - for stdin; else the registry's")
+    ] = ""
+    registry: Registry = ""
+
+    def __call__(self) -> None:
+        got: Replayed
+        if self.file == "-":
+            got = replay(sys.stdin)
+        elif self.file:
+            try:
+                with open(self.file) as lines:
+                    got = replay(lines)
+            except OSError as fault:
+                print(f"spokeroute desk: {self.file} can't be read: {fault}", file=sys.stderr)
+                sys.exit(EXIT_PROPS)
+        else:
+            got = replay(_pages(self.registry, ""))
+        print(f"{got.read} entries read, {got.recomputed} decisions recomputed")
+        if got.difference:
+            print(f"difference at {got.difference.key}: {got.difference.reason}", file=sys.stderr)
+            sys.exit(EXIT_REFUSED)
+        print("no difference")
+
+
+@cappa.command(name="desk", help="The operator's client.")
+@dataclass
+class Desk:
+    command: cappa.Subcommands[Apply | Show | Evacuate | Restore | Status | Ledger | Replay]
--- a/spokeroute/dispatch/plan.py
+++ b/spokeroute/dispatch/plan.py
@@ -172,9 +172,7 @@
         if counts:
             node = min(counts, key=lambda n: (same.get(n, 0), counts[n], n))
             counts[node] += 1
-            work.now[placed.id] = replace(
-                placed, holder=node, holderIncarnation=seen.holders[node]
-            )
+            work.now[placed.id] = replace(placed, holder=node, holderIncarnation=seen.holders[node])
             work.say("holder", {"instance": placed.id}, node)
 
 
--- a/spokeroute/dispatch/role.py
+++ b/spokeroute/dispatch/role.py
@@ -125,9 +125,7 @@
     state: State, change: Swap | Read, offered: Term, nowMs: Ms, effects: tuple[Tell, ...]
 ) -> tuple[State, Effects]:
     opId = f"role/{state.me}/{state.draws}"
-    state = replace(
-        state, asking=opId, askedMs=nowMs, offered=offered, draws=state.draws + 1
-    )
+    state = replace(state, asking=opId, askedMs=nowMs, offered=offered, draws=state.draws + 1)
     return state, (*effects, Tell("proposer", Ask(opId, PLACEMENT, change, "role", 2_000)))
 
 
--- a/spokeroute/dispatch/sense.py
+++ b/spokeroute/dispatch/sense.py
@@ -148,13 +148,15 @@
                 continue
             least = min(there, key=lambda s: (cu.get(s.worker, 0.0), s.worker)).worker
             same = seats[least].locality == seats[function.worker].locality
-            said = policy.shift.number({
-                "load": function.loadPct,
-                "euHere": cu[function.worker],
-                "euThere": cu.get(least, 0.0),
-                "overloaded": cu[function.worker] > table.thresholds.overloadPct,
-                "sameLocality": same,
-            })
+            said = policy.shift.number(
+                {
+                    "load": function.loadPct,
+                    "euHere": cu[function.worker],
+                    "euThere": cu.get(least, 0.0),
+                    "overloaded": cu[function.worker] > table.thresholds.overloadPct,
+                    "sameLocality": same,
+                }
+            )
             if isinstance(said, ProgramFault):
                 faults.append(f"shift {function.service}@{function.worker}: {said.reason}")
             elif said < 0:
--- a/spokeroute/dispatch/upkeep.py
+++ b/spokeroute/dispatch/upkeep.py
@@ -71,9 +71,7 @@
         kept = {s: self.surplusMs.get(s, nowMs) for s in services}
         return replace(self, surplusMs=Map(kept))
 
-    def stopped(
-        self, instances: tuple[Placed, ...], table: Table, nowMs: Ms
-    ) -> tuple[Placed, ...]:
+    def stopped(self, instances: tuple[Placed, ...], table: Table, nowMs: Ms) -> tuple[Placed, ...]:
         """Drained instances go to stopping; stopped ones leave the floor.
 
         Example:
@@ -112,18 +110,14 @@
     return LEASE_MS + runMs(placed, table) + MARGIN_MS
 
 
-def takeListing(
-    floor: Floor, listing: PlatformListed, missing: Map[str, int]
-) -> Map[str, int]:
+def takeListing(floor: Floor, listing: PlatformListed, missing: Map[str, int]) -> Map[str, int]:
     """Count the newer listings in a row that lack an instance.
 
     Example:
         len(takeListing(NO_FLOOR, listing, Map())) == 0
     """
     there = {p.id for p in listing.listed}
-    return Map(
-        {p.id: missing.get(p.id, 0) + 1 for p in floor.instances if p.id not in there}
-    )
+    return Map({p.id: missing.get(p.id, 0) + 1 for p in floor.instances if p.id not in there})
 
 
 def remark(
--- a/spokeroute/register/copies.py
+++ b/spokeroute/register/copies.py
@@ -31,6 +31,7 @@
 )
 
 PROBE_MS = 400
+URGENT_MS = 150
 LEASE_MS = 2_000
 FINISH_MS = 900
 OPEN_PROBES = 8
@@ -59,6 +60,7 @@
 
     held: tuple[HeldReport, ...]
     demand: tuple[DemandReport, ...]
+    urgent: bool = False  # calls wait for an instance: ask sooner
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +144,10 @@
             found = tuple(NodeId(e.node) for e in known if e.role == "registry")
             return replace(state, registries=found), ()
         case Reports() as reports:
-            return replace(state, reports=reports), ()
+            nextMs = state.nextMs
+            if reports.urgent:
+                nextMs = Ms(min(nextMs, nextMs - PROBE_MS + URGENT_MS))
+            return replace(state, reports=reports, nextMs=nextMs), ()
     return state, ()
 
 
--- a/spokeroute/trunk/net.py
+++ b/spokeroute/trunk/net.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from spokeroute.dial.ids import Address, Ms
+from spokeroute.dial.ids import Address, Ms, NodeId
 from spokeroute.trunk.frames import FrameFault, cut
 from spokeroute.trunk.process import Process
 
@@ -77,6 +77,8 @@
         self.out: dict[Address, Wire] = {}
         self.stopping = False
         self.beforeStop: Callable[[], bool] | None = None
+        self.lost: Callable[[NodeId], None] | None = None
+        self.book: dict[NodeId, Address] = {}
 
     def report(self, actor: str, event: object) -> None:
         """From any thread: hand an event to an actor on the loop.
@@ -135,6 +137,7 @@
                 actor, event = self.reports.popleft()
                 process.post(actor, event)
             process.pump()
+            self.book = process.book
         self.server.close()
 
     def stop(self) -> None:
@@ -217,6 +220,10 @@
     def _close(self, wire: Wire) -> None:
         if wire.address is not None and self.out.get(wire.address) is wire:
             del self.out[wire.address]
+            if self.lost is not None:
+                for node, address in self.book.items():
+                    if address == wire.address:
+                        self.lost(node)
         try:
             self.selector.unregister(wire.sock)
         except KeyError:
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,187 @@
+"""Starts a whole fleet on loopback: stand-in platform, three registries, nine exchanges.
+
+The only program here that starts processes. It ends them, by id, when it ends.
+"""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+LOCALITIES = ("north", "centre", "south")
+
+
+def freePorts(count: int) -> list[int]:
+    """Ports that were free a moment ago."""
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [int(s.getsockname()[1]) for s in held]
+    for each in held:
+        each.close()
+    return ports
+
+
+def get(address: str, path: str, waitS: float = 1.0) -> tuple[int, bytes]:
+    """One plain GET; status 0 where nobody answers."""
+    try:
+        got = urllib3.PoolManager(retries=False).request(
+            "GET", f"http://{address}{path}", timeout=waitS
+        )
+    except urllib3.exceptions.HTTPError:
+        return 0, b""
+    return got.status, got.data
+
+
+@dataclass
+class Fleet:
+    """The processes of one fleet and where they listen."""
+
+    folder: Path
+    exchanges: int = 9
+    fixedPorts: bool = False
+    organismo: bool = False
+    standinFlags: tuple[str, ...] = ()
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    commands: dict[str, list[str]] = field(default_factory=dict)
+    http: dict[str, str] = field(default_factory=dict)
+    platform: str = ""
+
+    def plan(self) -> None:
+        """Choose addresses and write each process's command."""
+        names = [f"reg{i + 1}" for i in range(3)] + [f"ex{i + 1}" for i in range(self.exchanges)]
+        if self.fixedPorts:
+            trunks = {n: 7100 + i for i, n in enumerate(names)}
+            https = {n: (8100 if n.startswith("reg") else 8000) + int(n.lstrip("regx")) for n in names}
+            platform = 8200
+        else:
+            ports = freePorts(2 * len(names) + 1)
+            trunks = dict(zip(names, ports[: len(names)], strict=True))
+            https = dict(zip(names, ports[len(names) : -1], strict=True))
+            platform = ports[-1]
+        self.http = {n: f"127.0.0.1:{p}" for n, p in https.items()}
+        self.platform = f"127.0.0.1:{platform}"
+        seeds = ",".join(f"127.0.0.1:{trunks[f'reg{i + 1}']}" for i in range(3))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        python = sys.executable
+        starts = ("500", "300") if self.organismo else ("1400", "1000")
+        self.commands["platform"] = [
+            python, "-m", "tools.standin", "--listen", self.platform,
+            "--log", str(self.folder / "standin.log"),
+            "--start-busy-ms", starts[0], "--start-small-ms", starts[1], *self.standinFlags,
+        ]  # fmt: skip
+        for i, name in enumerate(names):
+            role = "registry" if name.startswith("reg") else "exchange"
+            command = [
+                python, "-m", "spokeroute", role, "--name", name,
+                "--locality", LOCALITIES[i % 3], "--trunk", f"127.0.0.1:{trunks[name]}",
+                "--http", self.http[name], "--seeds", seeds,
+            ]  # fmt: skip
+            if role == "registry":
+                command += ["--data", str(self.folder / name), "--platform", self.platform,
+                            "--found"]  # fmt: skip
+            self.commands[name] = command
+
+    def start(self, name: str) -> None:
+        """Start one process; its words go to a file of its own."""
+        out = open(self.folder / f"{name}.out", "ab")  # noqa: SIM115
+        self.processes[name] = subprocess.Popen(
+            self.commands[name], stdout=out, stderr=out, cwd=Path(__file__).parent.parent
+        )
+        out.close()
+
+    def startAll(self) -> None:
+        """Start every process and wait until the registries vote."""
+        self.plan()
+        for name in self.commands:
+            self.start(name)
+
+    def waitReady(self, names: list[str], waitS: float) -> list[str]:
+        """The names that are not ready when the wait is over."""
+        until = time.monotonic() + waitS
+        left = list(names)
+        while left and time.monotonic() < until:
+            left = [
+                n
+                for n in left
+                if get(self.http[n], "/ready" if n.startswith("reg") else "/spokeroute/ready")[0]
+                != 200
+            ]
+            if left:
+                time.sleep(0.1)
+        return left
+
+    @property
+    def registries(self) -> str:
+        return ",".join(self.http[f"reg{i + 1}"] for i in range(3))
+
+    def signal(self, name: str, number: int) -> None:
+        """Signal a process that this fleet started."""
+        self.processes[name].send_signal(number)
+        if number == signal.SIGKILL:
+            self.processes[name].wait()
+
+    def stop(self) -> dict[str, int]:
+        """End every process: SIGTERM, then SIGKILL; the exit codes."""
+        for name, process in self.processes.items():
+            if process.poll() is None and name != "platform":
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        codes: dict[str, int] = {}
+        for name, process in self.processes.items():
+            if name == "platform":
+                process.terminate()
+            try:
+                codes[name] = process.wait(timeout=15)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                codes[name] = process.wait()
+        return codes
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="Run a whole fleet on loopback until Ctrl-C.")
+    parser.add_argument("--folder", default="fleet-data", help="data, logs and words")
+    parser.add_argument("--exchanges", type=int, default=9)
+    parser.add_argument("--organismo", action="store_true", help="the Organismo's start times")
+    args = parser.parse_args()
+    fleet = Fleet(
+        Path(args.folder), args.exchanges, fixedPorts=True, organismo=args.organismo
+    )
+    fleet.startAll()
+
+    def interrupted(number: int, frame: object) -> None:
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, interrupted)
+    try:
+        missing = fleet.waitReady([n for n in fleet.commands if n.startswith("reg")], 30)
+        if missing:
+            print(f"not ready: {', '.join(missing)}; see {args.folder}/*.out", file=sys.stderr)
+            sys.exit(1)
+        print(f"registries (operators): {fleet.registries}")
+        print("exchanges (callers):    " + ",".join(
+            a for n, a in fleet.http.items() if n.startswith("ex")))  # fmt: skip
+        print(f"stand-in platform:      {fleet.platform}")
+        print("ready; Ctrl-C ends the fleet", flush=True)
+        while True:
+            time.sleep(0.5)
+            for name, process in fleet.processes.items():
+                if process.poll() is not None:
+                    print(f"{name} ended with {process.returncode}", file=sys.stderr, flush=True)
+                    del fleet.processes[name]
+                    break
+    except KeyboardInterrupt:
+        print("stopping")
+    finally:
+        fleet.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/standin.py
@@ -0,0 +1,276 @@
+"""The stand-in platform with its workers and instances, in one process of threads.
+
+It speaks the platform contract on one port and, for each instance, the instance contract on
+a port of its own. Every run, answer, start and stop is a line in its log, for the judges.
+Times in the log are this process's monotonic milliseconds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import socket
+import threading
+import time
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+
+def nowMs() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+class QuietServer(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """A caller that hung up is no news."""
+
+
+@dataclass
+class Instance:
+    id: str
+    service: str
+    worker: str
+    limit: int
+    state: str = "starting"
+    address: str = ""
+    server: QuietServer | None = None
+    upAtMs: int = 0
+    running: int = 0
+    most: int = 0
+    sockets: list[socket.socket] = field(default_factory=list)
+
+
+class Standin:
+    def __init__(self, args: argparse.Namespace) -> None:
+        self.args = args
+        self.lock = threading.Lock()
+        self.instances: dict[str, Instance] = {}
+        self.down: set[str] = set()
+        self.sequence = 0
+        self.listing = b""
+        self.log = open(args.log, "a", buffering=1)  # noqa: SIM115
+        self.rng = random.Random(args.seed)
+        self.calls: list[int] = []
+        self.snapshots: list[tuple[int, dict[str, Any]]] = []
+
+    def write(self, kind: str, **fields: Any) -> None:
+        line = json.dumps({"atMs": nowMs(), "kind": kind, **fields})
+        with self.lock:
+            self.log.write(line + "\n")
+
+    def workers(self) -> list[dict[str, Any]]:
+        names = self.args.localities.split(",")
+        return [
+            {"id": f"w{i + 1}", "locality": names[i % len(names)], "memoryMb": self.args.worker_mb}
+            for i in range(self.args.workers)
+            if f"w{i + 1}" not in self.down
+        ]
+
+    def snap(self) -> None:
+        """The listing as it stands; callers see it late."""
+        while True:
+            with self.lock:
+                doc = {
+                    "workers": self.workers(),
+                    "instances": [
+                        {"id": i.id, "service": i.service, "worker": i.worker,
+                         "address": i.address, "state": i.state}
+                        for i in self.instances.values()
+                    ],
+                }  # fmt: skip
+            self.snapshots.append((nowMs(), doc))
+            edge = nowMs() - self.args.list_delay_ms
+            while len(self.snapshots) > 1 and self.snapshots[1][0] <= edge:
+                self.snapshots.pop(0)
+            self.sequence += 1
+            body = json.dumps({"sequence": self.sequence, **self.snapshots[0][1]}).encode()
+            self.listing = body
+            time.sleep(0.1)
+
+    def capped(self) -> bool:
+        with self.lock:
+            edge = nowMs() - 1000
+            self.calls = [t for t in self.calls if t > edge]
+            if len(self.calls) >= self.args.cap:
+                return True
+            self.calls.append(nowMs())
+            return False
+
+    def start(self, raw: dict[str, Any]) -> int:
+        if self.capped():
+            return 429
+        with self.lock:
+            if raw["id"] in self.instances:
+                return 202
+            if raw["worker"] in self.down:
+                return 409
+            instance = Instance(raw["id"], raw["service"], raw["worker"], int(raw["limit"]))
+            self.instances[instance.id] = instance
+        self.write("start", instance=instance.id, service=instance.service, worker=instance.worker)
+        threading.Thread(target=self.boot, args=(instance,), daemon=True).start()
+        return 202
+
+    def boot(self, instance: Instance) -> None:
+        base = self.args.start_busy_ms if instance.limit > 1 else self.args.start_small_ms
+        time.sleep(base / 1000 * self.rng.uniform(0.9, 1.2))
+        server = QuietServer(("127.0.0.1", 0), handlerOf(self, instance))
+        with self.lock:
+            if instance.state != "starting":
+                server.server_close()
+                return
+            instance.server = server
+            instance.address = f"127.0.0.1:{server.server_address[1]}"
+            instance.state = "running"
+            instance.upAtMs = nowMs()
+        self.write("up", instance=instance.id, service=instance.service, address=instance.address)
+        server.serve_forever(poll_interval=0.2)
+
+    def stop(self, name: str, why: str) -> int:
+        with self.lock:
+            instance = self.instances.pop(name, None)
+            if instance is None:
+                return 404
+            instance.state = "stopped"
+            sockets = list(instance.sockets)
+        self.write("stop", instance=name, why=why, running=instance.running)
+        if instance.server is not None:
+            threading.Thread(target=instance.server.shutdown, daemon=True).start()
+            instance.server.socket.close()
+        for sock in sockets:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+        return 202
+
+    def crash(self, worker: str) -> int:
+        with self.lock:
+            self.down.add(worker)
+            names = [i.id for i in self.instances.values() if i.worker == worker]
+        self.write("crash", worker=worker)
+        for name in names:
+            self.stop(name, "crash")
+        return 200
+
+    def revive(self, worker: str) -> int:
+        with self.lock:
+            self.down.discard(worker)
+        self.write("revive", worker=worker)
+        return 200
+
+
+def handlerOf(standin: Standin, instance: Instance) -> type[BaseHTTPRequestHandler]:
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def setup(self) -> None:
+            super().setup()
+            self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with standin.lock:
+                instance.sockets.append(self.connection)
+
+        def finish(self) -> None:
+            with standin.lock:
+                if self.connection in instance.sockets:
+                    instance.sockets.remove(self.connection)
+            super().finish()
+
+        def log_message(self, *args: Any) -> None:
+            """The log is the stand-in's own."""
+
+        def answer(self, status: int, doc: Any, headers: dict[str, str]) -> None:
+            body = json.dumps(doc).encode()
+            head = [f"HTTP/1.1 {status} OK", f"Content-Length: {len(body)}",
+                    "Content-Type: application/json"]  # fmt: skip
+            head += [f"{k}: {v}" for k, v in headers.items()]
+            self.wfile.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+
+        def serve(self) -> None:
+            if self.path == "/spokeroute/who":
+                self.answer(200, {"service": instance.service, "instance": instance.id}, {})
+                return
+            length = int(self.headers.get("Content-Length") or 0)
+            body = self.rfile.read(length)
+            tryId = self.headers.get("Spokeroute-Try", "")
+            call = self.headers.get("Standin-Call", "")
+            with standin.lock:
+                instance.running += 1
+                running = instance.running
+            standin.write("run", instance=instance.id, service=instance.service, call=call,
+                          tryId=tryId, running=running, limit=instance.limit,
+                          path=self.path, worker=instance.worker)  # fmt: skip
+            cold = nowMs() - instance.upAtMs < standin.args.cold_ms
+            workMs = standin.rng.uniform(0.6, 1.4) * standin.args.work_ms * (2 if cold else 1)
+            time.sleep(workMs / 1000)
+            with standin.lock:
+                instance.running -= 1
+            doc = {"call": call, "instance": instance.id, "echo": body.decode("utf-8", "replace")}
+            standin.write("answer", instance=instance.id, call=call, tryId=tryId)
+            self.answer(200, doc, {"Spokeroute-Try": tryId})
+
+        do_GET = do_POST = do_PUT = do_DELETE = serve
+
+    return Handler
+
+
+def platformHandler(standin: Standin) -> type[BaseHTTPRequestHandler]:
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def log_message(self, *args: Any) -> None:
+            """The log is the stand-in's own."""
+
+        def answer(self, status: int, body: bytes = b"{}") -> None:
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def do_GET(self) -> None:
+            self.answer(200, standin.listing) if standin.listing else self.answer(503)
+
+        def do_POST(self) -> None:
+            body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+            parts = self.path.strip("/").split("/")
+            if parts[0] == "crash":
+                self.answer(standin.crash(parts[1]))
+            elif parts[0] == "revive":
+                self.answer(standin.revive(parts[1]))
+            else:
+                self.answer(standin.start(json.loads(body)))
+
+        def do_DELETE(self) -> None:
+            status = 429 if standin.capped() else standin.stop(self.path.split("/")[-1], "asked")
+            self.answer(status)
+
+    return Handler
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--log", required=True)
+    parser.add_argument("--localities", default="north,centre,south")
+    parser.add_argument("--workers", type=int, default=6)
+    parser.add_argument("--worker-mb", type=int, default=7680)
+    parser.add_argument("--start-busy-ms", type=float, default=1400)
+    parser.add_argument("--start-small-ms", type=float, default=1000)
+    parser.add_argument("--work-ms", type=float, default=60)
+    parser.add_argument("--cold-ms", type=float, default=2000)
+    parser.add_argument("--list-delay-ms", type=int, default=500)
+    parser.add_argument("--cap", type=int, default=110)
+    parser.add_argument("--seed", type=int, default=1)
+    standin = Standin(parser.parse_args())
+    threading.Thread(target=standin.snap, daemon=True).start()
+    host, _, port = standin.args.listen.rpartition(":")
+    server = QuietServer((host, int(port)), platformHandler(standin))
+    server.serve_forever(poll_interval=0.2)
+
+
+if __name__ == "__main__":
+    main()
