--- a/spokeroute/exchange/calls.py
+++ b/spokeroute/exchange/calls.py
@@ -7,16 +7,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
-from immutables import Map
-
-from spokeroute.dial.effects import Effect, Effects, From, Reply, Send, Tell, Tick
+from spokeroute.dial.effects import Effect, Effects, From, Reply, Send, Tick
 from spokeroute.dial.ids import Ms, NodeId
 from spokeroute.dial.verdict import Kind, Ran, Verdict, refusal
 from spokeroute.exchange import filters
-from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.claiming import askClaim, claimGot, freeThen
+from spokeroute.exchange.entry import HeldNow, State, endTry, put, report, shun
 from spokeroute.exchange.pick import pick, usable
 from spokeroute.exchange.types import (
     Call,
@@ -24,19 +22,16 @@
     CallIn,
     LinkDown,
     Stopping,
-    Tables,
     Try,
     freshTables,
 )
-from spokeroute.register.copies import Fresh, Reports
+from spokeroute.register.copies import Fresh
 from spokeroute.trunk.colleagues import ViewNow
 from spokeroute.trunk.messages import (
     ClaimGot,
-    DemandReport,
     Ferried,
     Ferry,
     FerryDrop,
-    HeldReport,
     Lists,
 )
 
@@ -45,44 +40,11 @@
 LOST_SHUN_MS = 1_000
 END_MARGIN_MS = 40
 SECOND_MIN_MS = 100
-REPORT_MS = 200
 CLAIM_RETRY_MS = 600
 FREE_WAIT_MS = 800
 OWN_HEADERS = ("spokeroute-ran", "spokeroute-try", "spokeroute-instance")
 
 
-@dataclass(frozen=True, slots=True)
-class HeldNow:
-    """From the holder's core: its reports on the instances it holds."""
-
-    held: tuple[HeldReport, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class State:
-    """Open calls and what they are decided by."""
-
-    me: NodeId
-    incarnation: int
-    budget: Budget
-    tables: Tables = Tables()
-    calls: Map[int, Call] = field(default_factory=Map)
-    tryOf: Map[str, int] = field(default_factory=Map)  # try -> slot index
-    opOf: Map[str, int] = field(default_factory=Map)  # claim op -> slot index
-    buckets: filters.Buckets = field(default_factory=Map)
-    lists: Lists | None = None
-    listsMs: Ms = Ms(-(10**9))
-    outstanding: Map[str, int] = field(default_factory=Map)
-    shunnedMs: Map[str, int] = field(default_factory=Map)
-    registries: tuple[NodeId, ...] = ()
-    held: tuple[HeldReport, ...] = ()
-    arrived: Map[str, int] = field(default_factory=Map)
-    reportMs: Ms = Ms(0)
-    stopping: bool = False
-    draws: int = 0
-    verdicts: int = 0
-
-
 def step(state: State, event: object, nowMs: Ms) -> tuple[State, Effects]:
     """The entry's core.
 
@@ -114,7 +76,7 @@
                 drops = tuple(
                     Send(NodeId(t.holder), FerryDrop(name)) for name, t in call.tries.items()
                 )
-                return _put(state, replace(call, goneMs=nowMs)), drops
+                return put(state, replace(call, goneMs=nowMs)), drops
         case ViewNow(known):
             found = tuple(NodeId(e.node) for e in known if e.role == "registry")
             return replace(state, registries=found), ()
@@ -125,10 +87,6 @@
     return state, ()
 
 
-def _put(state: State, call: Call) -> State:
-    return replace(state, calls=state.calls.set(call.ask.slot.index, call))
-
-
 def _taken(state: State, ask: CallIn, nowMs: Ms) -> tuple[State, Effects]:
     def openOf(service: str) -> int:
         return sum(1 for c in state.calls.values() if c.service.name == service)
@@ -159,7 +117,7 @@
     opId = f"{call.ask.callId}/{to}/{state.draws}"
     state = replace(state, draws=state.draws + 1)
     call = replace(call, claimOp=opId, claimMs=nowMs)
-    state = replace(_put(state, call), opOf=state.opOf.set(opId, call.ask.slot.index))
+    state = replace(put(state, call), opOf=state.opOf.set(opId, call.ask.slot.index))
     registries = state.registries
     if not registries:
         return state, ()
@@ -197,7 +155,7 @@
         if call.touched and not call.tries and call.maybe:
             return _unknown(state, call, nowMs)
         held = replace(call, phase="holding", nextMs=Ms(nowMs + HOLD_MS))
-        return _put(state, held), ()
+        return put(state, held), ()
     placed = picked.placed
     name = call.service.name
     budget = state.budget
@@ -224,7 +182,7 @@
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     state = replace(
-        _put(state, call),
+        put(state, call),
         budget=budget,
         tryOf=state.tryOf.set(tryId, ask.slot.index),
         outstanding=state.outstanding.set(placed.id, count),
@@ -232,25 +190,8 @@
     return state, (Send(NodeId(placed.holder), ferry),)
 
 
-def _endTry(state: State, tryId: str) -> tuple[State, Call | None, Try | None]:
-    index = state.tryOf.get(tryId)
-    call = state.calls.get(index) if index is not None else None
-    if call is None or tryId not in call.tries:
-        return state, None, None
-    each = call.tries[tryId]
-    left = state.outstanding.get(each.instance, 1) - 1
-    outstanding = (
-        state.outstanding.set(each.instance, left)
-        if left > 0
-        else state.outstanding.delete(each.instance)
-    )
-    call = replace(call, tries=call.tries.delete(tryId))
-    state = replace(state, tryOf=state.tryOf.delete(tryId), outstanding=outstanding)
-    return _put(state, call), call, each
-
-
 def _ferried(state: State, got: Ferried, nowMs: Ms) -> tuple[State, Effects]:
-    state, call, each = _endTry(state, got.tryId)
+    state, call, each = endTry(state, got.tryId)
     if call is None or each is None:
         return state, ()
     if got.ran == "yes":
@@ -259,7 +200,7 @@
     if got.ran == "no":
         dialled = got.reason.startswith("unreached")
         shunMs = LOST_SHUN_MS if dialled else SHUN_MS
-        state = replace(state, shunnedMs=_shun(state.shunnedMs, each.instance, nowMs, shunMs))
+        state = replace(state, shunnedMs=shun(state.shunnedMs, each.instance, nowMs, shunMs))
         call = replace(call, why=got.reason)
         if dialled:
             call = replace(
@@ -269,25 +210,19 @@
     return _mayHaveRun(state, call, each, got.reason, nowMs)
 
 
-def _shun(shunned: Map[str, int], instance: str, nowMs: int, forMs: int) -> Map[str, int]:
-    if len(shunned) > 2_000:
-        shunned = Map({k: v for k, v in shunned.items() if v > nowMs})
-    return shunned.set(instance, nowMs + forMs)
-
-
 def _mayHaveRun(state: State, call: Call, each: Try, why: str, nowMs: Ms) -> tuple[State, Effects]:
     call = replace(
         call, maybe=True, why=why, failed=(*call.failed, each),
         touched=call.touched | {each.instance},
     )  # fmt: skip
-    state = replace(state, shunnedMs=_shun(state.shunnedMs, each.instance, nowMs, SHUN_MS))
-    return _goOn(_put(state, call), call, nowMs)
+    state = replace(state, shunnedMs=shun(state.shunnedMs, each.instance, nowMs, SHUN_MS))
+    return _goOn(put(state, call), call, nowMs)
 
 
 def _goOn(state: State, call: Call, nowMs: Ms) -> tuple[State, Effects]:
     """After a try without a verdict: a successor, a wait, or the truth at once."""
     if call.tries:
-        return _put(state, call), ()
+        return put(state, call), ()
     if call.goneMs >= 0 or nowMs >= call.deadlineMs - END_MARGIN_MS:
         return _end(state, call, nowMs)
     if call.maybe:
@@ -297,7 +232,7 @@
     if call.touched:
         return _send(state, call, nowMs)
     held = replace(call, phase="holding", nextMs=Ms(nowMs + HOLD_MS))
-    return _put(state, held), ()
+    return put(state, held), ()
 
 
 def _unknown(state: State, call: Call, nowMs: Ms) -> tuple[State, Effects]:
@@ -334,7 +269,7 @@
 def _answer(state: State, call: Call, verdict: Verdict, nowMs: Ms) -> tuple[State, Effects]:
     """The one verdict; the slot is free after it."""
     for tryId in call.tries:
-        state, _, _ = _endTry(state, tryId)
+        state, _, _ = endTry(state, tryId)
     effects: list[Effect] = []
     if call.claimed and call.phase != "freeing" and state.registries:
         known = "may have run" if verdict.status in (502, 504) else f"ended {verdict.status}"
@@ -366,7 +301,7 @@
 
 
 def _loseTry(state: State, tryId: str, why: str, nowMs: Ms) -> tuple[State, Effects]:
-    state, call, each = _endTry(state, tryId)
+    state, call, each = endTry(state, tryId)
     if call is None or each is None:
         return state, ()
     return _mayHaveRun(state, call, each, why, nowMs)
@@ -382,7 +317,7 @@
     shunned = state.shunnedMs
     for placed in state.tables.floor.instances:
         if placed.holder == node:
-            shunned = _shun(shunned, placed.id, nowMs, LOST_SHUN_MS)
+            shunned = shun(shunned, placed.id, nowMs, LOST_SHUN_MS)
     return replace(state, shunnedMs=shunned), tuple(effects)
 
 
@@ -395,8 +330,8 @@
         state, more = _wake(state, call, nowMs)
         effects.extend(more)
     if nowMs >= state.reportMs:
-        state, report = _report(state, nowMs)
-        effects.append(report)
+        state, said = report(state, nowMs)
+        effects.append(said)
     return state, tuple(effects)
 
 
@@ -421,7 +356,7 @@
 def _hedge(state: State, call: Call, nowMs: Ms) -> tuple[State, Effects]:
     """A repeatable call's answer is overdue: a successor gets it while the share lasts."""
     call = replace(call, nextMs=call.deadlineMs)
-    state = _put(state, call)
+    state = put(state, call)
     if not state.budget.allows(call.service.name, nowMs):
         return state, ()
     overdue = tuple(call.tries.values())
@@ -433,22 +368,3 @@
     if not state.tables.fresh(nowMs):
         return state, ()
     return _send(state, maybe, nowMs)
-
-
-def _report(state: State, nowMs: Ms) -> tuple[State, Effect]:
-    waiting: dict[str, int] = {}
-    trying: dict[str, int] = {}
-    urgent = False
-    for call in state.calls.values():
-        name = call.service.name
-        if call.phase == "holding" and not call.maybe:
-            waiting[name] = waiting.get(name, 0) + 1
-            urgent = urgent or not state.tables.byService.get(name)
-        elif call.phase == "trying":
-            trying[name] = trying.get(name, 0) + 1
-    names = sorted(set(waiting) | set(trying) | set(state.arrived))
-    demand = tuple(
-        DemandReport(n, state.arrived.get(n, 0), waiting.get(n, 0), trying.get(n, 0)) for n in names
-    )
-    state = replace(state, arrived=Map(), reportMs=Ms(nowMs + REPORT_MS))
-    return state, Tell("copies", Reports(state.held, demand, urgent or bool(waiting)))
--- a/spokeroute/exchange/holder.py
+++ b/spokeroute/exchange/holder.py
@@ -13,7 +13,7 @@
 from spokeroute.dial.effects import Effect, Effects, From, Launch, Send, Tell, Tick
 from spokeroute.dial.ids import Ms, NodeId
 from spokeroute.dispatch.floor import UP, Placed
-from spokeroute.exchange.calls import HeldNow
+from spokeroute.exchange.entry import HeldNow
 from spokeroute.exchange.types import (
     FRESH_MARGIN_MS,
     Revoke,
--- /dev/null
+++ b/tests/sim/cluster.py
@@ -0,0 +1,271 @@
+"""A whole simulated cluster with callers and operators, and the log that judges read."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable, Generator
+from dataclasses import dataclass, field
+from typing import Any
+
+import simpy
+
+from spokeroute.dial.verdict import Verdict
+from spokeroute.dispatch.desired import DesiredState, packDesired, readDesired
+from spokeroute.exchange.types import CallIn
+from spokeroute.register.cells import digestOf
+from spokeroute.registry.operator import Apply, Evacuate, Show
+from tests.sim.platform import Platform
+from tests.sim.world import Net, Node
+
+LOCALITIES = ("north", "centre", "south")
+
+
+@dataclass
+class Asked:
+    """One call as its caller saw it. Status 0: the connection broke."""
+
+    call: str
+    key: str
+    path: str
+    service: str
+    once: bool
+    exchange: str
+    atMs: float
+    waitMs: int
+    doneMs: float = -1.0
+    status: int = -1
+    ran: str = ""
+    kind: str = ""
+    body: bytes = b""
+    verdicts: int = 0
+
+
+@dataclass
+class Told:
+    """One operator request and how it ended."""
+
+    what: str
+    atMs: float
+    doneMs: float = -1.0
+    status: int = -1
+    doc: dict[str, Any] = field(default_factory=dict)
+    detail: str = ""
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    """A small deployment: a busy service, a once-only one, two small ones."""
+    doc: dict[str, Any] = {
+        "name": "simulated",
+        "localities": list(LOCALITIES),
+        "services": [
+            {"name": "readings", "memoryMb": 512, "limit": 4, "coldMs": 1000,
+             "longestRunMs": 1000, "minInstances": 2, "spares": 1},
+            {"name": "corrections", "memoryMb": 512, "limit": 4, "coldMs": 1000,
+             "longestRunMs": 1000, "minInstances": 2, "spares": 1},
+            {"name": "small-1", "memoryMb": 128, "limit": 1, "coldMs": 500,
+             "longestRunMs": 1000},
+            {"name": "small-2", "memoryMb": 128, "limit": 1, "coldMs": 500,
+             "longestRunMs": 1000},
+        ],
+        "lanes": [
+            {"path": "/readings", "service": "readings", "methods": ["POST"],
+             "repeatable": True, "perAgentPerS": 1000.0},
+            {"path": "/corrections", "service": "corrections", "methods": ["POST"],
+             "perAgentPerS": 1000.0},
+            {"path": "/small/1", "service": "small-1", "repeatable": True},
+            {"path": "/small/2", "service": "small-2", "repeatable": True},
+        ],
+    }  # fmt: skip
+    doc.update(changes)
+    return doc
+
+
+class Sim:
+    """The cluster. Planted faults (``skip…``) switch one check of the edge off."""
+
+    def __init__(
+        self, seed: int, exchanges: int = 3, syncMs: float = 0.5, startMs: float = 600.0,
+        workMs: float = 40.0,
+    ) -> None:  # fmt: skip
+        self.env = simpy.Environment()
+        self.rng = random.Random(seed)
+        self.syncMs = syncMs
+        self.net = Net(self.env, self.rng)
+        self.notes: list[tuple[float, str, str]] = []
+        self.skipWho = self.skipProof = self.skipWhole = False
+        self.platform = Platform(self.env, self.rng, LOCALITIES, 6, startMs, workMs)
+        self.seeds = [f"10.0.0.{i + 1}:1" for i in range(3)]
+        self.draws = 0
+        self.registries = [
+            Node(self, f"reg{i + 1}", "registry", LOCALITIES[i], self.seeds[i], True)
+            for i in range(3)
+        ]
+        self.exchanges = [
+            Node(self, f"ex{i + 1}", "exchange", LOCALITIES[i % 3], f"10.1.0.{i + 1}:1", False)
+            for i in range(exchanges)
+        ]
+        self.asked: list[Asked] = []
+        self.told: list[Told] = []
+        self.laneServices = {"/readings": "readings", "/corrections": "corrections",
+                             "/small/1": "small-1", "/small/2": "small-2"}  # fmt: skip
+        self.floors: list[tuple[float, int, Any]] = []  # when each floor was first chosen
+        self.lanesOf: dict[str, dict[str, str]] = {}  # configuration's name -> its lanes
+        self.coldMs: dict[str, float] = {}
+        self.env.process(self._watch())
+
+    def draw(self) -> int:
+        self.draws += 1
+        return self.draws
+
+    def _watch(self) -> Generator[Any, Any, None]:
+        seen: set[tuple[int, int]] = set()
+        while True:
+            for node in self.registries:
+                if node.alive and not node.frozen:
+                    floor = node.state("placement").floor
+                    if (floor.term, floor.sequence) not in seen:
+                        seen.add((floor.term, floor.sequence))
+                        self.floors.append((self.env.now, floor.term, floor))
+            yield self.env.timeout(20)
+
+    @property
+    def nodes(self) -> list[Node]:
+        return [*self.registries, *self.exchanges]
+
+    def start(self) -> None:
+        """Start every node."""
+        for node in self.nodes:
+            node.start()
+
+    def run(self, forMs: float) -> None:
+        """Let simulated time pass."""
+        self.env.run(until=self.env.now + forMs)
+
+    def upTo(self, ready: Callable[[], bool], mostMs: float) -> bool:
+        """Run until something holds."""
+        until = self.env.now + mostMs
+        while self.env.now < until:
+            if ready():
+                return True
+            self.run(50)
+        return ready()
+
+    def serving(self, service: str = "readings", count: int = 2) -> bool:
+        """Whether every live exchange has proved tables with warm, held instances."""
+        for node in self.exchanges:
+            if not node.alive or node.frozen:
+                continue
+            tables = node.state("calls").tables
+            if not tables.fresh(node.nowMs()):
+                return False
+            here = [p for p in tables.byService.get(service, ()) if p.warm and p.holder]
+            if len(here) < count:
+                return False
+        return True
+
+    def settle(self, **changes: Any) -> None:
+        """Start, apply the configuration, and wait until it serves."""
+        self.start()
+        assert self.upTo(lambda: all(r.state("keeper").syncedVotes for r in self.registries), 8000)
+        told = self.apply(configuration(**changes))
+        assert self.upTo(lambda: told.status == 200, 6000), told
+        ready = self.upTo(lambda: self.serving("readings") and self.serving("corrections"), 25_000)
+        assert ready, "the cluster did not come up"
+
+    def apply(self, doc: dict[str, Any], registry: int = 0, expect: int = -1) -> Told:
+        """An operator's apply."""
+        got = readDesired(json.dumps(doc).encode(), LOCALITIES)
+        assert isinstance(got, DesiredState), got
+        value = packDesired(got, f"a{self.draw()}")
+        told = Told("apply", self.env.now)
+        told.detail = str(doc.get("name", ""))
+        self.lanesOf[told.detail] = {x["path"]: x["service"] for x in doc["lanes"]}
+        self.coldMs.update({x["name"]: x.get("coldMs", 2000) for x in doc["services"]})
+        self.told.append(told)
+        node = self.registries[registry]
+        node.ask("operator", lambda s: Apply(s, value, digestOf(value), expect), self._teller(told))
+        return told
+
+    def evacuate(self, locality: str, out: bool, registry: int = 0) -> Told:
+        """An operator's evacuation or restore."""
+        told = Told("evacuate" if out else "restore", self.env.now)
+        told.detail = locality
+        self.told.append(told)
+        node = self.registries[registry]
+        node.ask("operator", lambda s: Evacuate(s, locality, out), self._teller(told))
+        return told
+
+    def show(self, registry: int = 0) -> Told:
+        """An operator's read."""
+        told = Told("show", self.env.now)
+        self.registries[registry].ask("operator", Show, self._teller(told))
+        return told
+
+    def _teller(self, told: Told) -> Callable[[Verdict], None]:
+        def tell(verdict: Verdict) -> None:
+            told.doneMs, told.status = self.env.now, verdict.status
+            told.doc = json.loads(verdict.body) if verdict.body else {}
+
+        return tell
+
+    def call(
+        self, path: str, exchange: Node | None = None, key: str = "", waitMs: int = 5000,
+        agent: str = "", body: bytes = b"{}",
+    ) -> Asked:  # fmt: skip
+        """One caller's call."""
+        if exchange is None:
+            up = [e for e in self.exchanges if e.alive]
+            exchange = self.rng.choice(up or self.exchanges)
+        name = f"c{self.draw()}"
+        once = path == "/corrections"
+        asked = Asked(
+            name, key, path, self.laneServices.get(path, ""), once, exchange.name,
+            self.env.now, waitMs,
+        )  # fmt: skip
+        self.asked.append(asked)
+        if not exchange.alive:
+            asked.status, asked.doneMs = 0, self.env.now
+            return asked
+
+        def tell(verdict: Verdict) -> None:
+            asked.verdicts += 1
+            asked.doneMs, asked.status, asked.body = self.env.now, verdict.status, verdict.body
+            if verdict.status >= 400:
+                doc = json.loads(verdict.body)
+                asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
+
+        headers = (("Standin-Call", name), *((("Idempotency-Key", key),) if key else ()))
+        method = "POST" if path in ("/readings", "/corrections") else "GET"
+        exchange.ask(
+            "calls",
+            lambda slot: CallIn(
+                slot, name, agent or name, method, path, "", headers, body, str(waitMs), key, 0
+            ),
+            tell,
+        )
+        return asked
+
+    def traffic(self, perS: float, forMs: float, paths: tuple[str, ...] = ()) -> None:
+        """Callers for a while; a sixth of the calls are once-only, half of those keyed."""
+        self.env.process(self._traffic(perS, self.env.now + forMs, paths))
+
+    def _traffic(
+        self, perS: float, untilMs: float, paths: tuple[str, ...]
+    ) -> Generator[Any, Any, None]:
+        count = 0
+        while self.env.now < untilMs:
+            count += 1
+            if paths:
+                path = self.rng.choice(paths)
+            else:
+                path = "/corrections" if count % 6 == 0 else "/readings"
+            key = f"k{self.draw()}" if path == "/corrections" and count % 12 == 0 else ""
+            self.call(path, key=key, waitMs=self.rng.randrange(4000, 8000))
+            yield self.env.timeout(self.rng.expovariate(perS) * 1000)
+
+    def close(self) -> None:
+        """Take every actor off pykka's register."""
+        for node in self.nodes:
+            if node.process is not None:
+                node.process.close()
--- /dev/null
+++ b/tests/sim/world.py
@@ -0,0 +1,308 @@
+"""The simulated world: one clock, a network with localities and cuts, processes that can be
+frozen and killed, disks that stall and lose their unsynced tail. The nodes are the product's
+own, built by ``spokeroute.nodes``."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Generator
+from dataclasses import dataclass, field
+from typing import Any
+
+import simpy
+from immutables import Map
+
+from spokeroute.dial.effects import SlotId
+from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId
+from spokeroute.dial.verdict import Verdict
+from spokeroute.dispatch.desired import buildTable
+from spokeroute.dispatch.platform import ListPlatform, PlatformCall
+from spokeroute.exchange.sender import Token
+from spokeroute.exchange.types import LinkDown, Revoke, SendTry, TryDone
+from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
+from spokeroute.nodes import Start, buildExchange, buildRegistry
+from spokeroute.register.cells import Cell, Roster
+from spokeroute.register.copies import Compile, Compiled
+from spokeroute.register.disk import Loaded
+from spokeroute.register.keeper import DiskDone, DiskWrite
+from spokeroute.trunk.process import Me, Process
+
+TICK_MS = 20
+Steps = Generator[Any, Any, None]
+
+
+@dataclass
+class SimDisk:
+    """A member's disk. ``cells`` is what is synced."""
+
+    member: MemberId
+    cells: dict[str, Cell] = field(default_factory=dict)
+    roster: Roster | None = None
+    votes: bool = False
+    ledger: dict[str, str] = field(default_factory=dict)
+    syncMs: float = 0.5
+    stalledUntilMs: float = 0.0
+    losesWrites: bool = False  # a planted fault: says synced, and is not
+
+
+class Net:
+    """Who hears whom, and how late."""
+
+    def __init__(self, env: simpy.Environment, rng: random.Random) -> None:
+        self.env = env
+        self.rng = rng
+        self.nodes: dict[Address, Node] = {}
+        self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "locality:x"
+        self.lastMs: dict[tuple[str, str], float] = {}
+
+    def cutBetween(self, a: Node, b: Node) -> bool:
+        """Whether nothing gets from a to b."""
+        froms = (a.name, f"locality:{a.locality}")
+        tos = (b.name, f"locality:{b.locality}")
+        return any((f, t) in self.cuts for f in froms for t in tos)
+
+    def delayMs(self, a: str, b: str) -> float:
+        return (0.2 if a == b else 1.4) + self.rng.random() * 0.3
+
+    def send(self, sender: Node, address: Address, frame: bytes) -> None:
+        self.env.process(self._carry(sender, address, frame))
+
+    def _carry(self, sender: Node, address: Address, frame: bytes) -> Steps:
+        born = sender.births
+        there = self.nodes.get(address)
+        delay = self.delayMs(sender.locality, there.locality if there else "")
+        key = (sender.name, address)
+        at = max(self.env.now + delay, self.lastMs.get(key, 0.0))
+        self.lastMs[key] = at
+        yield self.env.timeout(at - self.env.now)
+        there = self.nodes.get(address)
+        if there is not None and self.cutBetween(sender, there):
+            return
+        if there is None or not there.alive:
+            if there is not None and there.machineUp and sender.births == born:
+                sender.lost(there)
+            return
+        there.frame(frame)
+
+
+class Node:
+    """One process on its machine: the product's actors over simulated edges."""
+
+    def __init__(
+        self, sim: Any, name: str, role: str, locality: str, address: str, found: bool
+    ) -> None:
+        self.sim = sim
+        self.env: simpy.Environment = sim.env
+        self.name = name
+        self.role = role
+        self.locality = locality
+        self.address = Address(address)
+        self.found = found
+        self.machineUp = True
+        self.alive = False
+        self.frozen = False
+        self.births = 0
+        self.offsetMs = 0
+        self.process: Process | None = None
+        self.disk: SimDisk | None = None
+        self.backlog: list[Callable[[], None]] = []
+        self.woken = self.env.event()
+        self.slots: dict[int, Callable[[Verdict], None]] = {}
+        self.nextSlot = 0
+        self.tokens: dict[str, Token] = {}
+
+    # the world that the product's process stands on
+
+    def nowMs(self) -> Ms:
+        return Ms(int(self.env.now) + self.offsetMs)
+
+    def send(self, address: Address, frame: bytes) -> None:
+        self.sim.net.send(self, address, frame)
+
+    def reply(self, slot: SlotId, verdict: Verdict) -> None:
+        told = self.slots.pop(slot.index, None)
+        if told is not None:
+            told(verdict)
+
+    def note(self, text: str, alarm: bool) -> None:
+        self.sim.notes.append((self.env.now, self.name, text))
+
+    def fatal(self, fault: BaseException) -> None:
+        raise fault
+
+    def launch(self, actor: str, job: object) -> None:
+        born = self.births
+        match job:
+            case DiskWrite():
+                self.env.process(self._disk(actor, job, born))
+            case LedgerWrite():
+                self.env.process(self._ledger(actor, job, born))
+            case Compile():
+                self.env.process(self._compile(actor, job, born))
+            case SendTry():
+                token = Token()
+                self.tokens[job.tryId] = token
+                self.env.process(self.sim.platform.sendTry(self, job, token, born))
+            case Revoke(tryId):
+                held = self.tokens.get(tryId)
+                if held is not None and held.revoke():
+                    self.report("holder", TryDone(tryId, "no", "dropped"), born)
+            case ListPlatform():
+                self.env.process(self.sim.platform.list(self, actor, born))
+            case PlatformCall():
+                self.env.process(self.sim.platform.call(self, actor, job, born))
+
+    # the edges
+
+    def _disk(self, actor: str, job: DiskWrite, born: int) -> Steps:
+        disk = self.disk
+        assert disk is not None
+        yield self.env.timeout(disk.syncMs)
+        while self.env.now < disk.stalledUntilMs:
+            yield self.env.timeout(disk.stalledUntilMs - self.env.now)
+        if self.births != born:
+            return  # killed before the sync: the tail is gone
+        if not disk.losesWrites:
+            for name, cell in job.cells:
+                disk.cells[name] = cell
+            for name in job.drops:
+                disk.cells.pop(name, None)
+            if job.roster is not None:
+                disk.roster, disk.votes = job.roster, job.votes
+        self.report(actor, DiskDone(job.batch), born)
+
+    def _ledger(self, actor: str, job: LedgerWrite, born: int) -> Steps:
+        disk = self.disk
+        assert disk is not None
+        yield self.env.timeout(disk.syncMs)
+        if self.births == born:
+            disk.ledger.update(job.entries)
+            self.report(actor, LedgerWritten(job.entries[-1][0], job.ackTo), born)
+
+    def _compile(self, actor: str, job: Compile, born: int) -> Steps:
+        yield self.env.timeout(5)
+        table = buildTable(job.copy.version, job.copy.digest, job.value)
+        self.report(actor, Compiled(job.copy, job.value, table), born)
+
+    def report(self, actor: str, event: object, born: int) -> None:
+        """An edge's report: lost with the process, late while it is frozen."""
+        if self.births != born or not self.alive:
+            return
+        self._now(lambda: self._post(actor, event))
+
+    def _post(self, actor: str, event: object) -> None:
+        assert self.process is not None
+        self.process.post(actor, event)
+        self.process.pump()
+
+    def frame(self, data: bytes) -> None:
+        self._now(lambda: self._received(data))
+
+    def _received(self, data: bytes) -> None:
+        assert self.process is not None
+        self.process.received(data)
+        self.process.pump()
+
+    def lost(self, there: Node) -> None:
+        if self.alive and self.role == "exchange" and there.process is not None:
+            node = there.process.me.node
+            self._now(lambda: self._post("calls", LinkDown(node)))
+
+    def _now(self, act: Callable[[], None]) -> None:
+        if self.frozen:
+            self.backlog.append(act)
+        elif self.alive:
+            act()
+
+    # its life
+
+    def start(self, blank: bool = False) -> None:
+        """Start the process; ``blank`` gives it a new disk."""
+        self.births += 1
+        self.alive, self.frozen, self.backlog = True, False, []
+        rng = self.sim.rng
+        self.offsetMs = rng.randrange(10**6, 10**9)
+        incarnation = Incarnation(self.sim.draw())
+        seeds = tuple(Address(a) for a in self.sim.seeds)
+        if self.role == "registry":
+            if self.disk is None or blank:
+                syncMs = self.disk.syncMs if self.disk else self.sim.syncMs
+                self.disk = SimDisk(MemberId(f"m-{self.sim.draw():06d}"), syncMs=syncMs)
+            disk = self.disk
+            loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
+            me = Me(disk.member, incarnation, self.address, self.role, self.locality)
+            rank = seeds.index(self.address) if self.address in seeds else 3
+            start = Start(seeds, rng.randrange(10**9), self.found, rank)
+            self.process = buildRegistry(me, self, start, loaded)
+        else:
+            me = Me(NodeId(self.name), incarnation, self.address, self.role, self.locality)
+            self.process = buildExchange(me, self, Start(seeds, rng.randrange(10**9)))
+        self.sim.net.nodes[self.address] = self
+        self.env.process(self._beat(self.births))
+
+    def kill(self) -> None:
+        """SIGKILL: memory and what was not synced are gone."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.births += 1
+        self.tokens = {}
+        if self.process is not None:
+            self.process.close()
+        for told in list(self.slots.values()):
+            told(Verdict(0, (), b""))  # the caller's connection breaks
+        self.slots = {}
+        if self.frozen:
+            self.frozen = False
+            self.woken.succeed()
+            self.woken = self.env.event()
+
+    def freeze(self) -> None:
+        """SIGSTOP."""
+        self.frozen = True
+
+    def wake(self) -> None:
+        """SIGCONT: the heartbeat comes first, then what was waiting."""
+        if not self.frozen or not self.alive:
+            return
+        self.frozen = False
+        self.woken.succeed()
+        self.woken = self.env.event()
+
+    def awake(self) -> Steps:
+        """An edge thread's next move waits while the process is frozen."""
+        while self.frozen:
+            yield self.woken
+
+    def _beat(self, born: int) -> Steps:
+        lastMs = self.env.now
+        yield self.env.timeout(self.sim.rng.random() * TICK_MS)
+        while self.births == born:
+            if self.frozen:
+                yield self.woken
+                if self.births != born:
+                    return
+            assert self.process is not None
+            gapMs = int(self.env.now - lastMs)
+            lastMs = self.env.now
+            self.process.tick(gapMs)
+            self.process.pump()
+            waiting, self.backlog = self.backlog, []
+            for act in waiting:
+                act()
+            yield self.env.timeout(TICK_MS)
+
+    # what tests ask of it
+
+    def ask(
+        self, actor: str, make: Callable[[SlotId], object], told: Callable[[Verdict], None]
+    ) -> None:
+        """A request on a slot of its own."""
+        self.nextSlot += 1
+        slot = SlotId(self.nextSlot, self.births)
+        self.slots[slot.index] = told
+        self._now(lambda: self._post(actor, make(slot)))
+
+    def state(self, actor: str) -> Any:
+        assert self.process is not None
+        return self.process.actors[actor].state
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -58,7 +58,9 @@
         names = [f"reg{i + 1}" for i in range(3)] + [f"ex{i + 1}" for i in range(self.exchanges)]
         if self.fixedPorts:
             trunks = {n: 7100 + i for i, n in enumerate(names)}
-            https = {n: (8100 if n.startswith("reg") else 8000) + int(n.lstrip("regx")) for n in names}
+            https = {
+                n: (8100 if n.startswith("reg") else 8000) + int(n.lstrip("regx")) for n in names
+            }
             platform = 8200
         else:
             ports = freePorts(2 * len(names) + 1)
@@ -151,9 +153,7 @@
     parser.add_argument("--exchanges", type=int, default=9)
     parser.add_argument("--organismo", action="store_true", help="the Organismo's start times")
     args = parser.parse_args()
-    fleet = Fleet(
-        Path(args.folder), args.exchanges, fixedPorts=True, organismo=args.organismo
-    )
+    fleet = Fleet(Path(args.folder), args.exchanges, fixedPorts=True, organismo=args.organismo)
     fleet.startAll()
 
     def interrupted(number: int, frame: object) -> None:
