--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -169,7 +169,7 @@
         return replace(state, leaseUntilMs=leaseUntilMs), ()
     state = replace(
         state, term=term, leaseUntilMs=leaseUntilMs, floorVersion=-1, floorOp="", ranked=None,
-        marks=Marks(), missing=Map(), shifts=(),
+        marks=Marks(), shifts=(),
     )  # fmt: skip
     record = Record("term", {"holder": state.me}, term)
     return state, ((_record(state, record),) if term else ())
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -98,6 +98,7 @@
         self.locality = locality
         self.address = Address(address)
         self.found = found
+        self.seeds: list[str] = []  # its own, where they differ from the cluster's
         self.machineUp = True
         self.alive = False
         self.frozen = False
@@ -223,7 +224,7 @@
         rng = self.sim.rng
         self.offsetMs = rng.randrange(10**6, 10**9)
         incarnation = Incarnation(self.sim.draw())
-        seeds = tuple(Address(a) for a in self.sim.seeds)
+        seeds = tuple(Address(a) for a in self.seeds or self.sim.seeds)
         if self.role == "registry":
             if self.disk is None or blank:
                 syncMs = self.disk.syncMs if self.disk else self.sim.syncMs
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,408 @@
+"""Failures caused in the simulated cluster; the judges read what came of each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from tests.sim.cluster import Sim, configuration
+from tests.sim.judges import judge, level
+
+SEEDS = (1, 2)
+
+
+@pytest.fixture(params=SEEDS)
+def sim(request: pytest.FixtureRequest) -> Iterator[Sim]:
+    made = Sim(int(request.param))
+    yield made
+    made.close()
+
+
+def clean(sim: Sim, drainMs: float = 9_000) -> None:
+    """Let every wait run out, then ask the judges."""
+    sim.run(drainMs)
+    assert judge(sim) == []
+
+
+def test_ordinaryTrafficSucceeds(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(60, 6_000)
+    sim.run(6_000)
+    clean(sim)
+    assert level(sim, 0, 1e9) == 1.0
+    assert len(sim.asked) > 200
+
+
+def test_workerCrash(sim: Sim) -> None:
+    """Calls of the fallen worker's instances go to their successors; once-only ones that
+    may have run are told so."""
+    sim.settle()
+    sim.traffic(60, 20_000)
+    sim.run(5_000)
+    atMs = sim.env.now
+    busy = next(s.worker for s in sim.platform.servers.values() if s.service == "readings")
+    sim.platform.crash(busy)
+    sim.run(15_000)
+    clean(sim)
+    assert level(sim, atMs, atMs + 2_000) > 0.8
+    assert level(sim, atMs + 6_000, atMs + 15_000) > 0.99
+    assert {s.worker for s in sim.platform.servers.values()} & {busy} == set()
+
+
+def test_exchangeKilledWithCallsInFlight(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(60, 25_000)
+    sim.run(5_000)
+    sim.exchanges[0].kill()
+    sim.run(3_000)
+    sim.exchanges[0].start()
+    backMs = sim.env.now
+    sim.run(17_000)
+    clean(sim)
+    assert level(sim, backMs + 12_000, backMs + 17_000) > 0.99
+
+
+def test_placementHolderKilled(sim: Sim) -> None:
+    """The next holder takes a higher term and finishes what was begun."""
+    sim.settle()
+    sim.traffic(40, 25_000)
+    sim.run(2_000)
+    holder = next(r for r in sim.registries if r.state("role").term)
+    term = holder.state("role").term
+    holder.kill()
+    sim.platform.crash("w1")
+    sim.run(23_000)
+    others = [r for r in sim.registries if r is not holder]
+    assert max(r.state("role").term for r in others) > term
+    clean(sim)
+    assert level(sim, sim.env.now - 20_000, sim.env.now) > 0.97
+
+
+def test_oneRegistryDownLeavesApplies(sim: Sim) -> None:
+    sim.settle()
+    sim.registries[2].kill()
+    sim.traffic(30, 8_000)
+    sim.run(1_000)
+    told = sim.apply(configuration(name="with-two"), registry=0)
+    sim.run(9_000)
+    assert told.status == 200
+    shown = sim.show(1)
+    clean(sim)
+    assert shown.doc["configuration"]["name"] == "with-two"
+
+
+def test_evacuationUnderLoad(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(60, 30_000)
+    sim.run(3_000)
+    told = sim.evacuate("centre", True)
+    sim.run(13_000)
+    assert told.status == 200
+    assert not [s for s in sim.platform.servers.values() if sim.platform.seat(s.worker).locality
+                == "centre"]  # fmt: skip
+    sim.evacuate("centre", False, registry=1)
+    sim.run(14_000)
+    clean(sim)
+    assert level(sim, told.atMs, told.atMs + 27_000) > 0.97
+
+
+def test_crowdOnSleepers(sim: Sim) -> None:
+    """Rare services wake together, and a crowd comes to one of them."""
+    sim.settle()
+    for _ in range(40):
+        sim.call("/small/1", waitMs=8000)
+        sim.call("/small/2", waitMs=8000)
+    sim.run(8_000)
+    clean(sim)
+    assert level(sim, 0, 1e9) > 0.9
+
+
+def test_configurationChangeRulesEverywhere(sim: Sim) -> None:
+    """A lane moves to another service; one exchange is cut from two of the three registries,
+    another from all."""
+    sim.settle()
+    sim.traffic(60, 16_000)
+    sim.run(2_000)
+    for registry in sim.registries[:2]:
+        sim.net.cuts |= {(registry.name, "ex1"), ("ex1", registry.name)}
+    for registry in sim.registries:
+        sim.net.cuts |= {(registry.name, "ex2"), ("ex2", registry.name)}
+    moved = configuration(name="moved")
+    moved["lanes"][0]["service"] = "corrections"
+    told = sim.apply(moved, registry=2)
+    sim.run(9_000)
+    assert told.status == 200
+    sim.net.cuts.clear()
+    sim.run(5_000)
+    clean(sim)
+    late = [a for a in sim.asked if a.exchange == "ex3" and a.atMs > told.doneMs + 3_000]
+    assert late and all(a.status == 200 for a in late)
+
+
+def test_twoAppliesAtOnceOneWins(sim: Sim) -> None:
+    sim.settle()
+    before = sim.show().what and sim.told[0].doc["version"]
+    told = [
+        sim.apply(configuration(name=f"racer-{i}"), registry=i, expect=before) for i in range(3)
+    ]
+    sim.run(6_000)
+    assert sorted(t.status for t in told) == [200, 409, 409]
+    shown = sim.show(1)
+    clean(sim)
+    winner = next(t for t in told if t.status == 200)
+    assert shown.doc["configuration"]["name"] == winner.detail
+    loser = next(t for t in told if t.status == 409)
+    assert "--if-version" in loser.doc["remedy"]
+
+
+def test_stormOfApplies(sim: Sim) -> None:
+    """Every acknowledgement is true, and the newest one rules."""
+    sim.settle()
+    sim.traffic(30, 10_000)
+    for number in range(30):
+        sim.apply(configuration(name=f"storm-{number}"), registry=number % 3)
+        sim.run(100)
+    sim.run(9_000)
+    shown = sim.show(2)
+    clean(sim)
+    acked = [t for t in sim.told if t.what == "apply" and t.status == 200]
+    newest = max(acked, key=lambda t: int(t.doc["version"]))
+    assert shown.doc["configuration"]["name"] == newest.detail
+
+
+def test_badAnswers(sim: Sim) -> None:
+    """Instances that answer garbage, cut answers short, answer late, or die after the work."""
+    sim.settle()
+    for how in ("garbage", "short", "late", "dies", "lost"):
+        ill = [s for s in sim.platform.servers.values() if s.service in ("readings", "corrections")]
+        for server in ill[:4]:
+            server.behave = how
+        sim.traffic(40, 4_000)
+        sim.run(5_000)
+        for server in ill:
+            server.behave = "well"
+    clean(sim)
+    assert any(a.ran == "maybe" for a in sim.asked)
+
+
+def test_addressTakenOverByAnotherService(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(60, 10_000)
+    sim.run(2_000)
+    for service in ("readings", "corrections"):
+        old = next(s for s in sim.platform.servers.values() if s.service == service)
+        sim.platform.takeOver(old, "small-1")
+    sim.run(10_000)
+    clean(sim)
+    assert level(sim, sim.env.now - 15_000, sim.env.now) > 0.95
+
+
+def test_sameKeyAtSeveralExchanges(sim: Sim) -> None:
+    """At once, again later, with another body, and after the first one's exchange died."""
+    sim.settle()
+    first = [sim.call("/corrections", e, key="same") for e in sim.exchanges]
+    sim.run(3_000)
+    again = sim.call("/corrections", sim.exchanges[1], key="same")
+    other = sim.call("/corrections", sim.exchanges[2], key="same", body=b'{"x":1}')
+    lost = sim.call("/corrections", sim.exchanges[0], key="lost")
+    sim.run(30)
+    sim.exchanges[0].kill()
+    repeated = sim.call("/corrections", sim.exchanges[1], key="lost")
+    clean(sim)
+    assert sorted(a.status for a in first) == [200, 409, 409]
+    assert again.status == 409
+    assert other.status == 422
+    assert lost.status == 0 and repeated.status == 409
+
+
+def test_exchangeFreezesAndWakes(sim: Sim) -> None:
+    """Frozen for longer than the lease and than every wait, with calls and ferries in it."""
+    sim.settle()
+    sim.traffic(60, 24_000)
+    sim.run(3_000)
+    sim.exchanges[1].freeze()
+    sim.run(9_000)
+    sim.exchanges[1].wake()
+    sim.run(14_000)
+    frozen = sim.exchanges[1].name
+    for asked in sim.asked:  # a frozen process can't keep its callers' waits
+        if asked.exchange == frozen and asked.status > 0:
+            asked.waitMs += 9_100
+    clean(sim)
+
+
+def test_placementHolderFreezesAndWakes(sim: Sim) -> None:
+    """Woken after another took the role, it calls the platform for nothing."""
+    sim.settle()
+    sim.traffic(40, 20_000)
+    sim.run(2_000)
+    holder = next(r for r in sim.registries if r.state("role").term)
+    holder.freeze()
+    sim.run(9_000)
+    calls = len(sim.platform.calls)
+    wokeMs = sim.env.now
+    sim.platform.crash("w2")
+    holder.wake()
+    sim.run(9_000)
+    mine = [c for c in sim.platform.calls[calls:] if c[1] == holder.name and c[0] >= wokeMs]
+    assert mine == []
+    clean(sim)
+
+
+def test_diskLostRightAfterAnAck(sim: Sim) -> None:
+    """A blank disk joins by a roster change, catches up before it votes, and then another
+    disk is lost: what was acknowledged reads back."""
+    sim.settle()
+    told = sim.apply(configuration(name="kept"), registry=0)
+    assert sim.upTo(lambda: told.status == 200, 3_000)
+    for node in (sim.registries[0], sim.registries[1]):
+        node.kill()
+        sim.run(500)
+        node.start(blank=True)
+        assert sim.upTo(lambda n=node: n.state("keeper").syncedVotes, 20_000)  # type: ignore[misc]
+        sim.run(1_500)
+    shown = sim.show(0)
+    clean(sim)
+    assert shown.doc["configuration"]["name"] == "kept"
+
+
+def test_allMachinesSwapped(sim: Sim) -> None:
+    """Each registry is replaced by a new machine with a new address and a blank disk; the
+    old seeds are dead at the end, and an exchange that starts then finds its way."""
+    from tests.sim.world import Node
+
+    sim.settle()
+    sim.traffic(30, 60_000)
+    old = list(sim.registries)
+    for i, node in enumerate(old):
+        node.kill()
+        node.machineUp = False
+        new = Node(sim, f"new{i + 1}", "registry", node.locality, f"10.0.7.{i + 1}:1", False)
+        # Seeds must name processes that are there: the next core nodes and an exchange.
+        new.seeds = [old[(i + 1) % 3].address, sim.registries[0].address, "10.1.0.1:1"]
+        sim.registries[i] = new
+        new.start()
+        ready = sim.upTo(lambda n=new: n.state("keeper").syncedVotes, 20_000)  # type: ignore[misc]
+        assert ready
+        told = sim.apply(configuration(name=f"after-{i}"), registry=i)
+        assert sim.upTo(lambda t=told: t.status == 200, 8_000)  # type: ignore[misc]
+    sim.run(3_000)
+    old[0].machineUp = True
+    old[0].start()  # it comes back, and is not let in
+    sim.run(4_000)
+    assert not old[0].state("keeper").syncedVotes
+    sim.exchanges[2].kill()
+    sim.exchanges[2].seeds = [sim.registries[2].address, "10.1.0.2:1"]
+    sim.exchanges[2].start()
+    shown = sim.show(1)
+    sim.run(6_000)
+    assert shown.doc["configuration"]["name"] == "after-2"
+    clean(sim)
+    assert level(sim, sim.env.now - 40_000, sim.env.now - 9_000) > 0.97
+
+
+def test_allRegistriesKilledAndBack(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(40, 30_000)
+    told = sim.apply(configuration(name="before-the-herd"))
+    assert sim.upTo(lambda: told.status == 200, 3_000)
+    for node in sim.registries:
+        node.kill()
+    sim.run(6_000)
+    backMs = sim.env.now
+    for node in sim.registries:
+        node.start()
+    sim.run(20_000)
+    shown = sim.show()
+    clean(sim)
+    assert shown.doc["configuration"]["name"] == "before-the-herd"
+    assert level(sim, backMs + 12_000, backMs + 18_000) > 0.99
+
+
+def test_allExchangesKilledAndBack(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(40, 30_000)
+    sim.run(3_000)
+    for node in sim.exchanges:
+        node.kill()
+    sim.run(2_000)
+    backMs = sim.env.now
+    for node in sim.exchanges:
+        node.start()
+    sim.run(22_000)
+    clean(sim)
+    assert level(sim, backMs + 12_000, backMs + 20_000) > 0.99
+
+
+def test_localityLostAndBack(sim: Sim) -> None:
+    """A registry, an exchange and two workers go at once, and come back."""
+    sim.settle()
+    sim.traffic(50, 40_000)
+    sim.run(3_000)
+    gone = [n for n in sim.nodes if n.locality == "south"]
+    for node in gone:
+        node.kill()
+        node.machineUp = False
+    workers = [s.id for s in sim.platform.seats if s.locality == "south"]
+    for worker in workers:
+        sim.platform.crash(worker)
+    lostMs = sim.env.now
+    sim.run(12_000)
+    for node in gone:
+        node.machineUp = True
+        node.start()
+    sim.platform.downWorkers.clear()
+    backMs = sim.env.now
+    sim.run(22_000)
+    clean(sim)
+    assert level(sim, lostMs + 8_000, lostMs + 12_000) > 0.95
+    assert level(sim, backMs + 12_000, backMs + 20_000) > 0.99
+
+
+def test_coreCutInTwo(sim: Sim) -> None:
+    """The side without a majority refuses; nothing runs by its tables."""
+    sim.settle()
+    sim.traffic(40, 20_000)
+    sim.run(2_000)
+    for other in ("locality:centre", "locality:south"):
+        sim.net.cuts |= {("locality:north", other), (other, "locality:north")}
+    told = sim.apply(configuration(name="majority-side"), registry=1)
+    lone = sim.apply(configuration(name="lone-side"), registry=0)
+    sim.run(9_000)
+    assert told.status == 200
+    assert lone.status in (503, 504) and "silent members" in lone.doc["detail"]
+    refused = [a for a in sim.asked if a.exchange == "ex1" and a.atMs > told.doneMs + 3_000]
+    assert refused and all(a.status != 200 for a in refused if a.atMs < sim.env.now - 1_000)
+    sim.net.cuts.clear()
+    sim.run(10_000)
+    shown = sim.show()
+    clean(sim)
+    assert shown.doc["configuration"]["name"] in ("majority-side", "lone-side")
+
+
+def test_slowAndStalledDisk(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(40, 20_000)
+    disk = sim.registries[0].disk
+    assert disk is not None
+    disk.stalledUntilMs = sim.env.now + 15_000
+    told = sim.apply(configuration(name="two-disks"), registry=1)
+    sim.run(18_000)
+    assert told.status == 200 and told.doneMs - told.atMs < 1_000
+    clean(sim)
+    assert level(sim, told.atMs, told.atMs + 17_000) > 0.97
+
+
+def test_listingFailsAndWorkersGo(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(40, 24_000)
+    sim.run(2_000)
+    sim.platform.listFails = True
+    sim.run(5_000)
+    sim.platform.crash("w3")
+    sim.run(5_000)
+    sim.platform.listFails = False
+    sim.run(12_000)
+    clean(sim)
+    assert level(sim, sim.env.now - 14_000, sim.env.now - 9_500) > 0.99
