--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -199,6 +199,7 @@
     def show(self, registry: int = 0) -> Told:
         """An operator's read."""
         told = Told("show", self.env.now)
+        self.told.append(told)
         self.registries[registry].ask("operator", Show, self._teller(told))
         return told
 
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,225 @@
+"""The edges, over real sockets on loopback: the sender against instances that misbehave,
+frames against garbage, props and configurations against bad input."""
+
+from __future__ import annotations
+
+import json
+import queue
+import socket
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+import pytest
+
+from spokeroute.dial.ids import Ms
+from spokeroute.dial.props import PropsFault, checkProps, readProps
+from spokeroute.dispatch.desired import DesiredState, readDesired
+from spokeroute.exchange.sender import Sender
+from spokeroute.exchange.types import SendTry, TryDone
+from spokeroute.register.disk import Disk
+from spokeroute.trunk.frames import MAX_FRAME_BYTES, Envelope, FrameFault, cut, decode, encode
+from spokeroute.trunk.messages import Finish
+from spokeroute.trunk.net import monotonicMs
+
+WHO = b'{"service":"readings","instance":"r-1"}'
+
+
+def answer(body: bytes, head: str = "Spokeroute-Try: t1\r\n", length: int | None = None) -> bytes:
+    size = len(body) if length is None else length
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n{head}\r\n".encode() + body
+
+
+class Scripted:
+    """A socket that answers each request on a connection with the next of its replies."""
+
+    def __init__(self, replies: list[bytes]) -> None:
+        self.replies = replies
+        self.requests: list[bytes] = []
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        sock, _ = self.server.accept()
+        with sock:
+            for reply in self.replies:
+                data = b""
+                while b"\r\n\r\n" not in data:
+                    got = sock.recv(65536)
+                    if not got:
+                        return
+                    data += got
+                self.requests.append(data)
+                sock.sendall(reply)
+        self.server.close()
+
+
+def tried(replies: list[bytes], goodForMs: int = 5_000, waitMs: int = 1_500) -> TryDone:
+    server = Scripted(replies)
+    done: queue.Queue[TryDone] = queue.Queue()
+    now = monotonicMs()
+    Sender(done.put).launch(
+        SendTry("t1", "r-1", "readings", server.address, "POST", "/readings", (), b"{}",
+                Ms(now + waitMs), Ms(now + goodForMs))
+    )  # fmt: skip
+    return done.get(timeout=10)
+
+
+def test_aWholeEchoedAnswerCounts() -> None:
+    done = tried([answer(WHO, ""), answer(b"done")])
+    assert (done.ran, done.status, done.body) == ("yes", 200, b"done")
+    chunked = b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    done = tried([answer(WHO, ""), chunked + b"4\r\ndone\r\n0\r\n\r\n"])
+    assert (done.ran, done.body) == ("yes", b"done")
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        answer(b"done", "Spokeroute-Try: t2\r\n"),
+        answer(b"done", ""),
+        answer(b"do", length=4),
+        b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\n\r\ndone",
+        b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndo",
+        b"\x00\xff garbage\r\n\r\n",
+        answer(b"", length=10**9),
+        b"",
+    ],
+)
+def test_anyDoubtIsNoSuccess(reply: bytes) -> None:
+    assert tried([answer(WHO, ""), reply]).ran == "maybe"
+
+
+def test_noAnswerIsUnknown() -> None:
+    stalled = Scripted([answer(WHO, "")])
+    stalled.replies.append(b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nContent-Length: 9\r\n\r\nx")
+    done: queue.Queue[TryDone] = queue.Queue()
+    now = monotonicMs()
+    Sender(done.put).launch(
+        SendTry("t1", "r-1", "readings", stalled.address, "GET", "/", (), b"",
+                Ms(now + 400), Ms(now + 5_000))
+    )  # fmt: skip
+    assert done.get(timeout=10).ran == "maybe"
+
+
+def test_anotherInstanceGetsNothing() -> None:
+    other = answer(b'{"service":"readings","instance":"r-2"}', "")
+    server = Scripted([other, answer(b"done")])
+    done: queue.Queue[TryDone] = queue.Queue()
+    now = monotonicMs()
+    Sender(done.put).launch(
+        SendTry("t1", "r-1", "readings", server.address, "POST", "/", (), b"{}",
+                Ms(now + 1_500), Ms(now + 5_000))
+    )  # fmt: skip
+    got = done.get(timeout=10)
+    assert got.ran == "no" and "another instance" in got.reason
+    assert len(server.requests) == 1
+
+
+def test_nothingIsSentPastTheProof() -> None:
+    done = tried([answer(WHO, ""), answer(b"done")], goodForMs=-1)
+    assert done.ran == "no" and "proof" in done.reason
+
+
+def test_nobodyThereIsNotRun() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        port = held.getsockname()[1]
+    done: queue.Queue[TryDone] = queue.Queue()
+    now = monotonicMs()
+    Sender(done.put).launch(
+        SendTry("t1", "r-1", "readings", f"127.0.0.1:{port}", "GET", "/", (), b"",
+                Ms(now + 1_000), Ms(now + 1_000))
+    )  # fmt: skip
+    assert done.get(timeout=10).ran == "no"
+
+
+def test_badFramesAreRefused() -> None:
+    frame = encode(Envelope("a", 1, "h:1", "b", Finish("floor")))
+    assert decode(frame).message == Finish("floor")
+    assert cut(frame + frame[:7]) == ([frame], frame[:7])
+    for bad in (frame[:-1], frame[:3], frame[:5] + b"\xff" * (len(frame) - 5)):
+        with pytest.raises(FrameFault):
+            decode(bad)
+    with pytest.raises(FrameFault, match="schema version"):
+        cut(frame[:4] + b"\x63" + frame[5:])
+    with pytest.raises(FrameFault, match="over"):
+        cut((MAX_FRAME_BYTES + 1).to_bytes(4, "big") + b"\x01")
+
+
+def test_badConfigurationsListEveryFault() -> None:
+    doc = {
+        "localities": ["north", "nowhere"],
+        "services": [
+            {"name": "a", "memoryMb": 99_999, "limit": 1},
+            {"name": "a", "memoryMb": 128, "limit": "four"},
+            {"name": "b", "memoryMb": 128, "limit": 1, "colour": "red"},
+            {"name": "c", "limit": 1},
+        ],
+        "lanes": [{"path": "/x", "service": "none"}],
+        "extra": 1,
+    }
+    got = readDesired(json.dumps(doc).encode(), ("north", "south"))
+    assert isinstance(got, tuple)
+    paths = {f.path for f in got}
+    assert {"extra", "services[1].limit", "services[2].colour", "services[3].memoryMb"} <= paths
+    assert all(f.remedy for f in got)
+    doc["services"] = [{"name": "a", "memoryMb": 99_999, "limit": 1},
+                       {"name": "a", "memoryMb": 128, "limit": 1}]  # fmt: skip
+    del doc["extra"]
+    doc["programs"] = {"rank": "cu +", "shift": "nothing + 1.0"}
+    got = readDesired(json.dumps(doc).encode(), ("north", "south"))
+    assert isinstance(got, tuple)
+    assert {f.path for f in got} == {
+        "localities[1]", "services[0].memoryMb", "services[1].name", "lanes[0].service",
+        "programs.rank", "programs.shift",
+    }  # fmt: skip
+    for bad in (b"", b"[]", b"\xff", b"{}", b'{"localities":1,"services":{},"lanes":3}'):
+        assert isinstance(readDesired(bad, ()), tuple)
+
+
+def test_examplesAreTaken() -> None:
+    for name in ("tooluur", "organismo"):
+        body = (Path(__file__).parent.parent / "examples" / f"{name}.json").read_bytes()
+        got = readDesired(body, ("north", "centre", "south"))
+        assert isinstance(got, DesiredState), got
+        assert len(got.services) == 79
+
+
+def test_badPropsNameTheRemedy(tmp_path: Path) -> None:
+    good = {"name": "ex1", "locality": "north", "trunk": "127.0.0.1:7001",
+            "http": "127.0.0.1:8001", "seeds": ("127.0.0.1:7002",)}  # fmt: skip
+    checkProps(readProps("", good), "exchange")
+    cases: list[tuple[dict[str, object], str]] = [
+        ({"trunk": "localhost:1"}, "IP number"),
+        ({"http": "127.0.0.1:7001"}, "a port of its own"),
+        ({"seeds": ()}, "seeds"),
+        ({"name": ""}, "--name"),
+    ]
+    for change, said in cases:
+        with pytest.raises(PropsFault, match=said):
+            checkProps(readProps("", {**good, **change}), "exchange")
+    path = tmp_path / "p.toml"
+    path.write_text("colour = 1\n")
+    with pytest.raises(PropsFault, match="unknown prop"):
+        readProps(str(path), {})
+
+
+def test_badPropsEndTheProcessInOneLine() -> None:
+    command = [sys.executable, "-m", "spokeroute", "exchange", "--name", "x"]
+    got = subprocess.run(command, capture_output=True, timeout=60, check=False)
+    assert got.returncode == 2
+    assert got.stderr.decode().count("\n") == 1 and b"locality" in got.stderr
+
+
+def test_aDiskIsTheMember(tmp_path: Path) -> None:
+    first = Disk(tmp_path / "a", 16)
+    member = first.load().member
+    first.close()
+    again = Disk(tmp_path / "a", 16)
+    assert again.load().member == member
+    again.close()
+    blank = Disk(tmp_path / "b", 16)
+    assert blank.load().member != member
+    blank.close()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -142,7 +142,7 @@
 
 def test_twoAppliesAtOnceOneWins(sim: Sim) -> None:
     sim.settle()
-    before = sim.show().what and sim.told[0].doc["version"]
+    before = int(sim.told[0].doc["version"])
     told = [
         sim.apply(configuration(name=f"racer-{i}"), registry=i, expect=before) for i in range(3)
     ]
