--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -5,7 +5,6 @@
 import json
 import random
 from collections.abc import Callable, Generator
-from dataclasses import dataclass, field
 from typing import Any
 
 import simpy
@@ -17,42 +16,11 @@
 from spokeroute.registry.operator import Apply, Evacuate, Show
 from tests.sim.platform import Platform
 from tests.sim.world import Net, Node
+from tools.log import Asked, Log, Told
 
 LOCALITIES = ("north", "centre", "south")
 
 
-@dataclass
-class Asked:
-    """One call as its caller saw it. Status 0: the connection broke."""
-
-    call: str
-    key: str
-    path: str
-    service: str
-    once: bool
-    exchange: str
-    atMs: float
-    waitMs: int
-    doneMs: float = -1.0
-    status: int = -1
-    ran: str = ""
-    kind: str = ""
-    body: bytes = b""
-    verdicts: int = 0
-
-
-@dataclass
-class Told:
-    """One operator request and how it ended."""
-
-    what: str
-    atMs: float
-    doneMs: float = -1.0
-    status: int = -1
-    doc: dict[str, Any] = field(default_factory=dict)
-    detail: str = ""
-
-
 def configuration(**changes: Any) -> dict[str, Any]:
     """A small deployment: a busy service, a once-only one, two small ones."""
     doc: dict[str, Any] = {
@@ -265,6 +233,24 @@
             self.call(path, key=key, waitMs=self.rng.randrange(4000, 8000))
             yield self.env.timeout(self.rng.expovariate(perS) * 1000)
 
+    def log(self) -> Log:
+        """What this run's callers, operators and instances saw."""
+        drained: dict[str, float] = {}
+        for atMs, _, floor in self.floors:
+            for placed in floor.instances:
+                if placed.state in ("draining", "stopping"):
+                    drained.setdefault(placed.id, atMs)
+        platform = self.platform
+        gone = {
+            s.id: s.goneAtMs + platform.listDelayMs
+            for s in platform.byAddress.values()
+            if s.goneAtMs >= 0
+        }
+        return Log(
+            self.env.now, self.asked, platform.runs, platform.answers, self.told,
+            self.lanesOf, self.coldMs, drained, gone, platform.deadSends,
+        )  # fmt: skip
+
     def close(self) -> None:
         """Take every actor off pykka's register."""
         for node in self.nodes:
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -16,29 +16,11 @@
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
 from spokeroute.dispatch.scaler import WorkerSeat
 from spokeroute.exchange.types import SendTry, TryDone
+from tools.log import Run
 
 Steps = Generator[Any, Any, None]
 
 
-@dataclass
-class Run:
-    """One run of a call at an instance."""
-
-    atMs: float
-    instance: str
-    service: str
-    worker: str
-    locality: str
-    call: str
-    key: str
-    path: str
-    tryId: str
-    running: int
-    limit: int
-    coldForMs: float  # how long ago it came up
-    termOk: bool = True
-
-
 @dataclass
 class Server:
     """An instance as the platform knows it."""
@@ -78,7 +60,7 @@
         self.recent: list[float] = []
         self.runs: list[Run] = []
         self.answers: dict[str, bytes] = {}  # try -> the whole answer that was sent
-        self.deadSends: list[tuple[float, str, str]] = []  # tries towards what is gone
+        self.deadSends: list[tuple[float, str]] = []  # tries towards what is gone
         self.calls: list[tuple[float, str, str, str]] = []
         self.refused = 0
         self.ports = 0
@@ -183,7 +165,7 @@
         server = self.byAddress.get(job.address)
         gone = server is None or server.state != "running"
         if server is None or gone:
-            self.deadSends.append((self.env.now, job.instance, job.address))
+            self.deadSends.append((self.env.now, job.instance))
             if token.take():
                 tell("no", "unreached: refused")
             return
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,114 @@
+"""A real fleet on loopback: readiness is waited for, ports are free ones, nothing is timed."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import urllib3
+
+from tools.fleet import Fleet
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "organismo.json"
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(tmp_path / "fleet", exchanges=3, organismo=True)
+    made.startAll()
+    yield made
+    made.stop()
+
+
+def desk(fleet: Fleet, *words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "spokeroute", "desk", *words, "--registry", fleet.registries],
+        capture_output=True, text=True, timeout=60, check=False,
+    )  # fmt: skip
+
+
+def post(
+    fleet: Fleet, name: str, path: str, key: str = "", wait: str = "8000"
+) -> tuple[int, bytes]:
+    headers = {"Spokeroute-Wait-Ms": wait, **({"Idempotency-Key": key} if key else {})}
+    got = urllib3.PoolManager(retries=False).request(
+        "POST", f"http://{fleet.http[name]}{path}", body=b"{}", headers=headers, timeout=20
+    )
+    return got.status, got.data
+
+
+def untilServed(fleet: Fleet, name: str, path: str) -> bytes:
+    """Call until it is served: the fleet may be starting instances."""
+    until = time.monotonic() + 60
+    while time.monotonic() < until:
+        status, body = post(fleet, name, path)
+        if status == 200:
+            return body
+    raise AssertionError(f"{path} was not served at {name}: {status} {body!r}")
+
+
+def test_theWholePath(fleet: Fleet, tmp_path: Path) -> None:
+    regs = [n for n in fleet.commands if n.startswith("reg")]
+    exs = [n for n in fleet.commands if n.startswith("ex")]
+    assert fleet.waitReady(regs, 60) == []
+    assert post(fleet, "ex1", "/port-ins")[0] == 503  # nothing rules yet
+    applied = desk(fleet, "apply", str(EXAMPLE))
+    assert applied.returncode == 0, applied.stderr
+    assert json.loads(applied.stdout)["version"] == 1
+    stale = desk(fleet, "apply", str(EXAMPLE), "--if-version", "0")
+    assert stale.returncode == 1 and "--if-version 1" in stale.stderr
+    bad = tmp_path / "bad.json"
+    bad.write_text('{"lanes": [], "services": [], "localities": ["moon"], "colour": 1}')
+    refused = desk(fleet, "apply", str(bad))
+    assert refused.returncode == 1 and "colour: unknown field" in refused.stderr
+    assert fleet.waitReady(exs, 60) == []
+    for name in exs:
+        assert b"instance" in untilServed(fleet, name, "/port-ins")
+    assert b"instance" in untilServed(fleet, "ex1", "/municipal/07/x")
+    assert post(fleet, "ex1", "/port-ins", key="k1")[0] == 200
+    status, body = post(fleet, "ex2", "/port-ins", key="k1")
+    assert status == 409 and json.loads(body)["known"] == "ended 200"
+    assert post(fleet, "ex1", "/nowhere")[0] == 404
+    assert post(fleet, "ex1", "/inquiries/1")[0] == 405
+    assert post(fleet, "ex1", "/port-ins", wait="soon")[0] == 400
+
+    fleet.signal("reg1", signal.SIGKILL)
+    fleet.signal("ex2", signal.SIGKILL)
+    again = desk(fleet, "apply", str(EXAMPLE))
+    assert again.returncode == 0 and json.loads(again.stdout)["version"] == 2
+    untilServed(fleet, "ex1", "/port-ins")
+    fleet.start("reg1")
+    fleet.start("ex2")
+    assert fleet.waitReady(["reg1", "ex2"], 60) == []
+    untilServed(fleet, "ex2", "/port-ins")
+    shown = desk(fleet, "show")
+    assert json.loads(shown.stdout)["version"] == 2
+    assert desk(fleet, "evacuate", "north").returncode == 0
+    assert desk(fleet, "restore", "north").returncode == 0
+    assert desk(fleet, "evacuate", "moon").returncode == 1
+    replayed = desk(fleet, "replay")
+    assert replayed.returncode == 0 and "no difference" in replayed.stdout, replayed.stderr
+    codes = fleet.stop()
+    assert {n: c for n, c in codes.items() if n != "platform" and c != 0} == {}
+
+
+def test_aHerdOfRegistriesComesBack(fleet: Fleet) -> None:
+    regs = [n for n in fleet.commands if n.startswith("reg")]
+    assert fleet.waitReady(regs, 60) == []
+    assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
+    untilServed(fleet, "ex1", "/port-ins")
+    for name in regs:
+        fleet.signal(name, signal.SIGKILL)
+    gone = desk(fleet, "show")
+    assert gone.returncode == 3 and "does not answer" in gone.stderr
+    for name in regs:
+        fleet.start(name)
+    assert fleet.waitReady(regs, 60) == []
+    assert json.loads(desk(fleet, "show").stdout)["version"] == 1
+    untilServed(fleet, "ex3", "/port-ins")
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -12,9 +12,9 @@
 from spokeroute.exchange import budget, holder, types
 from spokeroute.exchange.types import TryDone
 from spokeroute.register import copies
-from tests.sim import judges
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
+from tools import judges
 
 
 @pytest.fixture
@@ -55,7 +55,7 @@
     for _ in range(5):
         sim.call("/corrections")
     sim.run(7_000)
-    assert judges.onceNeverTwice(sim)
+    assert judges.onceNeverTwice(sim.log())
 
 
 def test_notRunHoldsSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -70,7 +70,7 @@
     for _ in range(5):
         sim.call("/corrections")
     sim.run(7_000)
-    assert judges.notRunHolds(sim)
+    assert judges.notRunHolds(sim.log())
 
 
 def test_oneVerdictInTimeSpeaks(sim: Sim) -> None:
@@ -78,7 +78,7 @@
     sim.exchanges[0].freeze()
     sim.call("/readings", sim.exchanges[0], waitMs=500)
     sim.run(1_000)
-    assert judges.oneVerdictInTime(sim)
+    assert judges.oneVerdictInTime(sim.log())
 
 
 def test_successIsWholeSpeaks(sim: Sim) -> None:
@@ -87,7 +87,7 @@
     behave(sim, "short", "readings")
     sim.call("/readings")
     sim.run(2_000)
-    assert judges.successIsWhole(sim)
+    assert judges.successIsWhole(sim.log())
 
 
 def test_rightServiceSpeaks(sim: Sim) -> None:
@@ -97,7 +97,7 @@
         sim.platform.takeOver(old, "small-1")
     sim.call("/readings")
     sim.run(2_000)
-    assert judges.rightService(sim)
+    assert judges.rightService(sim.log())
 
 
 def test_newestRulesSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -115,7 +115,7 @@
     for _ in range(20):
         sim.call("/readings", sim.exchanges[0])
     sim.run(2_000)
-    assert judges.newestRules(sim)
+    assert judges.newestRules(sim.log())
 
 
 def cutOffWithCalls(sim: Sim) -> None:
@@ -135,7 +135,7 @@
     for _ in range(30):
         sim.call("/readings", sim.exchanges[0])
     sim.run(2_000)
-    assert judges.evacuatedGetNothing(sim)
+    assert judges.evacuatedGetNothing(sim.log())
 
 
 def test_drainedGetNothingSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -152,7 +152,7 @@
     for _ in range(30):
         sim.call("/readings", sim.exchanges[0])
     sim.run(2_000)
-    assert judges.drainedGetNothing(sim)
+    assert judges.drainedGetNothing(sim.log())
 
 
 def test_vanishedGetNothingSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -164,7 +164,7 @@
     for _ in range(10):
         sim.call("/readings")
     sim.run(2_000)
-    assert judges.vanishedGetNothing(sim)
+    assert judges.vanishedGetNothing(sim.log())
 
 
 def test_secondsWithinShareSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -175,7 +175,7 @@
         sim.call("/readings")
         sim.run(80)
     sim.run(3_000)
-    assert judges.secondsWithinShare(sim)
+    assert judges.secondsWithinShare(sim.log())
 
 
 def test_coldWithinRateSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -190,7 +190,7 @@
     for _ in range(300):
         sim.call("/readings")
         sim.run(10)
-    assert judges.coldWithinRate(sim)
+    assert judges.coldWithinRate(sim.log())
 
 
 def test_withinLimitSpeaks(sim: Sim) -> None:
@@ -200,7 +200,7 @@
     for _ in range(40):
         sim.call("/readings")
     sim.run(2_000)
-    assert judges.withinLimit(sim)
+    assert judges.withinLimit(sim.log())
 
 
 def test_ackedReadsBackSpeaks(sim: Sim) -> None:
@@ -218,4 +218,4 @@
     sim.run(2_000)
     sim.show()
     sim.run(2_000)
-    assert judges.ackedReadsBack(sim)
+    assert judges.ackedReadsBack(sim.log())
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.sim.cluster import Sim, configuration
-from tests.sim.judges import judge, level
+from tools.judges import judge, level
 
 SEEDS = (1, 2)
 
@@ -22,7 +22,7 @@
 def clean(sim: Sim, drainMs: float = 9_000) -> None:
     """Let every wait run out, then ask the judges."""
     sim.run(drainMs)
-    assert judge(sim) == []
+    assert judge(sim.log()) == []
 
 
 def test_ordinaryTrafficSucceeds(sim: Sim) -> None:
@@ -30,7 +30,7 @@
     sim.traffic(60, 6_000)
     sim.run(6_000)
     clean(sim)
-    assert level(sim, 0, 1e9) == 1.0
+    assert level(sim.log(), 0, 1e9) == 1.0
     assert len(sim.asked) > 200
 
 
@@ -45,8 +45,8 @@
     sim.platform.crash(busy)
     sim.run(15_000)
     clean(sim)
-    assert level(sim, atMs, atMs + 2_000) > 0.8
-    assert level(sim, atMs + 6_000, atMs + 15_000) > 0.99
+    assert level(sim.log(), atMs, atMs + 2_000) > 0.8
+    assert level(sim.log(), atMs + 6_000, atMs + 15_000) > 0.99
     assert {s.worker for s in sim.platform.servers.values()} & {busy} == set()
 
 
@@ -60,7 +60,7 @@
     backMs = sim.env.now
     sim.run(17_000)
     clean(sim)
-    assert level(sim, backMs + 12_000, backMs + 17_000) > 0.99
+    assert level(sim.log(), backMs + 12_000, backMs + 17_000) > 0.99
 
 
 def test_placementHolderKilled(sim: Sim) -> None:
@@ -76,7 +76,7 @@
     others = [r for r in sim.registries if r is not holder]
     assert max(r.state("role").term for r in others) > term
     clean(sim)
-    assert level(sim, sim.env.now - 20_000, sim.env.now) > 0.97
+    assert level(sim.log(), sim.env.now - 20_000, sim.env.now) > 0.97
 
 
 def test_oneRegistryDownLeavesApplies(sim: Sim) -> None:
@@ -104,7 +104,7 @@
     sim.evacuate("centre", False, registry=1)
     sim.run(14_000)
     clean(sim)
-    assert level(sim, told.atMs, told.atMs + 27_000) > 0.97
+    assert level(sim.log(), told.atMs, told.atMs + 27_000) > 0.97
 
 
 def test_crowdOnSleepers(sim: Sim) -> None:
@@ -115,7 +115,7 @@
         sim.call("/small/2", waitMs=8000)
     sim.run(8_000)
     clean(sim)
-    assert level(sim, 0, 1e9) > 0.9
+    assert level(sim.log(), 0, 1e9) > 0.9
 
 
 def test_configurationChangeRulesEverywhere(sim: Sim) -> None:
@@ -195,7 +195,7 @@
         sim.platform.takeOver(old, "small-1")
     sim.run(10_000)
     clean(sim)
-    assert level(sim, sim.env.now - 15_000, sim.env.now) > 0.95
+    assert level(sim.log(), sim.env.now - 15_000, sim.env.now) > 0.95
 
 
 def test_sameKeyAtSeveralExchanges(sim: Sim) -> None:
@@ -299,7 +299,7 @@
     sim.run(6_000)
     assert shown.doc["configuration"]["name"] == "after-2"
     clean(sim)
-    assert level(sim, sim.env.now - 40_000, sim.env.now - 9_000) > 0.97
+    assert level(sim.log(), sim.env.now - 40_000, sim.env.now - 9_000) > 0.97
 
 
 def test_allRegistriesKilledAndBack(sim: Sim) -> None:
@@ -317,7 +317,7 @@
     shown = sim.show()
     clean(sim)
     assert shown.doc["configuration"]["name"] == "before-the-herd"
-    assert level(sim, backMs + 12_000, backMs + 18_000) > 0.99
+    assert level(sim.log(), backMs + 12_000, backMs + 18_000) > 0.99
 
 
 def test_allExchangesKilledAndBack(sim: Sim) -> None:
@@ -332,7 +332,7 @@
         node.start()
     sim.run(22_000)
     clean(sim)
-    assert level(sim, backMs + 12_000, backMs + 20_000) > 0.99
+    assert level(sim.log(), backMs + 12_000, backMs + 20_000) > 0.99
 
 
 def test_localityLostAndBack(sim: Sim) -> None:
@@ -356,8 +356,8 @@
     backMs = sim.env.now
     sim.run(22_000)
     clean(sim)
-    assert level(sim, lostMs + 8_000, lostMs + 12_000) > 0.95
-    assert level(sim, backMs + 12_000, backMs + 20_000) > 0.99
+    assert level(sim.log(), lostMs + 8_000, lostMs + 12_000) > 0.95
+    assert level(sim.log(), backMs + 12_000, backMs + 20_000) > 0.99
 
 
 def test_coreCutInTwo(sim: Sim) -> None:
@@ -391,7 +391,7 @@
     sim.run(18_000)
     assert told.status == 200 and told.doneMs - told.atMs < 1_000
     clean(sim)
-    assert level(sim, told.atMs, told.atMs + 17_000) > 0.97
+    assert level(sim.log(), told.atMs, told.atMs + 17_000) > 0.97
 
 
 def test_listingFailsAndWorkersGo(sim: Sim) -> None:
@@ -405,4 +405,4 @@
     sim.platform.listFails = False
     sim.run(12_000)
     clean(sim)
-    assert level(sim, sim.env.now - 14_000, sim.env.now - 9_500) > 0.99
+    assert level(sim.log(), sim.env.now - 14_000, sim.env.now - 9_500) > 0.99
--- a/tests/sim/judges.py
+++ b/tools/judges.py
@@ -1,6 +1,6 @@
-"""The judges: each reads the world's own log and names what must never happen.
+"""The judges: each reads a run's log, simulated or real, and names what must never happen.
 
-They know nothing of the product's inside but the ledgered floor's marks. Each returns the
+They know nothing of the product's inside but the floor's drain marks. Each returns the
 violations it found; an empty list is a clean run. ``tests/test_judges.py`` plants a fault
 for each, to see it speak.
 """
@@ -10,7 +10,7 @@
 from collections import Counter, defaultdict
 from typing import Any
 
-from tests.sim.cluster import Sim
+from tools.log import Log
 
 SLACK_MS = 120.0
 RULES_MS = 3_000.0
@@ -21,79 +21,79 @@
 WINDOW_MS = 10_000.0
 
 
-def onceNeverTwice(sim: Sim) -> list[str]:
+def onceNeverTwice(log: Log) -> list[str]:
     """A call that may run once never runs twice; nor does a key."""
-    once = {a.call for a in sim.asked if a.once}
-    byCall = Counter(r.call for r in sim.platform.runs if r.call in once)
-    byKey = Counter(r.key for r in sim.platform.runs if r.key)
+    once = {a.call for a in log.asked if a.once}
+    byCall = Counter(r.call for r in log.runs if r.call in once)
+    byKey = Counter(r.key for r in log.runs if r.key)
     found = [f"{c} ran {n} times" for c, n in byCall.items() if n > 1]
     return found + [f"key {k} ran {n} times" for k, n in byKey.items() if n > 1]
 
 
-def notRunHolds(sim: Sim) -> list[str]:
+def notRunHolds(log: Log) -> list[str]:
     """A refusal that promises "not run" is never followed, or preceded, by a run."""
-    ran = {r.call for r in sim.platform.runs}
-    return [f"{a.call} was told not run, and ran" for a in sim.asked if a.ran == "no" and (
+    ran = {r.call for r in log.runs}
+    return [f"{a.call} was told not run, and ran" for a in log.asked if a.ran == "no" and (
         a.call in ran)]  # fmt: skip
 
 
-def oneVerdictInTime(sim: Sim) -> list[str]:
+def oneVerdictInTime(log: Log) -> list[str]:
     """Every fully read call gets one verdict within its wait, unless its process died."""
     found: list[str] = []
-    for a in sim.asked:
+    for a in log.asked:
         if a.status == 0:
             continue
         if a.verdicts != 1:
-            if sim.env.now > a.atMs + a.waitMs + SLACK_MS:
+            if log.endMs > a.atMs + a.waitMs + SLACK_MS:
                 found.append(f"{a.call} got {a.verdicts} verdicts")
         elif a.doneMs - a.atMs > a.waitMs + SLACK_MS:
             found.append(f"{a.call} waited {a.doneMs - a.atMs:.0f} of {a.waitMs} ms")
     return found
 
 
-def successIsWhole(sim: Sim) -> list[str]:
+def successIsWhole(log: Log) -> list[str]:
     """A success carries an instance's whole answer to that very call."""
     bodies: dict[str, set[bytes]] = defaultdict(set)
-    for run in sim.platform.runs:
-        if run.tryId in sim.platform.answers:
-            bodies[run.call].add(sim.platform.answers[run.tryId])
+    for run in log.runs:
+        if run.tryId in log.answers:
+            bodies[run.call].add(log.answers[run.tryId])
     return [
         f"{a.call} got a body that no instance gave it: {a.body[:40]!r}"
-        for a in sim.asked
+        for a in log.asked
         if 200 <= a.status < 300 and a.body not in bodies[a.call]
     ]
 
 
-def rightService(sim: Sim) -> list[str]:
+def rightService(log: Log) -> list[str]:
     """A call never runs at another service's instance."""
-    wanted = {a.call: a.path for a in sim.asked}
+    wanted = {a.call: a.path for a in log.asked}
     allowed: dict[str, set[str]] = defaultdict(set)
-    for _, lanes in rules(sim):
+    for _, lanes in rules(log):
         for path, service in lanes.items():
             allowed[path].add(service)
     return [
         f"{r.call} for {wanted[r.call]} ran at {r.service}"
-        for r in sim.platform.runs
+        for r in log.runs
         if r.call in wanted and r.service not in allowed[wanted[r.call]]
     ]
 
 
-def rules(sim: Sim) -> list[tuple[float, dict[str, str]]]:
+def rules(log: Log) -> list[tuple[float, dict[str, str]]]:
     """When each configuration was acknowledged, and its lanes, in the order of versions."""
-    acked = [t for t in sim.told if t.what == "apply" and t.status == 200]
+    acked = [t for t in log.told if t.what == "apply" and t.status == 200]
     acked.sort(key=lambda t: int(t.doc["version"]))
     out: list[tuple[float, dict[str, str]]] = []
     for told in acked:
-        out.append((told.doneMs, sim.lanesOf.get(told.detail, sim.laneServices)))
+        out.append((told.doneMs, log.lanesOf[told.detail]))
     return out
 
 
-def newestRules(sim: Sim) -> list[str]:
+def newestRules(log: Log) -> list[str]:
     """About 3 s after an acknowledgement only that configuration, or a newer one, rules."""
-    wanted = {a.call: a.path for a in sim.asked}
+    wanted = {a.call: a.path for a in log.asked}
     found: list[str] = []
-    known = rules(sim)
-    for run in sim.platform.runs:
+    known = rules(log)
+    for run in log.runs:
         path = wanted.get(run.call)
         if path is None:
             continue
@@ -106,12 +106,12 @@
     return found
 
 
-def evacuatedGetNothing(sim: Sim) -> list[str]:
+def evacuatedGetNothing(log: Log) -> list[str]:
     """About 5 s after its evacuation was acknowledged a locality's instances get nothing."""
-    marks = [t for t in sim.told if t.what in ("evacuate", "restore") and t.status == 200]
+    marks = [t for t in log.told if t.what in ("evacuate", "restore") and t.status == 200]
     marks.sort(key=lambda t: t.doneMs)
     found: list[str] = []
-    for run in sim.platform.runs:
+    for run in log.runs:
         last = None
         for told in marks:
             if told.detail == run.locality and told.atMs <= run.atMs:
@@ -121,40 +121,33 @@
     return found
 
 
-def drainedGetNothing(sim: Sim) -> list[str]:
+def drainedGetNothing(log: Log) -> list[str]:
     """About 3 s after the floor marked an instance as draining it gets nothing."""
-    since: dict[str, float] = {}
-    for atMs, _, floor in sim.floors:
-        for placed in floor.instances:
-            if placed.state in ("draining", "stopping"):
-                since.setdefault(placed.id, atMs)
+    since = log.drainedMs
     return [
         f"{r.call} ran at {r.instance}, draining since {r.atMs - since[r.instance]:.0f} ms"
-        for r in sim.platform.runs
+        for r in log.runs
         if r.instance in since and r.atMs > since[r.instance] + DRAIN_MS
     ]
 
 
-def vanishedGetNothing(sim: Sim) -> list[str]:
+def vanishedGetNothing(log: Log) -> list[str]:
     """About 3 s after the listing lost an instance nobody sends towards it."""
-    lost: dict[str, float] = {}
-    for server in sim.platform.byAddress.values():
-        if server.goneAtMs >= 0:
-            lost[server.id] = server.goneAtMs + sim.platform.listDelayMs
+    lost = log.goneMs
     return [
         f"a try went to {instance} {atMs - lost[instance]:.0f} ms after it vanished"
-        for atMs, instance, _ in sim.platform.deadSends
+        for atMs, instance in log.deadSends
         if instance in lost and atMs > lost[instance] + DRAIN_MS
     ]
 
 
-def secondsWithinShare(sim: Sim) -> list[str]:
+def secondsWithinShare(log: Log) -> list[str]:
     """Sends to a second instance stay within a fifth of a service's traffic and a few dozen."""
     seen: dict[str, set[str]] = defaultdict(set)
     firsts: dict[str, list[float]] = defaultdict(list)
     seconds: dict[str, list[float]] = defaultdict(list)
-    service = {a.call: a.service for a in sim.asked}
-    events = [(r.atMs, r.call, r.instance) for r in sim.platform.runs]
+    service = {a.call: a.service for a in log.asked}
+    events = [(r.atMs, r.call, r.instance) for r in log.runs]
     for atMs, call, instance in sorted(events):
         if call not in service or instance in seen[call]:
             continue
@@ -172,12 +165,12 @@
     return found
 
 
-def coldWithinRate(sim: Sim) -> list[str]:
+def coldWithinRate(log: Log) -> list[str]:
     """A cold instance gets at most 1.5 times its rate, plus five a second, in any second."""
     found: list[str] = []
     byInstance: dict[str, list[Any]] = defaultdict(list)
-    for run in sim.platform.runs:
-        if run.coldForMs < sim.coldMs.get(run.service, 0.0):
+    for run in log.runs:
+        if run.coldForMs < log.coldMs.get(run.service, 0.0):
             byInstance[run.instance].append(run)
     for name, runs in byInstance.items():
         times = [r.atMs for r in runs]
@@ -191,20 +184,20 @@
     return found
 
 
-def withinLimit(sim: Sim) -> list[str]:
+def withinLimit(log: Log) -> list[str]:
     """An instance never runs more at once than it may."""
     return [
         f"{r.instance} ran {r.running} at once, limit {r.limit}"
-        for r in sim.platform.runs
+        for r in log.runs
         if r.running > r.limit
     ]
 
 
-def ackedReadsBack(sim: Sim) -> list[str]:
+def ackedReadsBack(log: Log) -> list[str]:
     """What was acknowledged reads back whole and newest (shows run at the end)."""
     found: list[str] = []
-    acked = [t for t in sim.told if t.what == "apply" and t.status == 200]
-    for show in (t for t in sim.told if t.what == "show" and t.status == 200):
+    acked = [t for t in log.told if t.what == "apply" and t.status == 200]
+    for show in (t for t in log.told if t.what == "show" and t.status == 200):
         before = [t for t in acked if t.doneMs <= show.atMs]
         if not before:
             continue
@@ -228,13 +221,13 @@
 )  # fmt: skip
 
 
-def judge(sim: Sim) -> list[str]:
+def judge(log: Log) -> list[str]:
     """Every judge's findings."""
-    return [f"{j.__name__}: {text}" for j in JUDGES for text in j(sim)[:5]]
+    return [f"{j.__name__}: {text}" for j in JUDGES for text in j(log)[:5]]
 
 
-def level(sim: Sim, fromMs: float, toMs: float) -> float:
+def level(log: Log, fromMs: float, toMs: float) -> float:
     """The share of calls asked in a span that succeeded."""
-    asked = [a for a in sim.asked if fromMs <= a.atMs < toMs]
+    asked = [a for a in log.asked if fromMs <= a.atMs < toMs]
     good = sum(1 for a in asked if 200 <= a.status < 300)
     return good / len(asked) if asked else 0.0
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,260 @@
+"""The load of a deployment against a real fleet, faults midway, and the judges' word.
+
+    python -m tools.load --deployment tooluur --seconds 120
+
+Starts a fleet of its own on free ports, applies the example configuration, sends about 150
+requests/s open-loop (a sixth once-only, waits of 4 to 8 s), kills a worker and an exchange
+midway, and prints figures: success rate, latencies, memory and processor time by process,
+second sends against the share, and every judge's findings.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from tools.fleet import Fleet
+from tools.judges import judge, level
+from tools.log import Asked, Log, Run, Told
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def nowMs() -> float:
+    return time.monotonic_ns() / 1e6
+
+
+class Load:
+    """Callers and one operator against a fleet."""
+
+    def __init__(self, fleet: Fleet, doc: dict[str, Any], seed: int) -> None:
+        self.fleet = fleet
+        self.doc = doc
+        self.rng = random.Random(seed)
+        self.http = urllib3.PoolManager(num_pools=40, maxsize=64, retries=False)
+        self.asked: list[Asked] = []
+        self.told: list[Told] = []
+        self.exchanges = [n for n in fleet.http if n.startswith("ex")]
+        self.lock = threading.Lock()
+        self.busy = doc["lanes"][:4]
+        self.small = doc["lanes"][4:]
+        self.behind = 0.0
+
+    def apply(self) -> Told:
+        """Apply the configuration as an operator would."""
+        told = Told("apply", nowMs(), detail=self.doc["name"])
+        address = self.fleet.http["reg1"]
+        got = self.http.request(
+            "PUT", f"http://{address}/desired-state", body=json.dumps(self.doc).encode()
+        )
+        told.doneMs, told.status, told.doc = nowMs(), got.status, json.loads(got.data)
+        self.told.append(told)
+        return told
+
+    def show(self) -> None:
+        """Read the configuration back."""
+        told = Told("show", nowMs())
+        got = self.http.request("GET", f"http://{self.fleet.http['reg2']}/desired-state")
+        told.doneMs, told.status, told.doc = nowMs(), got.status, json.loads(got.data)
+        self.told.append(told)
+
+    def choose(self, number: int) -> Asked:
+        """The next call: a sixth once-only, a tenth to small services."""
+        once = [x for x in self.busy if not x.get("repeatable")]
+        free = [x for x in self.busy if x.get("repeatable")]
+        if number % 6 == 0:
+            lane = self.rng.choice(once)
+        elif number % 10 == 1:
+            lane = self.rng.choice(self.small)
+        else:
+            lane = self.rng.choice(free)
+        key = f"key-{number}" if number % 12 == 0 else ""
+        return Asked(
+            f"call-{number}", key, lane["path"], lane["service"], not lane.get("repeatable"),
+            self.rng.choice(self.exchanges), nowMs(), self.rng.randrange(4000, 8000),
+        )  # fmt: skip
+
+    def send(self, asked: Asked, method: str) -> None:
+        """Carry out one call and keep what its caller saw."""
+        headers = {
+            "Spokeroute-Wait-Ms": str(asked.waitMs), "Standin-Call": asked.call,
+            "Spokeroute-Agent": f"agent-{hash(asked.call) % 40}",
+        }  # fmt: skip
+        if asked.key:
+            headers["Idempotency-Key"] = asked.key
+        path = asked.path.replace("*", "x")
+        body = json.dumps({"of": asked.call}).encode() if method == "POST" else None
+        try:
+            got = self.http.request(
+                method, f"http://{self.fleet.http[asked.exchange]}{path}", body=body,
+                headers=headers, timeout=asked.waitMs / 1000 + 3, redirect=False,
+            )  # fmt: skip
+            asked.status, asked.body = got.status, got.data
+            asked.verdicts = 1
+            if got.status >= 400:
+                doc = json.loads(got.data)
+                asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
+        except (urllib3.exceptions.HTTPError, ValueError):
+            asked.status = 0
+        asked.doneMs = nowMs()
+
+    def run(self, perS: float, seconds: float, events: list[tuple[float, Any]]) -> None:
+        """Open-loop calls; each event is carried out at its second."""
+        pool = ThreadPoolExecutor(400)
+        startMs = nowMs()
+        methods = {x["path"]: x["methods"][0] for x in self.doc["lanes"]}
+        dueMs, number = startMs, 0
+        while dueMs < startMs + seconds * 1000:
+            dueMs += self.rng.expovariate(perS) * 1000
+            waitS = (dueMs - nowMs()) / 1000
+            if waitS > 0:
+                time.sleep(waitS)
+            self.behind = max(self.behind, nowMs() - dueMs)
+            while events and nowMs() - startMs > events[0][0] * 1000:
+                pool.submit(events.pop(0)[1])
+            number += 1
+            asked = self.choose(number)
+            self.asked.append(asked)
+            pool.submit(self.send, asked, methods[asked.path])
+        pool.shutdown(wait=True)
+
+
+def readLog(folder: Path, load: Load, localities: list[str]) -> Log:
+    """The stand-in's log and the callers' own, as the judges want them."""
+    runs: list[Run] = []
+    answers: dict[str, bytes] = {}
+    up: dict[str, float] = {}
+    keys = {a.call: a.key for a in load.asked}
+    for line in (folder / "standin.log").read_text().splitlines():
+        e = json.loads(line)
+        if e["kind"] == "up":
+            up[e["instance"]] = e["atMs"]
+        elif e["kind"] == "run":
+            locality = localities[(int(e["worker"][1:]) - 1) % len(localities)]
+            runs.append(
+                Run(e["atMs"], e["instance"], e["service"], e["worker"], locality, e["call"],
+                    keys.get(e["call"], ""), e["path"], e["tryId"], e["running"], e["limit"],
+                    e["atMs"] - up.get(e["instance"], 0.0))
+            )  # fmt: skip
+        elif e["kind"] == "answer":
+            answers[e["tryId"]] = e["body"].encode()
+    lanes = {x["path"]: x["service"] for x in load.doc["lanes"]}
+    cold = {x["name"]: x["coldMs"] for x in load.doc["services"]}
+    return Log(nowMs(), load.asked, runs, answers, load.told, {load.doc["name"]: lanes}, cold)
+
+
+def usage(pid: int) -> tuple[float, float]:
+    """Resident megabytes and processor seconds of a process."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+        rss = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
+    except OSError:
+        return 0.0, 0.0
+    ticks = os.sysconf("SC_CLK_TCK")
+    return rss / 2**20, (int(stat[11]) + int(stat[12])) / ticks
+
+
+def figures(load: Load, log: Log, seconds: float, fleet: Fleet) -> None:
+    """Print what came of it."""
+    asked = log.asked
+    good = sorted(a.doneMs - a.atMs for a in asked if 200 <= a.status < 300)
+    counts: dict[str, int] = {}
+    for a in asked:
+        name = f"{a.status} {a.kind} {a.ran}".strip()
+        counts[name] = counts.get(name, 0) + 1
+    share = 100 * len(good) / len(asked)
+    print(f"calls {len(asked)} ({len(asked) / seconds:.0f}/s), succeeded {len(good)}")
+    print(f"  {share:.2f} %; the generator was behind by {load.behind:.0f} ms at most")
+    for q in (0.5, 0.9, 0.99, 0.999):
+        print(f"  latency p{q * 100:g}: {good[min(len(good) - 1, int(q * len(good)))]:.0f} ms")
+    for name, many in sorted(counts.items(), key=lambda c: -c[1]):
+        print(f"  {many:6d}  {name}")
+    first = asked[0].atMs
+    starts = [first + s * 1000 for s in range(0, int(seconds), 10)]
+    row = [f"{100 * level(log, t, t + 10_000):.1f}" for t in starts]
+    print("  success by 10 s:", " ".join(row))
+    tries: dict[str, set[str]] = {}
+    for r in log.runs:
+        tries.setdefault(r.call, set()).add(r.instance)
+    seconds_ = sum(len(t) - 1 for t in tries.values())
+    print(f"second sends that reached an instance: {seconds_} of {len(tries)} calls that ran")
+    for role in ("ex", "reg"):
+        found = [usage(p.pid) for n, p in fleet.processes.items() if n.startswith(role)]
+        most = max(rss for rss, _ in found)
+        cpu = max(cpu for _, cpu in found)
+        print(f"{role}*: at most {most:.0f} MB, {cpu:.1f} s of processor time in the run")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("--deployment", choices=("tooluur", "organismo"), default="tooluur")
+    parser.add_argument("--seconds", type=float, default=120)
+    parser.add_argument("--per-s", type=float, default=150)
+    parser.add_argument("--exchanges", type=int, default=9)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--calm", action="store_true", help="kill nothing")
+    parser.add_argument("--folder", default="")
+    args = parser.parse_args()
+    folder = Path(args.folder or tempfile.mkdtemp(prefix="spokeroute-load-"))
+    fleet = Fleet(folder, args.exchanges, organismo=args.deployment == "organismo")
+    fleet.startAll()
+    doc = json.loads((EXAMPLES / f"{args.deployment}.json").read_text())
+    load = Load(fleet, doc, args.seed)
+    try:
+        missing = fleet.waitReady([n for n in fleet.commands if n.startswith("reg")], 30)
+        if missing:
+            sys.exit(f"not ready: {missing}")
+        told = load.apply()
+        if told.status != 200:
+            sys.exit(f"apply: {told}")
+        missing = fleet.waitReady(load.exchanges, 30)
+        if missing:
+            sys.exit(f"not ready: {missing}")
+        time.sleep(6)
+
+        def killWorker() -> None:
+            load.http.request("POST", f"http://{fleet.platform}/crash/w1")
+
+        def reviveWorker() -> None:
+            load.http.request("POST", f"http://{fleet.platform}/revive/w1")
+
+        def killExchange() -> None:
+            fleet.signal("ex2", signal.SIGKILL)
+
+        def startExchange() -> None:
+            fleet.start("ex2")
+
+        s = args.seconds
+        events: list[tuple[float, Any]] = [
+            (s * 0.3, killWorker), (s * 0.45, reviveWorker),
+            (s * 0.6, killExchange), (s * 0.6 + 5, startExchange),
+        ]  # fmt: skip
+        load.run(args.per_s, s, [] if args.calm else events)
+        load.show()
+        log = readLog(folder, load, doc["localities"])
+        figures(load, log, s, fleet)
+        found = judge(log)
+        print("judges:", "clean" if not found else "")
+        for text in found:
+            print("  ", text)
+    finally:
+        codes = fleet.stop()
+        bad = {n: c for n, c in codes.items() if c not in (0, -signal.SIGTERM)}
+        print(f"exit codes other than 0: {bad or 'none'}; logs in {folder}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/standin.py
+++ b/tools/standin.py
@@ -210,7 +210,9 @@
             with standin.lock:
                 instance.running -= 1
             doc = {"call": call, "instance": instance.id, "echo": body.decode("utf-8", "replace")}
-            standin.write("answer", instance=instance.id, call=call, tryId=tryId)
+            standin.write(
+                "answer", instance=instance.id, call=call, tryId=tryId, body=json.dumps(doc)
+            )
             self.answer(200, doc, {"Spokeroute-Try": tryId})
 
         do_GET = do_POST = do_PUT = do_DELETE = serve
