--- a/spokeroute/cli.py
+++ b/spokeroute/cli.py
@@ -11,6 +11,7 @@
 
 from spokeroute.desk import commands as desk
 from spokeroute.dial.props import PropsFault, checkProps, readProps
+from spokeroute.doctor.command import Doctor
 
 EXIT_PROPS = 2
 
@@ -85,7 +86,7 @@
 )
 @dataclass
 class Spokeroute:
-    role: cappa.Subcommands[Exchange | Registry | desk.Desk]
+    role: cappa.Subcommands[Exchange | Registry | desk.Desk | Doctor]
 
 
 def main() -> None:
--- a/spokeroute/register/keeper.py
+++ b/spokeroute/register/keeper.py
@@ -109,6 +109,8 @@
     syncedRoster: Roster | None = None
     syncedVotes: bool = False
     batch: int = 0
+    writingMs: Ms = Ms(0)  # since when the present sync runs
+    syncMs: int = 0  # how long the last one took
     failed: bool = False
     born: Map[str, Ms] = field(default_factory=Map)  # claims, by this process's clock
     ageMs: Ms = Ms(0)
@@ -144,9 +146,9 @@
         return state, ()
     match event:
         case From(node, _, Prepare() as ask):
-            return _flush(_prepare(state, node, ask))
+            return _stamped(_flush(_prepare(state, node, ask)), nowMs)
         case From(node, _, Accept() as ask):
-            return _flush(_accept(state, node, ask))
+            return _stamped(_flush(_accept(state, node, ask)), nowMs)
         case From(_, _, HandOver(epoch, copy, value)):
             return _flush(_handed(state, epoch, copy, value))
         case From(node, _, Probe() as probe):
@@ -176,7 +178,7 @@
         case Tick() if nowMs >= state.ageMs:
             return _flush(_aged(state, nowMs))
         case DiskDone(batch) if state.writing and state.writing.batch == batch:
-            return _flushed(state)
+            return _stamped(_flushed(replace(state, syncMs=nowMs - state.writingMs)), nowMs)
         case DiskFailed(reason):
             text = f"the disk refused a write ({reason}): this member stops voting; free the disk"
             return replace(state, failed=True), (Note(text, alarm=True),)
@@ -303,6 +305,13 @@
     return state, (Launch(write),)
 
 
+def _stamped(done: tuple[State, Effects], nowMs: Ms) -> tuple[State, Effects]:
+    state, effects = done
+    if any(isinstance(e, Launch) for e in effects):
+        state = replace(state, writingMs=nowMs)
+    return state, effects
+
+
 def _flushed(state: State) -> tuple[State, Effects]:
     write = state.writing
     assert write is not None
--- a/spokeroute/registry/status.py
+++ b/spokeroute/registry/status.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from spokeroute.dispatch import placement
+from spokeroute.dispatch.scaler import roomOf
 from spokeroute.logbook import ledger
 from spokeroute.register import copies, keeper, steward
 from spokeroute.trunk import colleagues
@@ -61,6 +62,7 @@
         "locality": process.me.locality,
         "votes": kept.syncedVotes and not kept.failed,
         "diskFailed": kept.failed,
+        "syncMs": nowMs - kept.writingMs if kept.writing else kept.syncMs,
         "epoch": roster.epoch if roster else 0,
         "roster": [
             {
@@ -89,6 +91,9 @@
             }
             for k in sorted(view.view.values(), key=lambda k: k.entry.node)
         ],
+        "listsPushedAgoMs": nowMs - place.pushedMs if place.term else None,
+        "waiting": {n: d.waiting for n, d in place.demand.items() if d.waiting},
+        "noRoomFor": _noRoom(place),
         "platform": {
             "listedAgoMs": nowMs - place.listingMs if place.listing.seats else None,
             "workers": len(place.listing.seats),
@@ -96,12 +101,29 @@
             "startTokens": round(place.tokens, 1),
         },
         "instances": _instances(place),
+        "thresholds": place.table.thresholds.to_dict() if place.table else None,
         "workersPct": dict(place.ranked.cuPct) if place.ranked else {},
         "evacuated": sorted(place.evacuated),
         "ledgerDurable": book.durable,
     }
 
 
+def _noRoom(place: placement.State) -> list[str]:
+    """Services that have calls waiting and none up or starting, with no worker to start on."""
+    if place.table is None or not place.term:
+        return []
+    have = {p.service for p in place.floor.instances if p.state in ("starting", "up")}
+    services = place.table.services
+    now = {p.id: p for p in place.floor.instances}
+    room = roomOf({s.id: s for s in place.listing.seats}, now, services, place.evacuated)
+    most = max(room.freeMb.values(), default=0)
+    return sorted(
+        n
+        for n, d in place.demand.items()
+        if d.waiting and n not in have and n in services and services[n].memoryMb > most
+    )
+
+
 def _instances(place: placement.State) -> dict[str, dict[str, int]]:
     out: dict[str, dict[str, int]] = {}
     for placed in place.floor.instances:
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -24,7 +24,7 @@
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.copies import Compile, Compiled
 from spokeroute.register.disk import Loaded
-from spokeroute.register.keeper import DiskDone, DiskWrite
+from spokeroute.register.keeper import DiskDone, DiskFailed, DiskWrite
 from spokeroute.trunk.process import Me, Process
 
 TICK_MS = 20
@@ -42,6 +42,7 @@
     ledger: dict[str, str] = field(default_factory=dict)
     syncMs: float = 0.5
     stalledUntilMs: float = 0.0
+    full: bool = False
     losesWrites: bool = False  # a planted fault: says synced, and is not
 
 
@@ -163,6 +164,9 @@
             yield self.env.timeout(disk.stalledUntilMs - self.env.now)
         if self.births != born:
             return  # killed before the sync: the tail is gone
+        if disk.full:
+            self.report(actor, DiskFailed("full"), born)
+            return
         if not disk.losesWrites:
             for name, cell in job.cells:
                 disk.cells[name] = cell
