Proofs no longer miss on a busy floor; the imbalance rule heeds only wide gaps

The floor was rewritten about 4 times a second; a copy was fetched by exact version, and by then the member had a newer one, so a proof could fail to complete for 2 s. Half of the rewrites came of ROME: 56 runs in a minute moved services of 0.1 % load, since any gap is over 120 % of next to nothing. Ruled out: disagreement between members (two of three always named one ballot). Changed: a probe names the digests that the asker has, and the answer carries small values that it lacks; the imbalance rule asks for a gap wider than the trigger.

--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -100,7 +100,7 @@
     match event:
         case Tick():
             return _tick(state, nowMs)
-        case From(node, incarnation, Probe(_, _, held, demand)):
+        case From(node, incarnation, Probe(_, _, _, held, demand)):
             if state.coreIds.isdisjoint((node,)):
                 known = Reported(incarnation, nowMs, held, demand)
                 return replace(state, reports=state.reports.set(node, known)), ()
@@ -286,7 +286,8 @@
         if faults:
             record = Record("program-fault", {"faults": list(faults)}, "default used")
             effects.append(_record(state, record))
-        limits = Limits(table.thresholds.overloadPct, table.thresholds.migrationPct)
+        bounds = table.thresholds
+        limits = Limits(bounds.overloadPct, bounds.migrationPct, bounds.triggerPct)
         rested = replace(
             now,
             vetoes=(
@@ -298,7 +299,7 @@
         if relief.shifts:
             inputs = {
                 **pictureDoc(rested),
-                "limits": [limits.overloadPct, limits.migrationPct],
+                "limits": [limits.overloadPct, limits.migrationPct, limits.gapPct],
             }
             output = [[s.service, s.fromWorker, s.toWorker, s.cause] for s in relief.shifts]
             effects.append(_record(state, Record("rome", inputs, output)))
--- a/spokeroute/register/copies.py
+++ b/spokeroute/register/copies.py
@@ -154,7 +154,8 @@
 def _probe(state: State, nowMs: Ms) -> tuple[State, Effects]:
     nonce = state.nonce + 1
     epoch = state.roster.epoch if state.roster else 0
-    ask = Probe(nonce, epoch, state.reports.held, state.reports.demand)
+    have = tuple(got.copy.digest for got in state.here.values())
+    ask = Probe(nonce, epoch, have, state.reports.held, state.reports.demand)
     to = state.roster.ids if state.roster else state.registries
     probes = state.probes.set(nonce, Asked(nowMs))
     if nonce - OPEN_PROBES in probes:
@@ -189,8 +190,19 @@
     roster, asked = state.roster, state.probes.get(ack.nonce)
     if roster is None or asked is None or ack.epoch != roster.epoch or node not in roster.ids:
         return state, ()
-    asked = replace(asked, acks=asked.acks.set(node, ack))
-    state = replace(state, probes=state.probes.set(ack.nonce, asked))
+    early: list[Effect] = []
+    for got in ack.values:
+        state, more = _arrived(state, got.copy, got.value, nowMs)
+        early.extend(more)
+    state, effects = _weighed(state, roster, node, replace(asked, acks=asked.acks.set(node, ack)),
+                              ack.nonce, nowMs)  # fmt: skip
+    return state, (*early, *effects)
+
+
+def _weighed(
+    state: State, roster: Roster, node: NodeId, asked: Asked, nonce: int, nowMs: Ms
+) -> tuple[State, Effects]:
+    state = replace(state, probes=state.probes.set(nonce, asked))
     if len(asked.acks) < roster.majority or asked.sentMs <= state.targetMs:
         return state, ()
     agreed = _agreed(roster, asked)
@@ -214,7 +226,8 @@
         got = state.here.get(copy.name)
         if copy.version == 0 or (got and _same(got.copy, copy)) or state.compiling == copy.digest:
             continue
-        if got and got.copy.version > copy.version:
+        ruling = state.ruling.get(copy.name)
+        if ruling and ruling.copy.version >= copy.version:
             continue
         if nowMs - state.fetchingMs.get(copy.name, Ms(-1000)) < PROBE_MS:
             continue
--- a/spokeroute/register/keeper.py
+++ b/spokeroute/register/keeper.py
@@ -31,6 +31,7 @@
 
 COPY_PAGE_BYTES = 1024 * 1024
 COPY_PAGE_CELLS = 500
+INLINE_BYTES = 128 * 1024
 CLAIM_KEEP_MS = 900_000
 AGE_EVERY_MS = 10_000
 
@@ -265,7 +266,15 @@
     if state.syncedRoster is None or not state.syncedVotes:
         return ()
     copies = tuple(state.synced.get(name, EMPTY).copy(name) for name in (*SPREAD, PLACEMENT))
-    return (Send(node, ProbeAck(probe.nonce, state.syncedRoster.epoch, copies)),)
+    values = tuple(
+        FetchGot(copy, state.synced[copy.name].value, False)
+        for copy in copies
+        if copy.version
+        and copy.digest not in probe.have
+        and len(state.synced[copy.name].value) <= INLINE_BYTES
+        and copy.name != PLACEMENT
+    )
+    return (Send(node, ProbeAck(probe.nonce, state.syncedRoster.epoch, copies, values)),)
 
 
 def _page(state: State, epoch: int, after: str) -> CopyPart:
--- a/spokeroute/trunk/messages.py
+++ b/spokeroute/trunk/messages.py
@@ -65,25 +65,6 @@
     inFlight: int
 
 
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Asks a core member for its newest versions; carries the exchange's reports."""
-
-    nonce: int
-    epoch: int
-    held: tuple[HeldReport, ...]
-    demand: tuple[DemandReport, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class ProbeAck:
-    """A member's synced versions, in answer to one probe."""
-
-    nonce: int
-    epoch: int
-    copies: tuple[Copy, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class FetchAsk:
     """Asks for a register's value."""
@@ -102,6 +83,29 @@
     chosen: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks a core member for its newest versions; carries the exchange's reports and the
+    digests of the copies that it has."""
+
+    nonce: int
+    epoch: int
+    have: tuple[str, ...]
+    held: tuple[HeldReport, ...]
+    demand: tuple[DemandReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeAck:
+    """A member's synced versions, in answer to one probe, and the small values that the
+    asker has not got."""
+
+    nonce: int
+    epoch: int
+    copies: tuple[Copy, ...]
+    values: tuple[FetchGot, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Finish:
     """Asks a core node to bring a register's open round to an end."""
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,161 @@
+"""Failures of the core and of whole groups of machines, caused in the simulated cluster."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from tests.sim.cluster import Sim, configuration
+from tests.sim.world import Node
+from tests.test_scenarios import SEEDS, clean
+from tools.judges import level
+
+
+@pytest.fixture(params=SEEDS)
+def sim(request: pytest.FixtureRequest) -> Iterator[Sim]:
+    made = Sim(int(request.param))
+    yield made
+    made.close()
+
+
+def test_diskLostRightAfterAnAck(sim: Sim) -> None:
+    """A blank disk joins by a roster change, catches up before it votes, and then another
+    disk is lost: what was acknowledged reads back."""
+    sim.settle()
+    told = sim.apply(configuration(name="kept"), registry=0)
+    assert sim.upTo(lambda: told.status == 200, 3_000)
+    for node in (sim.registries[0], sim.registries[1]):
+        node.kill()
+        sim.run(500)
+        node.start(blank=True)
+        assert sim.upTo(lambda n=node: n.state("keeper").syncedVotes, 20_000)  # type: ignore[misc]
+        sim.run(1_500)
+    shown = sim.show(0)
+    clean(sim)
+    assert shown.doc["configuration"]["name"] == "kept"
+
+
+def test_allMachinesSwapped(sim: Sim) -> None:
+    """Each registry is replaced by a new machine with a new address and a blank disk; the
+    old seeds are dead at the end, and an exchange that starts then finds its way."""
+    sim.settle()
+    sim.traffic(30, 60_000)
+    old = list(sim.registries)
+    for i, node in enumerate(old):
+        node.kill()
+        node.machineUp = False
+        new = Node(sim, f"new{i + 1}", "registry", node.locality, f"10.0.7.{i + 1}:1", False)
+        # Seeds must name processes that are there: the next core nodes and an exchange.
+        new.seeds = [old[(i + 1) % 3].address, sim.registries[0].address, "10.1.0.1:1"]
+        sim.registries[i] = new
+        new.start()
+        ready = sim.upTo(lambda n=new: n.state("keeper").syncedVotes, 20_000)  # type: ignore[misc]
+        assert ready
+        told = sim.apply(configuration(name=f"after-{i}"), registry=i)
+        assert sim.upTo(lambda t=told: t.status == 200, 8_000)  # type: ignore[misc]
+    sim.run(3_000)
+    old[0].machineUp = True
+    old[0].start()  # it comes back, and is not let in
+    sim.run(4_000)
+    assert not old[0].state("keeper").syncedVotes
+    sim.exchanges[2].kill()
+    sim.exchanges[2].seeds = [sim.registries[2].address, "10.1.0.2:1"]
+    sim.exchanges[2].start()
+    shown = sim.show(1)
+    sim.run(6_000)
+    assert shown.doc["configuration"]["name"] == "after-2"
+    clean(sim)
+    assert level(sim.log(), sim.env.now - 40_000, sim.env.now - 9_000) > 0.97
+
+
+def test_allRegistriesKilledAndBack(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(40, 30_000)
+    told = sim.apply(configuration(name="before-the-herd"))
+    assert sim.upTo(lambda: told.status == 200, 3_000)
+    for node in sim.registries:
+        node.kill()
+    sim.run(6_000)
+    backMs = sim.env.now
+    for node in sim.registries:
+        node.start()
+    sim.run(20_000)
+    shown = sim.show()
+    clean(sim)
+    assert shown.doc["configuration"]["name"] == "before-the-herd"
+    assert level(sim.log(), backMs + 12_000, backMs + 18_000) > 0.99
+
+
+def test_allExchangesKilledAndBack(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(40, 30_000)
+    sim.run(3_000)
+    for node in sim.exchanges:
+        node.kill()
+    sim.run(2_000)
+    backMs = sim.env.now
+    for node in sim.exchanges:
+        node.start()
+    sim.run(22_000)
+    clean(sim)
+    assert level(sim.log(), backMs + 12_000, backMs + 20_000) > 0.99
+
+
+def test_localityLostAndBack(sim: Sim) -> None:
+    """A registry, an exchange and two workers go at once, and come back."""
+    sim.settle()
+    sim.traffic(50, 40_000)
+    sim.run(3_000)
+    gone = [n for n in sim.nodes if n.locality == "south"]
+    for node in gone:
+        node.kill()
+        node.machineUp = False
+    workers = [s.id for s in sim.platform.seats if s.locality == "south"]
+    for worker in workers:
+        sim.platform.crash(worker)
+    lostMs = sim.env.now
+    sim.run(12_000)
+    for node in gone:
+        node.machineUp = True
+        node.start()
+    sim.platform.downWorkers.clear()
+    backMs = sim.env.now
+    sim.run(22_000)
+    clean(sim)
+    assert level(sim.log(), lostMs + 8_000, lostMs + 12_000) > 0.95
+    assert level(sim.log(), backMs + 12_000, backMs + 20_000) > 0.99
+
+
+def test_coreCutInTwo(sim: Sim) -> None:
+    """The side without a majority refuses; nothing runs by its tables."""
+    sim.settle()
+    sim.traffic(40, 20_000)
+    sim.run(2_000)
+    for other in ("locality:centre", "locality:south"):
+        sim.net.cuts |= {("locality:north", other), (other, "locality:north")}
+    told = sim.apply(configuration(name="majority-side"), registry=1)
+    lone = sim.apply(configuration(name="lone-side"), registry=0)
+    sim.run(9_000)
+    assert told.status == 200
+    assert lone.status in (503, 504) and "silent members" in lone.doc["detail"]
+    refused = [a for a in sim.asked if a.exchange == "ex1" and a.atMs > told.doneMs + 3_000]
+    assert refused and all(a.status != 200 for a in refused if a.atMs < sim.env.now - 1_000)
+    sim.net.cuts.clear()
+    sim.run(10_000)
+    shown = sim.show()
+    clean(sim)
+    assert shown.doc["configuration"]["name"] in ("majority-side", "lone-side")
+
+
+def test_slowAndStalledDisk(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(40, 20_000)
+    disk = sim.registries[0].disk
+    assert disk is not None
+    disk.stalledUntilMs = sim.env.now + 15_000
+    told = sim.apply(configuration(name="two-disks"), registry=1)
+    sim.run(18_000)
+    assert told.status == 200 and told.doneMs - told.atMs < 1_000
+    clean(sim)
+    assert level(sim.log(), told.atMs, told.atMs + 17_000) > 0.97
--- a/tests/test_flare.py
+++ b/tests/test_flare.py
@@ -108,6 +108,17 @@
     assert rome(picture, Limits(migrationPct=80.0)).shifts == ()
 
 
+def test_imbalanceLeavesASmallGap() -> None:
+    """Seen on a fleet: a service with one call now and then moved at each sample, since any
+    gap is over 120% of next to nothing."""
+    sites = (("A", (site("a", "A-1"), site("b", "A-2"))),)
+    picture = Picture(
+        (("a", 9.0), ("b", 0.0)), (Function("A", "a", 0.1), Function("B", "a", 8.9)), sites
+    )
+    assert rome(picture, Limits()).shifts == ()
+    assert len(rome(picture, Limits(gapPct=0.0)).shifts) == 1
+
+
 def test_vetoHoldsAndWishMoves() -> None:
     sites = (("A", (site("b", "A-2"),)),)
     picture = Picture((("a", 90.0), ("b", 0.0)), (Function("A", "a", 40.0),), sites)
