--- a/spokeroute/dispatch/desired.py
+++ b/spokeroute/dispatch/desired.py
@@ -7,6 +7,7 @@
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field, fields
+from functools import cache
 from typing import Any, get_type_hints
 
 from mashumaro import DataClassDictMixin
@@ -110,21 +111,25 @@
 }
 
 
+@cache
+def _scalars(kind: Any) -> tuple[tuple[str, tuple[type, ...], str], ...]:
+    hints = get_type_hints(kind)
+    return tuple((f.name, *_KINDS[hints[f.name]]) for f in fields(kind) if hints[f.name] in _KINDS)
+
+
 def _typed(path: str, raw: Any, kind: Any, faults: list[Fault]) -> Any:
     """Read one part; the first fault mashumaro finds and every scalar of a wrong type."""
     if not isinstance(raw, dict):
         faults.append(Fault(path, "must be an object", "write {...}"))
         return None
     before = len(faults)
-    hints = get_type_hints(kind)
-    for item in fields(kind):
-        if item.name in raw and hints[item.name] in _KINDS:
-            accepted, said = _KINDS[hints[item.name]]
-            value = raw[item.name]
+    for name, accepted, said in _scalars(kind):
+        if name in raw:
+            value = raw[name]
             if not isinstance(value, accepted) or (
                 isinstance(value, bool) and bool not in accepted
             ):
-                faults.append(Fault(f"{path}.{item.name}", f"must be {said}", f"write {said}"))
+                faults.append(Fault(f"{path}.{name}", f"must be {said}", f"write {said}"))
     if len(faults) > before:
         return None
     try:
@@ -281,8 +286,8 @@
 
     version: int
     digest: str
-    exact: Mapping[str, Lane]
-    prefixes: Mapping[str, Lane]
+    exact: Mapping[str, Mapping[str, Any]]  # path -> the lane as it is written
+    prefixes: Mapping[str, Mapping[str, Any]]
     services: Mapping[str, Service]
     thresholds: Thresholds
     programs: Programs
@@ -296,12 +301,12 @@
         """
         found = self.exact.get(path)
         if found is not None:
-            return found
+            return Lane.from_dict(found)
         at = path
         while True:
             found = self.prefixes.get(at)
             if found is not None:
-                return found
+                return Lane.from_dict(found)
             cutAt = at.rfind("/")
             if cutAt < 0:
                 return None
@@ -335,13 +340,12 @@
         buildTable(1, "", packDesired(DesiredState((), (), ()), "a")).services == {}
     """
     raw, _ = unpackDesired(value)
-    desired = DesiredState.from_dict(raw)
-    exact = {lane.path: lane for lane in desired.lanes if not lane.path.endswith("/*")}
-    prefixes = {
-        lane.path.removesuffix("/*"): lane for lane in desired.lanes if lane.path.endswith("/*")
-    }
-    services = {service.name: service for service in desired.services}
+    lanes: list[dict[str, Any]] = raw["lanes"]
+    exact = {x["path"]: x for x in lanes if not x["path"].endswith("/*")}
+    prefixes = {x["path"].removesuffix("/*"): x for x in lanes if x["path"].endswith("/*")}
+    rest = DesiredState.from_dict({**raw, "lanes": []})
+    services = {service.name: service for service in rest.services}
     return Table(
         version, digest, exact, prefixes, services,
-        desired.thresholds, desired.programs, desired.name,
+        rest.thresholds, rest.programs, rest.name,
     )  # fmt: skip
