--- a/spokeroute/desk/commands.py
+++ b/spokeroute/desk/commands.py
@@ -11,7 +11,7 @@
 
 import cappa
 
-from spokeroute.desk.client import Said, Unreached, ask
+from spokeroute.desk.client import Said, Unreached, Where, ask
 from spokeroute.logbook.replay import Replayed, replay
 
 EXIT_REFUSED = 1
@@ -27,6 +27,11 @@
 ]
 
 
+PropsFile = Annotated[
+    str, cappa.Arg(long="props", help="TOML file with a list `registries`; flags win")
+]
+
+
 def _finish(got: Said | Unreached) -> None:
     if isinstance(got, Unreached):
         print(f"spokeroute desk: no registry answered: {got.reason}", file=sys.stderr)
@@ -49,6 +54,7 @@
         int, cappa.Arg(long="if-version", help="only if this version rules now")
     ] = -1
     registry: Registry = ""
+    props: PropsFile = ""
 
     def __call__(self) -> None:
         try:
@@ -59,16 +65,26 @@
         headers = {"Content-Type": "application/json"}
         if self.ifVersion >= 0:
             headers["If-Match"] = f'"{self.ifVersion}"'
-        _finish(ask(self.registry, "PUT", "/desired-state", body, headers, onlyOnce=True))
+        _finish(
+            ask(
+                Where(self.registry, self.props),
+                "PUT",
+                "/desired-state",
+                body,
+                headers,
+                onlyOnce=True,
+            )
+        )
 
 
 @cappa.command(name="show", help="Print the configuration that rules, whole and newest.")
 @dataclass
 class Show:
     registry: Registry = ""
+    props: PropsFile = ""
 
     def __call__(self) -> None:
-        _finish(ask(self.registry, "GET", "/desired-state"))
+        _finish(ask(Where(self.registry, self.props), "GET", "/desired-state"))
 
 
 @cappa.command(name="evacuate", help="Empty a locality: its instances get nothing more.")
@@ -76,9 +92,10 @@
 class Evacuate:
     locality: Annotated[str, cappa.Arg(help="the locality")]
     registry: Registry = ""
+    props: PropsFile = ""
 
     def __call__(self) -> None:
-        _finish(ask(self.registry, "PUT", f"/evacuation/{self.locality}"))
+        _finish(ask(Where(self.registry, self.props), "PUT", f"/evacuation/{self.locality}"))
 
 
 @cappa.command(name="restore", help="Take a locality back into use.")
@@ -86,23 +103,25 @@
 class Restore:
     locality: Annotated[str, cappa.Arg(help="the locality")]
     registry: Registry = ""
+    props: PropsFile = ""
 
     def __call__(self) -> None:
-        _finish(ask(self.registry, "DELETE", f"/evacuation/{self.locality}"))
+        _finish(ask(Where(self.registry, self.props), "DELETE", f"/evacuation/{self.locality}"))
 
 
 @cappa.command(name="status", help="Print what a registry sees: core, versions, instances.")
 @dataclass
 class Status:
     registry: Registry = ""
+    props: PropsFile = ""
 
     def __call__(self) -> None:
-        _finish(ask(self.registry, "GET", "/status"))
+        _finish(ask(Where(self.registry, self.props), "GET", "/status"))
 
 
-def _pages(registry: str, after: str) -> Iterator[str]:
+def _pages(where: Where, after: str) -> Iterator[str]:
     while True:
-        got = ask(registry, "GET", f"/ledger?after={after}&limit=1000")
+        got = ask(where, "GET", f"/ledger?after={after}&limit=1000")
         if isinstance(got, Unreached) or got.status != 200:
             _finish(got)
             return
@@ -119,9 +138,10 @@
     after: Annotated[str, cappa.Arg(long="after", help="only entries after this key")] = ""
     kind: Annotated[str, cappa.Arg(long="kind", help="only this kind of decision")] = ""
     registry: Registry = ""
+    props: PropsFile = ""
 
     def __call__(self) -> None:
-        for line in _pages(self.registry, self.after):
+        for line in _pages(Where(self.registry, self.props), self.after):
             if not self.kind or json.loads(line).get("kind") == self.kind:
                 print(line)
 
@@ -133,6 +153,7 @@
         str, cappa.Arg(long="file", help="a saved ledger, - for stdin; else the registry's")
     ] = ""
     registry: Registry = ""
+    props: PropsFile = ""
 
     def __call__(self) -> None:
         got: Replayed
@@ -146,7 +167,7 @@
                 print(f"spokeroute desk: {self.file} can't be read: {fault}", file=sys.stderr)
                 sys.exit(EXIT_PROPS)
         else:
-            got = replay(_pages(self.registry, ""))
+            got = replay(_pages(Where(self.registry, self.props), ""))
         print(f"{got.read} entries read, {got.recomputed} decisions recomputed")
         if got.difference:
             print(f"difference at {got.difference.key}: {got.difference.reason}", file=sys.stderr)
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -160,11 +160,11 @@
     )
     command = [sys.executable, "-m", "spokeroute", "doctor", "--role", "exchange", "--json"]
     got = subprocess.run(
-        [*command, "--props", str(path)], capture_output=True, timeout=60, check=False
+        [*command, "--daemon-props", str(path)], capture_output=True, timeout=60, check=False
     )
     assert got.returncode == 1 and b"seed-unreachable" in got.stdout
     path.write_text("colour = 1\n")
     got = subprocess.run(
-        [*command, "--props", str(path)], capture_output=True, timeout=60, check=False
+        [*command, "--daemon-props", str(path)], capture_output=True, timeout=60, check=False
     )
     assert got.returncode == 1 and b"unknown prop" in got.stdout
