A restarted exchange's calls wait for its first proof; passive functions are ranked

They wait now for the first proof, at most half of their wait; later on, no proof is still a refusal at once. The planted fault of notRunHolds covers instances that come up later; seen to fail by hash order.

--- a/spokeroute/daemon.py
+++ b/spokeroute/daemon.py
@@ -140,6 +140,7 @@
     loop.lost = lambda node: process.post("calls", LinkDown(node))
     front = Front(props.name, slab, lambda event: loop.report("calls", event))
     front.ready = lambda: process.actors["calls"].state.tables.fresh(monotonicMs())
+    loop.onTick = lambda: front.proved.set() if front.ready() else None
     server, dispatcher = _http(front, props, CALL_THREADS, 1024 * 1024)
     front.dispatcher = dispatcher
     _serveOnThread(server)
--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -325,9 +325,9 @@
 def _moved(old: Picture | None, now: Picture, triggerPct: float) -> bool:
     if old is None or old.sites != now.sites:
         return True
-    if {(f.service, f.worker) for f in old.functions} != {
+    if [(f.service, f.worker) for f in old.functions] != [
         (f.service, f.worker) for f in now.functions
-    }:
+    ]:
         return True
     before = dict(old.cuPct)
     return set(before) != {w for w, _ in now.cuPct} or any(
--- a/spokeroute/dispatch/sense.py
+++ b/spokeroute/dispatch/sense.py
@@ -98,7 +98,7 @@
             continue
         load = instanceLoad(placed, meanMilli.get(placed.id, 0), service.memoryMb, seat.memoryMb)
         key = (placed.service, placed.worker)
-        if placed.state == UP and (placed.routed or load > 0.0):
+        if placed.state == UP:
             loads[key] = loads.get(key, 0.0) + load
         if fit(placed, evacuated, suspects):
             sites.setdefault(placed.service, {}).setdefault(placed.worker, []).append(placed.id)
--- a/spokeroute/exchange/front.py
+++ b/spokeroute/exchange/front.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import secrets
+import threading
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
 from spokeroute.dial.http import BoundedDispatcher, readBody, respond
@@ -15,6 +17,7 @@
 
 LOOK_S = 0.25
 GUARD_MS = 1_500
+FIRST_PROOF_S = 4.0
 
 
 class Front:
@@ -33,6 +36,7 @@
         self.ready: Callable[[], bool] = lambda: False
         self.draw = secrets.token_hex(4)
         self.count = 0
+        self.proved = threading.Event()
 
     def __call__(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         return respond(self._verdict(environ), start)
@@ -83,6 +87,7 @@
             environ.get("HTTP_IDEMPOTENCY_KEY", ""),
             dispatcher.waitedMs() if dispatcher else 0,
         )
+        ask = replace(ask, waitedMs=ask.waitedMs + self._firstProof(wait))
         self.post(ask)
         waitMs = int(wait) if wait.isascii() and wait.isdigit() and len(wait) < 8 else 0
         untilMs = monotonicMs() + min(waitMs, MAX_WAIT_MS) + GUARD_MS
@@ -98,6 +103,15 @@
                 told = True
                 self.post(CallerGone(slot))
 
+    def _firstProof(self, wait: str) -> int:
+        """A process that just started has no proof yet: a call waits for the first one, for at
+        most half of its own wait. Later on, no proof is a refusal at once."""
+        if self.proved.is_set() or not wait.isascii() or not wait.isdigit() or len(wait) > 7:
+            return 0
+        sinceMs = monotonicMs()
+        self.proved.wait(min(int(wait) / 2000, FIRST_PROOF_S))
+        return monotonicMs() - sinceMs
+
 
 def _headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
     found = [
--- a/spokeroute/trunk/net.py
+++ b/spokeroute/trunk/net.py
@@ -77,6 +77,7 @@
         self.out: dict[Address, Wire] = {}
         self.stopping = False
         self.beforeStop: Callable[[], bool] | None = None
+        self.onTick: Callable[[], None] | None = None
         self.lost: Callable[[NodeId], None] | None = None
         self.book: dict[NodeId, Address] = {}
 
@@ -126,6 +127,8 @@
                 lastMs = nowMs
                 nextTickMs = Ms(nowMs + TICK_MS)
                 process.pump()
+                if self.onTick is not None:
+                    self.onTick()
             for key, mask in ready:
                 if key.data == "accept":
                     self._accept()
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -241,14 +241,9 @@
                 if placed.state in ("draining", "stopping"):
                     drained.setdefault(placed.id, atMs)
         platform = self.platform
-        gone = {
-            s.id: s.goneAtMs + platform.listDelayMs
-            for s in platform.byAddress.values()
-            if s.goneAtMs >= 0
-        }
         return Log(
             self.env.now, self.asked, platform.runs, platform.answers, self.told,
-            self.lanesOf, self.coldMs, drained, gone, platform.deadSends,
+            self.lanesOf, self.coldMs, drained, platform.shownGoneMs, platform.deadSends,
         )  # fmt: skip
 
     def close(self) -> None:
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -60,6 +60,7 @@
         self.recent: list[float] = []
         self.runs: list[Run] = []
         self.answers: dict[str, bytes] = {}  # try -> the whole answer that was sent
+        self.shownGoneMs: dict[str, float] = {}  # when a listing first came without it
         self.deadSends: list[tuple[float, str]] = []  # tries towards what is gone
         self.calls: list[tuple[float, str, str, str]] = []
         self.refused = 0
@@ -90,6 +91,10 @@
             node.report(actor, PlatformListed(False, 0, (), (), "status 500"), born)
             return
         _, sequence, seats, listed = self.snapshots[0]
+        there = {p.id for p in listed}
+        for server in self.byAddress.values():
+            if server.goneAtMs >= 0 and server.id not in there:
+                self.shownGoneMs.setdefault(server.id, self.env.now)
         node.report(actor, PlatformListed(True, sequence, seats, listed), born)
 
     def call(self, node: Any, actor: str, job: PlatformCall, born: int) -> Steps:
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -25,6 +25,8 @@
 
 
 def behave(sim: Sim, how: str, *services: str) -> None:
+    """Every instance of these services, and each that comes up later."""
+    sim.platform.misbehave.update({service: how for service in services})
     for server in sim.platform.servers.values():
         if server.service in services:
             server.behave = how
--- a/tools/log.py
+++ b/tools/log.py
@@ -68,5 +68,5 @@
     lanesOf: dict[str, dict[str, str]]  # configuration's name -> its lanes
     coldMs: dict[str, float]  # service -> how long its instances are cold
     drainedMs: dict[str, float] = field(default_factory=dict)  # instance -> marked as draining
-    goneMs: dict[str, float] = field(default_factory=dict)  # instance -> lost from the listing
+    goneMs: dict[str, float] = field(default_factory=dict)  # instance -> a listing came without it
     deadSends: list[tuple[float, str]] = field(default_factory=list)  # tries towards the gone
