The ledger reaches the other disks from the founding on; claims ask round sooner

Causes, both found by new tests: the ledger learned its colleagues only at a restart, so until then entries lay on one disk (test_replayBearsOutAndTamperingShows found only roster entries on another member); a claim could be asked of a dead registry several times in a row, and calls with a key waited over 2 s with one of three registries down. Asks go round now, every 300 ms. Also: a data folder that is in use is refused; 400, 413, 429 and garbage frames on a real fleet.

--- a/spokeroute/exchange/calls.py
+++ b/spokeroute/exchange/calls.py
@@ -40,7 +40,7 @@
 LOST_SHUN_MS = 1_000
 END_MARGIN_MS = 40
 SECOND_MIN_MS = 100
-CLAIM_RETRY_MS = 600
+CLAIM_RETRY_MS = 300
 FREE_WAIT_MS = 800
 OWN_HEADERS = ("spokeroute-ran", "spokeroute-try", "spokeroute-instance")
 
@@ -116,12 +116,13 @@
 def _ask(state: State, call: Call, to: str, nowMs: Ms) -> tuple[State, Effects]:
     opId = f"{call.ask.callId}/{to}/{state.draws}"
     state = replace(state, draws=state.draws + 1)
-    call = replace(call, claimOp=opId, claimMs=nowMs)
+    call = replace(call, claimOp=opId, claimMs=nowMs, claimAsks=call.claimAsks + 1)
     state = replace(put(state, call), opOf=state.opOf.set(opId, call.ask.slot.index))
     registries = state.registries
     if not registries:
         return state, ()
-    node = registries[(state.draws + sum(call.ask.callId.encode())) % len(registries)]
+    first = sum(call.ask.callId.encode())  # each ask goes to the next registry
+    node = registries[(first + call.claimAsks) % len(registries)]
     return state, (Send(node, askClaim(call, opId, to)),)
 
 
--- a/spokeroute/exchange/types.py
+++ b/spokeroute/exchange/types.py
@@ -159,6 +159,7 @@
     claimed: bool = False
     claimOp: str = ""
     claimMs: Ms = Ms(0)
+    claimAsks: int = 0
     tries: Map[str, Try] = field(default_factory=Map)  # under way
     failed: tuple[Try, ...] = ()  # ended without a verdict
     draws: int = 0
--- a/spokeroute/register/disk.py
+++ b/spokeroute/register/disk.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import secrets
 from dataclasses import dataclass
@@ -67,10 +68,17 @@
     def __init__(self, folder: Path, sizeMb: int) -> None:
         try:
             folder.mkdir(parents=True, exist_ok=True)
+            self.lock = open(folder / "in-use", "a")  # noqa: SIM115
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
             self.env = lmdb.open(str(folder), map_size=sizeMb * 1024 * 1024, max_dbs=4)
             self.cells = self.env.open_db(b"cells")
             self.meta = self.env.open_db(b"meta")
             self.ledger = self.env.open_db(b"ledger")
+        except BlockingIOError as fault:
+            raise DiskFault(
+                f"data folder {folder} is another running member's: give this process a folder "
+                "of its own"
+            ) from fault
         except (OSError, lmdb.Error) as fault:
             raise DiskFault(
                 f"data folder {folder} can't be used ({fault}): give this process a folder "
@@ -152,3 +160,4 @@
             disk.close()
         """
         self.env.close()
+        self.lock.close()
--- a/spokeroute/register/steward.py
+++ b/spokeroute/register/steward.py
@@ -65,7 +65,7 @@
     proposing: str = ""
     proposedMs: Ms = Ms(0)
     draws: int = 0
-    changes: tuple[str, ...] = ("placement",)
+    changes: tuple[str, ...] = ("placement", "ledger")
 
 
 def step(state: State, event: object, nowMs: Ms) -> tuple[State, Effects]:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -18,7 +18,7 @@
 from spokeroute.dispatch.desired import DesiredState, readDesired
 from spokeroute.exchange.sender import Sender
 from spokeroute.exchange.types import SendTry, TryDone
-from spokeroute.register.disk import Disk
+from spokeroute.register.disk import Disk, DiskFault
 from spokeroute.trunk.frames import MAX_FRAME_BYTES, Envelope, FrameFault, cut, decode, encode
 from spokeroute.trunk.messages import Finish
 from spokeroute.trunk.net import monotonicMs
@@ -219,6 +219,11 @@
     first.close()
     again = Disk(tmp_path / "a", 16)
     assert again.load().member == member
+    with pytest.raises(DiskFault, match="of its own"):
+        Disk(tmp_path / "a", 16)
+    (tmp_path / "file").write_text("")
+    with pytest.raises(DiskFault, match="can't be used"):
+        Disk(tmp_path / "file", 16)
     again.close()
     blank = Disk(tmp_path / "b", 16)
     assert blank.load().member != member
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,10 +4,12 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -34,15 +36,36 @@
 
 
 def post(
-    fleet: Fleet, name: str, path: str, key: str = "", wait: str = "8000"
+    fleet: Fleet, name: str, path: str, key: str = "", wait: str = "8000", agent: str = ""
 ) -> tuple[int, bytes]:
-    headers = {"Spokeroute-Wait-Ms": wait, **({"Idempotency-Key": key} if key else {})}
+    headers = {"Spokeroute-Wait-Ms": wait}
+    headers.update({"Idempotency-Key": key} if key else {})
+    headers.update({"Spokeroute-Agent": agent} if agent else {})
     got = urllib3.PoolManager(retries=False).request(
         "POST", f"http://{fleet.http[name]}{path}", body=b"{}", headers=headers, timeout=20
     )
     return got.status, got.data
 
 
+def raw(fleet: Fleet, name: str, data: bytes) -> bytes:
+    """What a caller gets for bytes of its own."""
+    host, _, port = fleet.http[name].rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=20) as sock:
+        sock.sendall(data)
+        return sock.recv(65536)
+
+
+def garbage(fleet: Fleet, name: str) -> None:
+    """Bad frames at the trunk: each connection is closed, and the process lives."""
+    command = fleet.commands[name]
+    host, _, port = command[command.index("--trunk") + 1].rpartition(":")
+    for data in (b"\xff" * 64, b"\x00\x00\x00\x04\x01abcd", b"\x00\x00\x00\x04\x09abcd"):
+        with socket.create_connection((host, int(port)), timeout=20) as sock:
+            sock.sendall(data)
+            assert sock.recv(16) == b""
+    assert fleet.processes[name].poll() is None
+
+
 def untilServed(fleet: Fleet, name: str, path: str) -> bytes:
     """Call until it is served: the fleet may be starting instances."""
     until = time.monotonic() + 60
@@ -77,6 +100,18 @@
     assert post(fleet, "ex1", "/nowhere")[0] == 404
     assert post(fleet, "ex1", "/inquiries/1")[0] == 405
     assert post(fleet, "ex1", "/port-ins", wait="soon")[0] == 400
+    assert post(fleet, "ex1", "/port-ins", key="two words")[0] == 400
+    assert raw(fleet, "ex1", b"NONSENSE\r\n\r\n").startswith(b"HTTP/1.0 400")
+    head = b"POST /port-ins HTTP/1.1\r\nHost: x\r\nSpokeroute-Wait-Ms: 900\r\n"
+    big = head + b"Content-Length: 300000\r\n\r\n" + b"x" * 300000
+    assert b" 413 " in raw(fleet, "ex1", big).split(b"\r\n")[0]
+    with ThreadPoolExecutor(16) as pool:
+        greedy = [
+            pool.submit(post, fleet, "ex3", "/municipal/09/x", agent="greedy", wait="200")
+            for _ in range(400)
+        ]
+    assert 429 in {g.result()[0] for g in greedy}
+    garbage(fleet, "ex1")
 
     fleet.signal("reg1", signal.SIGKILL)
     fleet.signal("ex2", signal.SIGKILL)
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,143 @@
+"""Single parts: lists and their bounds, the budget, replay, hints."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+from immutables import Map
+
+from spokeroute.dial.effects import From, SlotId
+from spokeroute.dial.ids import Incarnation, Ms, NodeId
+from spokeroute.dispatch.desired import Lane, Service
+from spokeroute.dispatch.flare import Function, Picture, Site
+from spokeroute.dispatch.floor import UP, Placed
+from spokeroute.exchange import calls, entry
+from spokeroute.exchange.budget import FLOOR_SHARE, WINDOW_MS, Budget
+from spokeroute.exchange.pick import pick
+from spokeroute.exchange.types import LISTS_AGE_MS, Call, CallIn, Tables, Try
+from spokeroute.logbook.entries import Record, entryText, pictureDoc
+from spokeroute.logbook.replay import replay
+from spokeroute.trunk.messages import Lists, Successors
+from tests.sim.cluster import Sim
+
+ASK = CallIn(SlotId(0, 1), "c1", "a", "POST", "/x", "", (), b"", "5000", "", 0)
+
+
+def placed(name: str, worker: str, **changes: object) -> Placed:
+    made = Placed(name, "s", worker, "north", "h:1", 4, UP, True, True, "ex1", 1)
+    return replace(made, **changes)  # type: ignore[arg-type]
+
+
+def failedOn(worker: str, instance: str) -> Call:
+    lane, service = Lane("/x", "s"), Service("s", 128, 4)
+    each = Try(instance, worker, "ex1", 1, Ms(0))
+    call = Call(ASK, lane, service, Ms(0), Ms(5_000), "holding", Ms(0), once=False)
+    return replace(call, failed=(each,), touched=frozenset((instance,)), maybe=True)
+
+
+def tables(*instances: Placed, evacuated: frozenset[str] = frozenset()) -> Tables:
+    return Tables(byService=Map({"s": instances}), evacuated=evacuated)
+
+
+def test_theHeadThatIsStillFitTakesOver() -> None:
+    """The list's order decides, not the floor's; what is not fit any more is passed over."""
+    here = [placed("a", "w1"), placed("b", "w2"), placed("c", "w3"), placed("d", "w4")]
+    lists = Lists(1, 1, 1, 0, (Successors("s", "w1", ("d", "c", "b")),))
+
+    def head(now: Tables, shunnedMs: dict[str, int], nowMs: int = 0) -> tuple[str, str]:
+        got = pick(failedOn("w1", "a"), now, lists, 0, {}, shunnedMs, "ex1", nowMs)
+        assert got is not None
+        return got.placed.id, got.rule
+
+    assert head(tables(*here), {}) == ("d", "successor")
+    assert head(tables(*here), {"d": 99}) == ("c", "successor")
+    assert head(tables(*here[:3], placed("d", "w4", state="draining")), {}) == ("c", "successor")
+    assert head(tables(*here[:3], placed("d", "w4", warm=False)), {}) == ("c", "successor")
+    out = tables(*here[:3], placed("d", "w4", locality="south"), evacuated=frozenset(("south",)))
+    assert head(out, {}) == ("c", "successor")
+    assert head(tables(*here), {}, LISTS_AGE_MS + 1) == ("b", "floor order")
+
+
+def test_listsOfAnOlderTermOrSequenceAreDropped() -> None:
+    state = entry.State(NodeId("ex1"), 1, Budget(0))
+    first = Lists(2, 5, 1, 0, ())
+    state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), first), Ms(10))
+    for old in (Lists(1, 9, 1, 0, ()), Lists(2, 4, 1, 0, ())):
+        state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), old), Ms(20))
+        assert state.lists == first
+    newer = Lists(3, 1, 1, 0, ())
+    state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), newer), Ms(30))
+    assert state.lists == newer
+
+
+def test_secondSendsStayWithinTheShare() -> None:
+    budget = Budget(0)
+    nowMs = WINDOW_MS + 1
+    for _ in range(100):
+        budget = budget.first("s", nowMs)
+    sent = 0
+    while budget.allows("s", nowMs):
+        budget = budget.second("s", nowMs)
+        sent += 1
+    assert sent == 20 + FLOOR_SHARE
+    assert not budget.allows("s", nowMs + WINDOW_MS // 2)
+    assert budget.allows("s", nowMs + 2 * WINDOW_MS)
+    assert Budget(0).allows("t", 0) is False  # a restarted process begins without a share
+
+
+@pytest.fixture
+def sim() -> Iterator[Sim]:
+    made = Sim(5)
+    yield made
+    made.close()
+
+
+def test_replayBearsOutAndTamperingShows(sim: Sim) -> None:
+    sim.settle()
+    sim.traffic(60, 4_000)
+    sim.platform.crash("w1")
+    sim.run(8_000)
+    disk = sim.registries[1].disk
+    assert disk is not None
+    lines = [text for _, text in sorted(disk.ledger.items())]
+    kinds = {json.loads(x)["kind"] for x in lines}
+    assert {"term", "laaf", "start", "up", "holder", "route", "vanished"} <= kinds
+    got = replay(lines)
+    assert got.difference is None and got.recomputed > 10
+    at = next(i for i, x in enumerate(lines) if '"kind":"laaf"' in x)
+    doc = json.loads(lines[at])
+    doc["inputs"]["cuPct"][0][1] += 50.0
+    got = replay([*lines[:at], json.dumps(doc), *lines[at + 1 :]])
+    assert got.difference is not None and "digest" in got.difference.reason
+    chained = [i for i, x in enumerate(lines) if json.loads(x)["term"] == 1]
+    missing = [*lines[: chained[3]], *lines[chained[3] + 1 :]]
+    got = replay(missing)
+    assert got.difference is not None and "missing" in got.difference.reason
+    got = replay(["nonsense"])
+    assert got.difference is not None
+
+
+def test_replayNoticesAnotherOutcome(sim: Sim) -> None:
+    """An entry whose digest is right but whose output the functions don't bear out."""
+    picture = Picture((("t", 9.0),), (Function("A", "t", 9.0),), (("A", (Site("u", ("a",)),)),))
+    good = Record("laaf", pictureDoc(picture), [["A", "t", ["a"]]], 1)
+    assert replay([entryText("1-1-m", good, "")]).difference is None
+    bad = Record("laaf", pictureDoc(picture), [["A", "t", ["b"]]], 1)
+    got = replay([entryText("1-1-m", bad, "")])
+    assert got.difference is not None and "recomputed" in got.difference.reason
+
+
+def test_aMemberThatWasAwayIsHandedWhatItMissed(sim: Sim) -> None:
+    sim.settle()
+    away = sim.registries[2]
+    away.kill()
+    asked = [sim.call("/corrections", key=f"k-{n}") for n in range(10)]
+    sim.run(2_000)
+    assert {a.status for a in asked} == {200}
+    assert away.disk is not None and not any(n.startswith("claim/") for n in away.disk.cells)
+    away.start()
+    sim.run(4_000)
+    assert {f"claim/k-{n}" for n in range(10)} <= set(away.disk.cells)
