--- /dev/null
+++ b/tools/faults.py
@@ -0,0 +1,90 @@
+"""What befalls a real fleet under load: lists of (share of the run, act)."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import urllib3
+
+from tools.fleet import Fleet, get
+
+Event = tuple[float, Callable[[], object]]
+
+
+def _post(address: str, path: str) -> None:
+    urllib3.PoolManager(retries=False).request("POST", f"http://{address}{path}", timeout=5)
+
+
+def _herd(fleet: Fleet, prefix: str, number: int) -> None:
+    for name in [n for n in fleet.processes if n.startswith(prefix)]:
+        if number == signal.SIGKILL:
+            fleet.signal(name, number)
+        else:
+            fleet.start(name)
+
+
+def placementHolder(fleet: Fleet) -> str:
+    """The registry that holds the placement role, or the first one."""
+    for name in ("reg1", "reg2", "reg3"):
+        status, body = get(fleet.http[name], "/status")
+        if status == 200 and json.loads(body)["holdsPlacement"]:
+            return name
+    return "reg1"
+
+
+def loseDisk(fleet: Fleet, apply: Callable[[], Any], name: str) -> None:
+    """Kill a registry right after an acknowledgement, remove its data, start it blank."""
+    apply()
+    fleet.signal(name, signal.SIGKILL)
+    shutil.rmtree(fleet.folder / name)
+    fleet.start(name)
+
+
+def freezeHolder(fleet: Fleet, forS: float) -> None:
+    """Stop the placement holder for longer than its term's lease, and let it go on."""
+    name = placementHolder(fleet)
+    fleet.signal(name, signal.SIGSTOP)
+    time.sleep(forS)
+    fleet.signal(name, signal.SIGCONT)
+
+
+def events(scenario: str, fleet: Fleet, apply: Callable[[], Any]) -> list[Event]:
+    """The acts of a scenario, in their order."""
+    kill, stop, go = signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT
+    table: dict[str, list[Event]] = {
+        "calm": [],
+        "kills": [
+            (0.30, partial(_post, fleet.platform, "/crash/w1")),
+            (0.45, partial(_post, fleet.platform, "/revive/w1")),
+            (0.60, partial(fleet.signal, "ex2", kill)),
+            (0.65, partial(fleet.start, "ex2")),
+        ],
+        "herds": [
+            (0.25, partial(_herd, fleet, "reg", kill)),
+            (0.30, partial(_herd, fleet, "reg", 0)),
+            (0.60, partial(_herd, fleet, "ex", kill)),
+            (0.63, partial(_herd, fleet, "ex", 0)),
+        ],
+        "freezes": [
+            (0.20, partial(fleet.signal, "ex3", stop)),
+            (0.32, partial(fleet.signal, "ex3", go)),
+            (0.45, partial(freezeHolder, fleet, 8.0)),
+            (0.70, partial(fleet.signal, "ex5", stop)),
+            (0.74, partial(fleet.signal, "ex5", go)),
+        ],
+        "disks": [
+            (0.20, partial(loseDisk, fleet, apply, "reg1")),
+            (0.50, partial(loseDisk, fleet, apply, "reg2")),
+            (0.80, apply),
+        ],
+    }
+    return table[scenario]
+
+
+SCENARIOS = ("kills", "calm", "herds", "freezes", "disks")
--- a/tools/load.py
+++ b/tools/load.py
@@ -1,11 +1,11 @@
 """The load of a deployment against a real fleet, faults midway, and the judges' word.
 
-    python -m tools.load --deployment tooluur --seconds 120
+    python -m tools.load --deployment tooluur --seconds 120 --scenario kills
 
 Starts a fleet of its own on free ports, applies the example configuration, sends about 150
-requests/s open-loop (a sixth once-only, waits of 4 to 8 s), kills a worker and an exchange
-midway, and prints figures: success rate, latencies, memory and processor time by process,
-second sends against the share, and every judge's findings.
+requests/s open-loop (a sixth once-only, waits of 4 to 8 s), causes a scenario's faults midway
+(``tools/faults.py``), and prints figures: success rate, latencies, memory and processor time
+by process, second sends against the share, and every judge's findings.
 """
 
 from __future__ import annotations
@@ -25,6 +25,7 @@
 
 import urllib3
 
+from tools.faults import SCENARIOS, events
 from tools.fleet import Fleet
 from tools.judges import judge, level
 from tools.log import Asked, Log, Run, Told
@@ -56,10 +57,8 @@
     def apply(self) -> Told:
         """Apply the configuration as an operator would."""
         told = Told("apply", nowMs(), detail=self.doc["name"])
-        address = self.fleet.http["reg1"]
-        got = self.http.request(
-            "PUT", f"http://{address}/desired-state", body=json.dumps(self.doc).encode()
-        )
+        body = json.dumps(self.doc).encode()
+        got = self.http.request("PUT", f"http://{self.fleet.http['reg1']}/desired-state", body=body)
         told.doneMs, told.status, told.doc = nowMs(), got.status, json.loads(got.data)
         self.told.append(told)
         return told
@@ -205,7 +204,7 @@
     parser.add_argument("--per-s", type=float, default=150)
     parser.add_argument("--exchanges", type=int, default=9)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--calm", action="store_true", help="kill nothing")
+    parser.add_argument("--scenario", choices=SCENARIOS, default="kills")
     parser.add_argument("--folder", default="")
     args = parser.parse_args()
     folder = Path(args.folder or tempfile.mkdtemp(prefix="spokeroute-load-"))
@@ -225,27 +224,14 @@
             sys.exit(f"not ready: {missing}")
         time.sleep(6)
 
-        def killWorker() -> None:
-            load.http.request("POST", f"http://{fleet.platform}/crash/w1")
-
-        def reviveWorker() -> None:
-            load.http.request("POST", f"http://{fleet.platform}/revive/w1")
-
-        def killExchange() -> None:
-            fleet.signal("ex2", signal.SIGKILL)
-
-        def startExchange() -> None:
-            fleet.start("ex2")
-
-        s = args.seconds
-        events: list[tuple[float, Any]] = [
-            (s * 0.3, killWorker), (s * 0.45, reviveWorker),
-            (s * 0.6, killExchange), (s * 0.6 + 5, startExchange),
-        ]  # fmt: skip
-        load.run(args.per_s, s, [] if args.calm else events)
+        acts = [(args.seconds * at, act) for at, act in events(args.scenario, fleet, load.apply)]
+        load.run(args.per_s, args.seconds, acts)
         load.show()
+        if args.scenario == "freezes":  # a frozen process can't keep its callers' waits
+            for asked in load.asked:
+                asked.waitMs += 20_000 if asked.exchange in ("ex3", "ex5") else 0
         log = readLog(folder, load, doc["localities"])
-        figures(load, log, s, fleet)
+        figures(load, log, args.seconds, fleet)
         found = judge(log)
         print("judges:", "clean" if not found else "")
         for text in found:
