--- a/spokeroute/desk/commands.py
+++ b/spokeroute/desk/commands.py
@@ -12,6 +12,7 @@
 import cappa
 
 from spokeroute.desk.client import Said, Unreached, Where, ask
+from spokeroute.desk.gateway import lay
 from spokeroute.logbook.replay import Replayed, replay
 
 EXIT_REFUSED = 1
@@ -175,7 +176,33 @@
         print("no difference")
 
 
+@cappa.command(
+    name="gateway",
+    help="Print a configuration whose lanes come from Gateway API manifests (YAML).",
+)
+@dataclass
+class Gateway:
+    manifests: Annotated[str, cappa.Arg(help="YAML file with Gateway and HTTPRoute")]
+    onto: Annotated[str, cappa.Arg(long="onto", help="JSON configuration with the services")]
+
+    def __call__(self) -> None:
+        try:
+            text = Path(self.manifests).read_text()
+            base = json.loads(Path(self.onto).read_text())
+            got = lay(text, base)
+        except (OSError, ValueError, AttributeError) as fault:
+            print(f"spokeroute desk: can't be read: {fault}", file=sys.stderr)
+            sys.exit(EXIT_PROPS)
+        if isinstance(got, list):
+            for each in got:
+                print(f"{each.path}: {each.reason}; {each.remedy}", file=sys.stderr)
+            sys.exit(EXIT_REFUSED)
+        print(json.dumps(got, indent=1))
+
+
 @cappa.command(name="desk", help="The operator's client.")
 @dataclass
 class Desk:
-    command: cappa.Subcommands[Apply | Show | Evacuate | Restore | Status | Ledger | Replay]
+    command: cappa.Subcommands[
+        Apply | Show | Evacuate | Restore | Status | Ledger | Replay | Gateway
+    ]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -9,9 +9,10 @@
 import pytest
 from immutables import Map
 
+from spokeroute.desk.gateway import lay
 from spokeroute.dial.effects import From, SlotId
 from spokeroute.dial.ids import Incarnation, Ms, NodeId
-from spokeroute.dispatch.desired import Lane, Service
+from spokeroute.dispatch.desired import DesiredState, Lane, Service, readDesired
 from spokeroute.dispatch.flare import Function, Picture, Site
 from spokeroute.dispatch.floor import UP, Placed
 from spokeroute.exchange import calls, entry
@@ -21,7 +22,7 @@
 from spokeroute.logbook.entries import Record, entryText, pictureDoc
 from spokeroute.logbook.replay import replay
 from spokeroute.trunk.messages import Lists, Successors
-from tests.sim.cluster import Sim
+from tests.sim.cluster import Sim, configuration
 
 ASK = CallIn(SlotId(0, 1), "c1", "a", "POST", "/x", "", (), b"", "5000", "", 0)
 
@@ -141,3 +142,37 @@
     away.start()
     sim.run(4_000)
     assert {f"claim/k-{n}" for n in range(10)} <= set(away.disk.cells)
+
+
+def test_gatewayManifestsBecomeLanes() -> None:
+    route = """
+apiVersion: gateway.networking.k8s.io/v1
+kind: Gateway
+metadata: {name: front}
+spec: {gatewayClassName: spokeroute, listeners: [{name: web, port: 80, protocol: HTTP}]}
+---
+apiVersion: gateway.networking.k8s.io/v1
+kind: HTTPRoute
+metadata: {name: r, annotations: {spokeroute/repeatable: "true"}}
+spec:
+  parentRefs: [{name: front}]
+  rules:
+  - matches: [{path: {type: Exact, value: /readings}, method: POST}]
+    backendRefs: [{name: readings, port: 80}]
+  - matches: [{path: {type: PathPrefix, value: /small}}]
+    backendRefs: [{name: small-1}]
+"""
+    base = configuration()
+    got = lay(route, base)
+    assert isinstance(got, dict)
+    assert isinstance(readDesired(json.dumps(got).encode(), ()), DesiredState)
+    assert [x["path"] for x in got["lanes"]] == ["/readings", "/small/*"]
+    assert got["lanes"][0]["methods"] == ["POST"] and got["lanes"][0]["repeatable"] is True
+    bad = route.replace("method: POST", "headers: [{name: x, value: y}]")
+    bad = bad.replace("name: small-1", "name: nobody").replace("protocol: HTTP", "protocol: TLS")
+    faults = lay(bad, base)
+    assert isinstance(faults, list)
+    said = " ".join(f"{f.path} {f.reason}" for f in faults)
+    assert "headers unsupported" in said and "TLS is unsupported" in said and "nobody" in said
+    assert isinstance(lay("a: [", base), list)
+    assert isinstance(lay("kind: Pod", base), list)
