--- a/spokeroute/daemon.py
+++ b/spokeroute/daemon.py
@@ -16,7 +16,7 @@
 
 from spokeroute.dial.effects import SlotId
 from spokeroute.dial.http import serve
-from spokeroute.dial.ids import Address, Incarnation, Ms, NodeId
+from spokeroute.dial.ids import Address, Incarnation, Ms, NodeId, Version
 from spokeroute.dial.props import Props, PropsFault
 from spokeroute.dial.slab import Slab
 from spokeroute.dial.verdict import Verdict
@@ -58,7 +58,7 @@
 
     def _later(self, actor: str, job: Compile) -> None:
         def compile_() -> None:
-            table = buildTable(job.copy.version, job.copy.digest, job.value)
+            table = buildTable(Version(job.copy.version), job.copy.digest, job.value)
             self.loop.report(actor, Compiled(job.copy, job.value, table))
 
         self.compiler.submit(compile_)
--- a/spokeroute/dispatch/floor.py
+++ b/spokeroute/dispatch/floor.py
@@ -7,6 +7,17 @@
 from dataclasses import dataclass, fields
 from typing import Any
 
+from spokeroute.dial.ids import (
+    Address,
+    Incarnation,
+    InstanceId,
+    LocalityName,
+    NodeId,
+    ServiceName,
+    Term,
+    WorkerId,
+)
+
 STARTING = "starting"
 UP = "up"
 DRAINING = "draining"
@@ -17,24 +28,24 @@
 class Placed:
     """One instance as the floor has it. An empty holder waits for a new one."""
 
-    id: str
-    service: str
-    worker: str
-    locality: str
-    address: str
+    id: InstanceId
+    service: ServiceName
+    worker: WorkerId
+    locality: LocalityName
+    address: Address
     limit: int
     state: str
     warm: bool
     routed: bool
-    holder: str
-    holderIncarnation: int
+    holder: NodeId
+    holderIncarnation: Incarnation
 
 
 @dataclass(frozen=True, slots=True)
 class Floor:
     """All instances, under the term of the placement holder that wrote them."""
 
-    term: int
+    term: Term
     sequence: int
     instances: tuple[Placed, ...]
 
@@ -47,7 +58,7 @@
         return tuple(p for p in self.instances if p.service == service)
 
 
-NO_FLOOR = Floor(0, 0, ())
+NO_FLOOR = Floor(Term(0), 0, ())
 _NAMES = tuple(f.name for f in fields(Placed))
 
 
--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -11,7 +11,7 @@
 from immutables import Map
 
 from spokeroute.dial.effects import Effect, Effects, From, Launch, Note, Send, Tell, Tick
-from spokeroute.dial.ids import DESIRED_STATE, FLOOR, Ms, NodeId
+from spokeroute.dial.ids import DESIRED_STATE, FLOOR, Ms, NodeId, Term, WorkerId
 from spokeroute.dispatch.desired import Table
 from spokeroute.dispatch.flare import Limits, Picture, Ranking, Shift, laaf, rome
 from spokeroute.dispatch.floor import (
@@ -84,7 +84,6 @@
     rankings: tuple[Ranking, ...] = ()
     ranked: Picture | None = None
     sequence: int = 0
-    rankedMs: Ms = Ms(0)
     pushedMs: Ms = Ms(0)
     shifts: tuple[Shift, ...] = ()
     shiftedMs: Map[tuple[str, str], int] = field(default_factory=Map)
@@ -213,7 +212,7 @@
     return replace(state, demand=demand, demandMs=nowMs, marks=marks)
 
 
-def _seats(state: State) -> dict[str, WorkerSeat]:
+def _seats(state: State) -> dict[WorkerId, WorkerSeat]:
     return {s.id: s for s in state.listing.seats}
 
 
@@ -243,7 +242,7 @@
     stale = state.floor.term != state.term
     if instances == state.floor.instances and not stale:
         return state, ()
-    floor = Floor(state.term, state.floor.sequence + 1, instances)
+    floor = Floor(Term(state.term), state.floor.sequence + 1, instances)
     opId = f"floor/{state.me}/{state.term}/{state.draws}"
     change = FloorSwap(state.floorVersion, state.term, packFloor(floor))
     state = replace(state, floorOp=opId, draws=state.draws + 1)
@@ -278,9 +277,7 @@
     )  # fmt: skip
     effects: list[Effect] = []
     if _moved(state.ranked, now, table.thresholds.triggerPct):
-        state = replace(
-            state, rankings=laaf(now), ranked=now, sequence=state.sequence + 1, rankedMs=nowMs
-        )
+        state = replace(state, rankings=laaf(now), ranked=now, sequence=state.sequence + 1)
         record = Record("laaf", pictureDoc(now), rankingDoc(state.rankings))
         effects.append(_record(state, record))
         if faults:
@@ -318,7 +315,7 @@
         tuple(Successors(r.service, r.worker, r.instances) for r in state.rankings),
     )
     state = replace(state, pushedMs=nowMs)
-    effects.extend(Send(NodeId(n), lists) for n in sorted(liveHolders(state.reports, nowMs)))
+    effects.extend(Send(n, lists) for n in sorted(liveHolders(state.reports, nowMs)))
     return state, tuple(effects)
 
 
--- a/spokeroute/dispatch/plan.py
+++ b/spokeroute/dispatch/plan.py
@@ -5,6 +5,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
+from spokeroute.dial.ids import (
+    Address,
+    Incarnation,
+    InstanceId,
+    NodeId,
+    ServiceName,
+    WorkerId,
+)
 from spokeroute.dispatch.desired import Service, Table
 from spokeroute.dispatch.flare import Shift
 from spokeroute.dispatch.floor import DRAINING, STARTING, STOPPING, UP, Floor, Placed
@@ -19,16 +27,18 @@
 
 SURPLUS_MS = 15_000
 LOST_AFTER_LISTINGS = 2
+NO_NODE = NodeId("")
+NO_PROCESS = Incarnation(0)
 
 
 @dataclass(frozen=True, slots=True)
 class Listed:
     """One instance as the platform lists it."""
 
-    id: str
-    service: str
-    worker: str
-    address: str
+    id: InstanceId
+    service: ServiceName
+    worker: WorkerId
+    address: Address
     state: str
 
 
@@ -39,12 +49,12 @@
     nowMs: int
     table: Table
     evacuated: frozenset[str]
-    seats: Mapping[str, WorkerSeat]
-    listed: Mapping[str, Listed]
+    seats: Mapping[WorkerId, WorkerSeat]
+    listed: Mapping[InstanceId, Listed]
     missing: Mapping[str, int]  # instance -> newer listings in a row without it
     demand: Mapping[str, Demand]
     suspects: frozenset[str]
-    holders: Mapping[str, int]  # live exchanges and their incarnations
+    holders: Mapping[NodeId, Incarnation]  # live exchanges and their incarnations
     readyMs: Mapping[str, int]  # instance without a holder -> when it may get a new one
     upSinceMs: Mapping[str, int]
     surplusMs: Mapping[str, int]  # service -> since when it has too many
@@ -78,7 +88,7 @@
 
     def __init__(self, floor: Floor, seen: Seen) -> None:
         self.seen = seen
-        self.now: dict[str, Placed] = {p.id: p for p in floor.instances}
+        self.now: dict[InstanceId, Placed] = {p.id: p for p in floor.instances}
         self.decisions: list[Decision] = []
         self.surplus: set[str] = set()
         self.started = 0
@@ -152,7 +162,7 @@
 def _holders(work: Pass) -> None:
     """Fence instances of lost holders; give those that waited long enough a new one."""
     seen = work.seen
-    counts: dict[str, int] = {node: 0 for node in seen.holders}
+    counts: dict[NodeId, int] = {node: 0 for node in seen.holders}
     for placed in work.now.values():
         if placed.holder in counts:
             counts[placed.holder] += 1
@@ -161,7 +171,7 @@
             continue
         if placed.holder:
             if seen.holders.get(placed.holder) != placed.holderIncarnation:
-                work.now[placed.id] = replace(placed, holder="", holderIncarnation=0)
+                work.now[placed.id] = replace(placed, holder=NO_NODE, holderIncarnation=NO_PROCESS)
                 work.say("fence", {"instance": placed.id, "holder": placed.holder}, "no holder")
             continue
         if placed.state != UP or seen.nowMs < seen.readyMs.get(placed.id, seen.nowMs + 1):
@@ -229,10 +239,10 @@
         if worker is None:
             return
         work.started += 1
-        name = f"{service.name}-{seen.nextId}-{work.started}"
+        name = InstanceId(f"{service.name}-{seen.nextId}-{work.started}")
         placed = Placed(
-            name, service.name, worker, seen.seats[worker].locality, "", service.limit,
-            STARTING, service.coldMs == 0, False, "", 0,
+            name, ServiceName(service.name), worker, seen.seats[worker].locality, Address(""),
+            service.limit, STARTING, service.coldMs == 0, False, NO_NODE, NO_PROCESS,
         )  # fmt: skip
         work.now[name] = placed
         near.append(placed)
--- a/spokeroute/dispatch/reports.py
+++ b/spokeroute/dispatch/reports.py
@@ -7,7 +7,7 @@
 
 from immutables import Map
 
-from spokeroute.dial.ids import Incarnation, Ms
+from spokeroute.dial.ids import Incarnation, Ms, NodeId
 from spokeroute.dispatch.scaler import Demand, smooth
 from spokeroute.trunk.messages import DemandReport, HeldReport
 
@@ -24,7 +24,7 @@
     demand: tuple[DemandReport, ...]
 
 
-def liveHolders(reports: Mapping[str, Reported], nowMs: int) -> dict[str, int]:
+def liveHolders(reports: Mapping[str, Reported], nowMs: int) -> dict[NodeId, Incarnation]:
     """Exchanges heard from lately, and their incarnations.
 
     Example:
@@ -32,7 +32,9 @@
         {}
     """
     return {
-        node: r.incarnation for node, r in reports.items() if nowMs - r.atMs <= HOLDER_SILENT_MS
+        NodeId(node): r.incarnation
+        for node, r in reports.items()
+        if nowMs - r.atMs <= HOLDER_SILENT_MS
     }
 
 
--- a/spokeroute/dispatch/scaler.py
+++ b/spokeroute/dispatch/scaler.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from spokeroute.dial.ids import InstanceId, LocalityName, WorkerId
 from spokeroute.dispatch.desired import Service
 from spokeroute.dispatch.floor import STARTING, UP, Placed
 
@@ -27,8 +28,8 @@
 class WorkerSeat:
     """A worker as the platform lists it."""
 
-    id: str
-    locality: str
+    id: WorkerId
+    locality: LocalityName
     memoryMb: int
 
 
@@ -67,8 +68,8 @@
 class Room:
     """Free memory by worker, as the floor has it."""
 
-    freeMb: Mapping[str, int]
-    seats: Mapping[str, WorkerSeat]
+    freeMb: Mapping[WorkerId, int]
+    seats: Mapping[WorkerId, WorkerSeat]
 
     def spareAllowed(self, memoryMb: int) -> bool:
         """A spare may be started only while one worker's worth of memory stays free.
@@ -83,8 +84,8 @@
 
 
 def roomOf(
-    seats: Mapping[str, WorkerSeat],
-    instances: Mapping[str, Placed],
+    seats: Mapping[WorkerId, WorkerSeat],
+    instances: Mapping[InstanceId, Placed],
     services: Mapping[str, Service],
     evacuated: frozenset[str],
 ) -> Room:
@@ -103,14 +104,14 @@
 
 def bestWorker(
     room: Room, memoryMb: int, near: tuple[Placed, ...], cuPct: Mapping[str, float]
-) -> str | None:
+) -> WorkerId | None:
     """The worker for a start: fewest of the service there, then in its locality, then the
     most free memory, then the least load.
 
     Example:
         bestWorker(Room({}, {}), 128, (), {}) is None
     """
-    best: tuple[tuple[int, int, int, float, str], str] | None = None
+    best: tuple[tuple[int, int, int, float, str], WorkerId] | None = None
     for worker, freeMb in room.freeMb.items():
         if freeMb < memoryMb:
             continue
--- a/spokeroute/exchange/holder.py
+++ b/spokeroute/exchange/holder.py
@@ -11,7 +11,7 @@
 from immutables import Map
 
 from spokeroute.dial.effects import Effect, Effects, From, Launch, Send, Tell, Tick
-from spokeroute.dial.ids import Ms, NodeId
+from spokeroute.dial.ids import Ms, NodeId, TryId
 from spokeroute.dispatch.floor import UP, Placed
 from spokeroute.exchange.entry import HeldNow
 from spokeroute.exchange.types import (
@@ -217,7 +217,8 @@
         effects.append(
             Launch(
                 SendTry(
-                    ferry.tryId, name, ferry.service, seat.placed.address, ferry.method,
+                    TryId(ferry.tryId), seat.placed.id, seat.placed.service,
+                    seat.placed.address, ferry.method,
                     ferry.path, ferry.headers, ferry.body, waiting.deadlineMs, goodUntilMs,
                 )
             )
@@ -237,7 +238,7 @@
 def _drop(state: State, node: NodeId, tryId: str) -> tuple[State, Effects]:
     for name, seat in state.seats.items():
         if tryId in seat.handed:
-            return state, (Launch(Revoke(tryId)),)
+            return state, (Launch(Revoke(TryId(tryId))),)
         kept = tuple(w for w in seat.line if w.ferry.tryId != tryId)
         if len(kept) < len(seat.line):
             state = replace(state, seats=state.seats.set(name, replace(seat, line=kept)))
--- a/spokeroute/exchange/pick.py
+++ b/spokeroute/exchange/pick.py
@@ -51,13 +51,13 @@
     """
     here = [p for p in tables.byService.get(call.service.name, ()) if usable(p, tables)]
     if call.touched:
-        return _successor(call, here, lists, listsMs, nowMs, shunnedMs)
+        return _successor(call, tables, here, lists, listsMs, nowMs, shunnedMs)
     open_ = [p for p in here if shunnedMs.get(p.id, -1) <= nowMs]
     routed = [p for p in open_ if p.routed]
     if routed:
         return Picked(_least(routed, outstanding, me, call), "routed")
     if any(p.routed for p in here):
-        return _afterLoss(call, here, open_, lists, listsMs, nowMs)
+        return _afterLoss(call, tables, here, open_, lists, listsMs, nowMs)
     if open_:
         # Exception: nothing is routed (the floor is catching up), so any usable one serves.
         return Picked(_least(open_, outstanding, me, call), "unrouted")
@@ -78,10 +78,12 @@
 
 
 def _ranked(
-    call: Call, worker: str, lists: Lists | None, listsMs: int, nowMs: int
+    call: Call, worker: str, tables: Tables, lists: Lists | None, listsMs: int, nowMs: int
 ) -> tuple[str, ...] | None:
     if lists is None or nowMs - listsMs > LISTS_AGE_MS:
         return None
+    if tables.table is not None and lists.desiredVersion < tables.table.version:
+        return None
     for each in lists.successors:
         if each.service == call.service.name and each.worker == worker:
             return each.ranked
@@ -90,6 +92,7 @@
 
 def _afterLoss(
     call: Call,
+    tables: Tables,
     here: list[Placed],
     open_: list[Placed],
     lists: Lists | None,
@@ -97,10 +100,10 @@
     nowMs: int,
 ) -> Picked | None:
     """Every routed instance just failed for others: their successors take over."""
-    byId = {p.id: p for p in open_}
+    byId: dict[str, Placed] = {p.id: p for p in open_}
     for lost in here:
         if lost.routed and lost.id not in byId:
-            for name in _ranked(call, lost.worker, lists, listsMs, nowMs) or ():
+            for name in _ranked(call, lost.worker, tables, lists, listsMs, nowMs) or ():
                 if name in byId:
                     return Picked(byId[name], "successor")
     return None
@@ -108,6 +111,7 @@
 
 def _successor(
     call: Call,
+    tables: Tables,
     here: list[Placed],
     lists: Lists | None,
     listsMs: int,
@@ -115,17 +119,18 @@
     shunnedMs: Mapping[str, int],
 ) -> Picked | None:
     worker = call.failed[-1].worker if call.failed else ""
-    fit = {
+    fit: dict[str, Placed] = {
         p.id: p
         for p in here
         if p.id not in call.touched and p.warm and shunnedMs.get(p.id, -1) <= nowMs
     }
-    ranked = _ranked(call, worker, lists, listsMs, nowMs)
+    ranked = _ranked(call, worker, tables, lists, listsMs, nowMs)
     if ranked is not None:
         for name in ranked:
             if name in fit:
                 return Picked(fit[name], "successor")
-    # Exception: no list of this worker, or past its age bound: floor order decides.
+    # Exception: no list of this worker, or one past its age or of an older desired
+    # state: floor order decides.
     others = [p for p in fit.values() if p.worker != worker]
     if others:
         return Picked(others[0], "floor order")
--- a/spokeroute/exchange/types.py
+++ b/spokeroute/exchange/types.py
@@ -7,7 +7,17 @@
 from immutables import Map
 
 from spokeroute.dial.effects import SlotId
-from spokeroute.dial.ids import Ms
+from spokeroute.dial.ids import (
+    Address,
+    CallId,
+    Incarnation,
+    InstanceId,
+    Ms,
+    NodeId,
+    ServiceName,
+    TryId,
+    WorkerId,
+)
 from spokeroute.dispatch.desired import Lane, Service, Table
 from spokeroute.dispatch.floor import NO_FLOOR, Floor, Placed, unpackEvacuated, unpackFloor
 from spokeroute.register.copies import LEASE_MS, Fresh
@@ -22,7 +32,7 @@
     """A fully read call from a caller. ``waitedMs`` of its wait was spent before."""
 
     slot: SlotId
-    callId: str
+    callId: CallId
     agent: str
     method: str
     path: str
@@ -57,10 +67,10 @@
 class SendTry:
     """Hand one call to one instance; bytes go only while the token and ``goodUntilMs`` hold."""
 
-    tryId: str
-    instance: str
-    service: str
-    address: str
+    tryId: TryId
+    instance: InstanceId
+    service: ServiceName
+    address: Address
     method: str
     path: str
     headers: Pairs
@@ -73,14 +83,14 @@
 class Revoke:
     """Take a try's send token away; a TryDone that says `no` follows if it was still there."""
 
-    tryId: str
+    tryId: TryId
 
 
 @dataclass(frozen=True, slots=True)
 class TryDone:
     """How a try at an instance ended."""
 
-    tryId: str
+    tryId: TryId
     ran: str
     reason: str
     status: int = 0
@@ -136,10 +146,10 @@
 class Try:
     """One hand-over of a call towards an instance."""
 
-    instance: str
-    worker: str
-    holder: str
-    holderIncarnation: int
+    instance: InstanceId
+    worker: WorkerId
+    holder: NodeId
+    holderIncarnation: Incarnation
     sentMs: Ms
 
 
--- a/spokeroute/register/copies.py
+++ b/spokeroute/register/copies.py
@@ -123,7 +123,7 @@
             return _probe(state, nowMs)
         case From(node, _, ProbeAck() as ack):
             return _acked(state, node, ack, nowMs)
-        case From(node, _, FetchGot(copy, value, _)):
+        case From(node, _, FetchGot(copy, value)):
             return _arrived(state, copy, value, nowMs)
         case Chosen(copy, value):
             return _arrived(state, copy, value, nowMs)
@@ -133,7 +133,7 @@
         case From(node, _, FetchAsk(name, version, digest)):
             got = state.ruling.get(name)
             if got and got.copy.version == version and got.copy.digest == digest:
-                return state, (Send(node, FetchGot(got.copy, got.value, True)),)
+                return state, (Send(node, FetchGot(got.copy, got.value)),)
         case GossipHeard(node, copies):
             return _heard(state, node, copies, nowMs)
         case From(_, _, RosterNews(value)):
--- a/spokeroute/register/keeper.py
+++ b/spokeroute/register/keeper.py
@@ -165,7 +165,7 @@
         case From(node, _, FetchAsk(name, version, digest)):
             cell = state.synced.get(name, EMPTY)
             if cell.version == version and cell.digest == digest:
-                return state, (Send(node, FetchGot(cell.copy(name), cell.value, False)),)
+                return state, (Send(node, FetchGot(cell.copy(name), cell.value)),)
         case From(node, _, CopyAsk(epoch, after)):
             if state.syncedRoster and state.syncedRoster.epoch == epoch and state.whole:
                 return state, (Send(node, _page(state, epoch, after)),)
@@ -276,7 +276,7 @@
         return ()
     copies = tuple(state.synced.get(name, EMPTY).copy(name) for name in (*SPREAD, PLACEMENT))
     values = tuple(
-        FetchGot(copy, state.synced[copy.name].value, False)
+        FetchGot(copy, state.synced[copy.name].value)
         for copy in copies
         if copy.version
         and copy.digest not in probe.have
--- a/spokeroute/registry/platformEdge.py
+++ b/spokeroute/registry/platformEdge.py
@@ -13,6 +13,7 @@
 
 import urllib3
 
+from spokeroute.dial.ids import Address, InstanceId, LocalityName, ServiceName, WorkerId
 from spokeroute.dispatch.plan import Listed
 from spokeroute.dispatch.platform import (
     ListPlatform,
@@ -29,6 +30,16 @@
 MAX_LISTING_BYTES = 8 * 1024 * 1024
 
 
+def _listed(raw: Any) -> Listed:
+    return Listed(
+        InstanceId(str(raw["id"])),
+        ServiceName(str(raw["service"])),
+        WorkerId(str(raw["worker"])),
+        Address(str(raw.get("address", ""))),
+        str(raw["state"]),
+    )
+
+
 def readListing(body: bytes) -> PlatformListed:
     """A listing, read with care: what can't be read is a failed listing, not an empty one.
 
@@ -39,15 +50,10 @@
     try:
         raw: Any = json.loads(body)
         seats = tuple(
-            WorkerSeat(str(w["id"]), str(w["locality"]), int(w["memoryMb"])) for w in raw["workers"]
+            WorkerSeat(WorkerId(str(w["id"])), LocalityName(str(w["locality"])), int(w["memoryMb"]))
+            for w in raw["workers"]
         )
-        listed = tuple(
-            Listed(
-                str(i["id"]), str(i["service"]), str(i["worker"]),
-                str(i.get("address", "")), str(i["state"]),
-            )
-            for i in raw["instances"]
-        )  # fmt: skip
+        listed = tuple(_listed(i) for i in raw["instances"])
         return PlatformListed(True, int(raw["sequence"]), seats, listed)
     except (ValueError, KeyError, TypeError, AttributeError) as fault:
         return PlatformListed(False, 0, (), (), f"unreadable listing: {type(fault).__name__}")
--- a/spokeroute/trunk/messages.py
+++ b/spokeroute/trunk/messages.py
@@ -76,11 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchGot:
-    """A register's value as asked for; ``chosen`` when its sender knows it to be chosen."""
+    """A register's value."""
 
     copy: Copy
     value: bytes
-    chosen: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -9,6 +9,7 @@
 
 import simpy
 
+from spokeroute.dial.ids import CallId
 from spokeroute.dial.verdict import Verdict
 from spokeroute.dispatch.desired import DesiredState, packDesired, readDesired
 from spokeroute.exchange.types import CallIn
@@ -209,7 +210,17 @@
         exchange.ask(
             "calls",
             lambda slot: CallIn(
-                slot, name, agent or name, method, path, "", headers, body, str(waitMs), key, 0
+                slot,
+                CallId(name),
+                agent or name,
+                method,
+                path,
+                "",
+                headers,
+                body,
+                str(waitMs),
+                key,
+                0,
             ),
             tell,
         )
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -12,6 +12,7 @@
 
 import simpy
 
+from spokeroute.dial.ids import Address, InstanceId, LocalityName, ServiceName, WorkerId
 from spokeroute.dispatch.plan import Listed
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
 from spokeroute.dispatch.scaler import WorkerSeat
@@ -47,7 +48,8 @@
         self.env = env
         self.rng = rng
         self.seats = [
-            WorkerSeat(f"w{i + 1}", localities[i % len(localities)], 7680) for i in range(workers)
+            WorkerSeat(WorkerId(f"w{i + 1}"), LocalityName(localities[i % len(localities)]), 7680)
+            for i in range(workers)
         ]
         self.downWorkers: set[str] = set()
         self.servers: dict[str, Server] = {}
@@ -77,7 +79,14 @@
             self.sequence += 1
             seats = tuple(s for s in self.seats if s.id not in self.downWorkers)
             listed = tuple(
-                Listed(s.id, s.service, s.worker, s.address, s.state) for s in self.servers.values()
+                Listed(
+                    InstanceId(s.id),
+                    ServiceName(s.service),
+                    WorkerId(s.worker),
+                    Address(s.address),
+                    s.state,
+                )
+                for s in self.servers.values()
             )
             self.snapshots.append((self.env.now, self.sequence, seats, listed))
             edge = self.env.now - self.listDelayMs
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -13,7 +13,7 @@
 from immutables import Map
 
 from spokeroute.dial.effects import SlotId
-from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId
+from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.dial.verdict import Verdict
 from spokeroute.dispatch.desired import buildTable
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
@@ -186,7 +186,7 @@
 
     def _compile(self, actor: str, job: Compile, born: int) -> Steps:
         yield self.env.timeout(5)
-        table = buildTable(job.copy.version, job.copy.digest, job.value)
+        table = buildTable(Version(job.copy.version), job.copy.digest, job.value)
         self.report(actor, Compiled(job.copy, job.value, table), born)
 
     def report(self, actor: str, event: object, born: int) -> None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -56,12 +57,18 @@
         self.server.close()
 
 
+def sendTry(address: str, *rest: Any) -> SendTry:
+    """The try t1 towards the instance r-1 of readings."""
+    row: list[Any] = ["t1", "r-1", "readings", address, *rest]
+    return SendTry(*row)
+
+
 def tried(replies: list[bytes], goodForMs: int = 5_000, waitMs: int = 1_500) -> TryDone:
     server = Scripted(replies)
     done: queue.Queue[TryDone] = queue.Queue()
     now = monotonicMs()
     Sender(done.put).launch(
-        SendTry("t1", "r-1", "readings", server.address, "POST", "/readings", (), b"{}",
+        sendTry(server.address, "POST", "/readings", (), b"{}",
                 Ms(now + waitMs), Ms(now + goodForMs))
     )  # fmt: skip
     return done.get(timeout=10)
@@ -98,7 +105,7 @@
     done: queue.Queue[TryDone] = queue.Queue()
     now = monotonicMs()
     Sender(done.put).launch(
-        SendTry("t1", "r-1", "readings", stalled.address, "GET", "/", (), b"",
+        sendTry(stalled.address, "GET", "/", (), b"",
                 Ms(now + 400), Ms(now + 5_000))
     )  # fmt: skip
     assert done.get(timeout=10).ran == "maybe"
@@ -110,7 +117,7 @@
     done: queue.Queue[TryDone] = queue.Queue()
     now = monotonicMs()
     Sender(done.put).launch(
-        SendTry("t1", "r-1", "readings", server.address, "POST", "/", (), b"{}",
+        sendTry(server.address, "POST", "/", (), b"{}",
                 Ms(now + 1_500), Ms(now + 5_000))
     )  # fmt: skip
     got = done.get(timeout=10)
@@ -129,7 +136,7 @@
     done: queue.Queue[TryDone] = queue.Queue()
     now = monotonicMs()
     Sender(done.put).launch(
-        SendTry("t1", "r-1", "readings", f"127.0.0.1:{port}", "GET", "/", (), b"",
+        sendTry(f"127.0.0.1:{port}", "GET", "/", (), b"",
                 Ms(now + 1_000), Ms(now + 1_000))
     )  # fmt: skip
     assert done.get(timeout=10).ran == "no"
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,13 +5,14 @@
 import json
 from collections.abc import Iterator
 from dataclasses import replace
+from typing import Any
 
 import pytest
 from immutables import Map
 
 from spokeroute.desk.gateway import lay
 from spokeroute.dial.effects import From, SlotId
-from spokeroute.dial.ids import Incarnation, Ms, NodeId
+from spokeroute.dial.ids import CallId, Incarnation, Ms, NodeId
 from spokeroute.dispatch.desired import DesiredState, Lane, Service, readDesired
 from spokeroute.dispatch.flare import Function, Picture, Site
 from spokeroute.dispatch.floor import UP, Placed
@@ -24,17 +25,18 @@
 from spokeroute.trunk.messages import Lists, Successors
 from tests.sim.cluster import Sim, configuration
 
-ASK = CallIn(SlotId(0, 1), "c1", "a", "POST", "/x", "", (), b"", "5000", "", 0)
+ASK = CallIn(SlotId(0, 1), CallId("c1"), "a", "POST", "/x", "", (), b"", "5000", "", 0)
 
 
 def placed(name: str, worker: str, **changes: object) -> Placed:
-    made = Placed(name, "s", worker, "north", "h:1", 4, UP, True, True, "ex1", 1)
-    return replace(made, **changes)  # type: ignore[arg-type]
+    row: list[Any] = [name, "s", worker, "north", "h:1", 4, UP, True, True, "ex1", 1]
+    return replace(Placed(*row), **changes)  # type: ignore[arg-type]
 
 
 def failedOn(worker: str, instance: str) -> Call:
     lane, service = Lane("/x", "s"), Service("s", 128, 4)
-    each = Try(instance, worker, "ex1", 1, Ms(0))
+    row: list[Any] = [instance, worker, "ex1", 1, Ms(0)]
+    each = Try(*row)
     call = Call(ASK, lane, service, Ms(0), Ms(5_000), "holding", Ms(0), once=False)
     return replace(call, failed=(each,), touched=frozenset((instance,)), maybe=True)
 
