--- a/spokeroute/exchange/calls.py
+++ b/spokeroute/exchange/calls.py
@@ -200,7 +200,8 @@
         return _answer(state, call, Verdict(got.status, kept, got.body), nowMs)
     if got.ran == "no":
         dialled = got.reason.startswith("unreached")
-        shunMs = LOST_SHUN_MS if dialled else SHUN_MS
+        down = dialled or got.reason.startswith("down")
+        shunMs = LOST_SHUN_MS if down else SHUN_MS
         state = replace(state, shunnedMs=shun(state.shunnedMs, each.instance, nowMs, shunMs))
         call = replace(call, why=got.reason)
         if dialled:
--- a/spokeroute/exchange/holder.py
+++ b/spokeroute/exchange/holder.py
@@ -34,6 +34,8 @@
 COLD_FACTOR = 1.5
 COLD_PLUS_PER_S = 5.0
 RATE_WINDOW_MS = 2_000
+DOWN_FIRST_MS = 500
+DOWN_MOST_MS = 8_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,8 @@
     answered: int = 0
     failures: int = 0
     confirmed: bool = False
+    downMs: int = 0  # how long it is left alone after it could not be reached
+    downUntilMs: Ms = Ms(-1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +201,8 @@
     seat = state.seats[name]
     effects: list[Effect] = []
     why = mayServe(state, seat.placed, nowMs)
+    if not why and nowMs < seat.downUntilMs:
+        why = "down: it could not be reached lately"
     if why:
         effects.extend(_no(w.origin, w.ferry.tryId, why) for w in seat.line)
         return replace(state, seats=state.seats.set(name, replace(seat, line=()))), tuple(effects)
@@ -274,9 +280,13 @@
             seat = replace(
                 seat, answered=seat.answered + 1, answeredMs=(*seat.answeredMs, nowMs)[-200:],
                 confirmed=True,
+                downMs=0,
             )  # fmt: skip
         elif done.reason.startswith(("unreached", "bad answer", "lost")):
             seat = replace(seat, failures=seat.failures + 1, confirmed=done.confirmed)
+        if done.reason.startswith("unreached"):
+            downMs = min(DOWN_MOST_MS, max(DOWN_FIRST_MS, 2 * seat.downMs))
+            seat = replace(seat, downMs=downMs, downUntilMs=Ms(nowMs + downMs))
         state = replace(state, seats=state.seats.set(name, seat))
         state, more = _pump(state, name, nowMs)
         return state, (*effects, *more)
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -108,7 +108,7 @@
     return kind
 
 
-def run(seed: int) -> tuple[int, list[str], list[str], float]:
+def run(seed: int, harsh: bool = False) -> tuple[int, list[str], list[str], float]:
     """One seed: what was caused, what the judges say, the level at the end."""
     rng = random.Random(seed)
     sim = Sim(seed, exchanges=4, syncMs=rng.choice((0.5, 5.0)))
@@ -116,12 +116,12 @@
     caused: list[str] = []
     sim.traffic(40, 75_000)
     frozen: dict[str, float] = {}
-    for _ in range(rng.randint(4, 9)):
+    for _ in range(rng.randint(12, 24) if harsh else rng.randint(4, 9)):
         caused.append(f"{sim.env.now:.0f} {fault(sim, rng)}")
         for node in sim.exchanges:
             if node.frozen:
                 frozen[node.name] = 8_000.0
-        sim.run(rng.uniform(300, 5_000))
+        sim.run(rng.uniform(50, 1_500) if harsh else rng.uniform(300, 5_000))
     sim.run(9_000)
     sim.net.cuts.clear()
     for server in sim.platform.servers.values():
@@ -148,6 +148,7 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--count", type=int, default=20)
     parser.add_argument("--processes", type=int, default=6)
+    parser.add_argument("--harsh", action="store_true", help="many faults, close together")
     args = parser.parse_args()
     if os.environ.get("PYTHONHASHSEED") != "0":  # one order of hashes: a seed is one run
         os.execve(sys.executable, [sys.executable, "-m", "tools.explore", *sys.argv[1:]],
@@ -155,7 +156,7 @@
     bad = 0
     seeds = range(args.first, args.first + args.count)
     with ProcessPoolExecutor(args.processes) as pool:
-        for seed, caused, found, good in pool.map(run, seeds):
+        for seed, caused, found, good in pool.map(run, seeds, [args.harsh] * len(seeds)):
             if found:
                 bad += 1
                 print(f"seed {seed}: {found}\n    caused: {caused}", flush=True)
