--- a/spokeroute/dispatch/plan.py
+++ b/spokeroute/dispatch/plan.py
@@ -145,7 +145,8 @@
             )
             work.say("up", {"instance": placed.id, "address": listed.address}, "up")
         elif listed is None and placed.state != STARTING:
-            if seen.missing.get(placed.id, 0) >= LOST_AFTER_LISTINGS:
+            without = seen.missing.get(placed.id, 0)
+            if without >= LOST_AFTER_LISTINGS or (without and placed.id in seen.suspects):
                 del work.now[placed.id]
                 work.say("vanished", {"instance": placed.id, "state": placed.state}, "removed")
         elif listed is not None and listed.state in ("failed", "stopped"):
