Bare listings, orphans, a platform that counts anew; full disks and one-way cuts

A listing without any instance while some are up counts only once it came five times in a row; a listed instance that is on no floor for 10 s is stopped; after 5 s without a newer listing a lower sequence is taken. Before: two bare listings dropped the whole floor.

--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -16,6 +16,7 @@
 from spokeroute.dispatch.flare import Limits, Picture, Ranking, Shift, laaf, rome
 from spokeroute.dispatch.floor import (
     NO_FLOOR,
+    UP,
     Floor,
     FloorSwap,
     packFloor,
@@ -40,7 +41,7 @@
 from spokeroute.dispatch.role import TermIs
 from spokeroute.dispatch.scaler import Demand, WorkerSeat
 from spokeroute.dispatch.sense import PolicyPair, compilePolicy, picture
-from spokeroute.dispatch.upkeep import Marks, platformCalls, remark, takeListing
+from spokeroute.dispatch.upkeep import Marks, orphanStops, platformCalls, remark, takeListing
 from spokeroute.logbook.entries import Record, pictureDoc, rankingDoc
 from spokeroute.register.copies import Fresh
 from spokeroute.register.proposer import Ask, Read, Settled
@@ -52,6 +53,8 @@
 LIST_MS = 400
 PUSH_MS = 1_000
 SHIFT_REST_MS = 10_000
+ANEW_MS = 5_000
+BARE_LISTINGS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +74,8 @@
     listAsked: bool = False
     listAskedMs: Ms = Ms(-(10**6))
     missing: Map[str, int] = field(default_factory=Map)
+    bare: int = 0  # listings in a row that lacked everything
+    orphanMs: Map[str, int] = field(default_factory=Map)
     marks: Marks = Marks()
     demand: Map[str, Demand] = field(default_factory=Map)
     demandMs: Ms = Ms(0)
@@ -112,11 +117,7 @@
         case TermIs(term, leaseUntilMs):
             return _term(state, term, leaseUntilMs)
         case PlatformListed() as listing:
-            state = replace(state, listAsked=False)
-            if not listing.ok or listing.sequence <= state.listing.sequence:
-                return state, ()
-            missing = takeListing(state.floor, listing, state.missing)
-            return replace(state, listing=listing, listingMs=nowMs, missing=missing), ()
+            return _listed(replace(state, listAsked=False), listing, nowMs), ()
         case PlatformDone() as done:
             marks = state.marks.done(done, nowMs)
             failed = done.outcome not in ("ok", "late", "refused")
@@ -130,6 +131,20 @@
     return state, ()
 
 
+def _listed(state: State, listing: PlatformListed, nowMs: Ms) -> State:
+    """Take a listing in: not an older one (unless the platform began anew), nor, until it
+    persists, one that lacks everything that is up."""
+    newer = listing.sequence > state.listing.sequence or nowMs - state.listingMs > ANEW_MS
+    if not listing.ok or not newer:
+        return state
+    up = sum(1 for p in state.floor.instances if p.state == UP)
+    bare = not listing.seats or (up > 1 and not listing.listed)
+    if bare and state.bare + 1 < BARE_LISTINGS:
+        return replace(state, bare=state.bare + 1)
+    missing = takeListing(state.floor, listing, state.missing)
+    return replace(state, listing=listing, listingMs=nowMs, missing=missing, bare=0)
+
+
 def _record(state: State, record: Record) -> Tell:
     return Tell(
         "ledger",
@@ -201,7 +216,12 @@
     calls, marks, tokens = platformCalls(
         state.floor, table, state.marks, tokens, state.leaseUntilMs, nowMs
     )
-    state = replace(state, marks=marks, tokens=tokens, tokensMs=nowMs)
+    stops, orphanMs = orphanStops(
+        state.floor, state.listing, state.orphanMs, state.leaseUntilMs, nowMs
+    )
+    calls.extend(stops[: int(tokens)])
+    tokens -= min(len(stops), int(tokens))
+    state = replace(state, marks=marks, tokens=tokens, tokensMs=nowMs, orphanMs=orphanMs)
     effects.extend(Launch(call) for call in calls)
     return state, tuple(effects)
 
--- a/spokeroute/dispatch/upkeep.py
+++ b/spokeroute/dispatch/upkeep.py
@@ -19,6 +19,7 @@
 RECALL_MS = 4_000
 MARGIN_MS = 300
 DEFAULT_RUN_MS = 10_000
+ORPHAN_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,3 +193,33 @@
             )
         )  # fmt: skip
     return calls, marks, tokens
+
+
+def orphanStops(
+    floor: Floor,
+    listing: PlatformListed,
+    orphanMs: Map[str, int],
+    leaseUntilMs: Ms,
+    nowMs: Ms,
+) -> tuple[list[PlatformCall], Map[str, int]]:
+    """Stops for instances that are listed but on no floor, such as one whose start was late.
+
+    A floor has an instance before its start is asked for, so what it lacks for this long is
+    nobody's.
+
+    Example:
+        orphanStops(NO_FLOOR, listing, Map(), 1000, 0)[0] == []
+    """
+    there = {p.id for p in floor.instances}
+    since: dict[str, int] = {}
+    calls: list[PlatformCall] = []
+    for listed in listing.listed:
+        if listed.id in there:
+            continue
+        since[listed.id] = orphanMs.get(listed.id, nowMs)
+        if nowMs - since[listed.id] >= ORPHAN_MS:
+            since[listed.id] = nowMs
+            calls.append(
+                PlatformCall("stop", listed.id, listed.service, listed.worker, 0, 0, leaseUntilMs)
+            )
+    return calls, Map(since)
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -57,6 +57,7 @@
         self.startMs, self.workMs, self.capPerS = startMs, workMs, capPerS
         self.listDelayMs = 500.0
         self.listFails = False
+        self.listBare = False  # a listing without any instance, though there are some
         self.snapshots: list[tuple[float, int, tuple[WorkerSeat, ...], tuple[Listed, ...]]] = []
         self.sequence = 0
         self.recent: list[float] = []
@@ -101,6 +102,9 @@
             node.report(actor, PlatformListed(False, 0, (), (), "status 500"), born)
             return
         _, sequence, seats, listed = self.snapshots[0]
+        if self.listBare:
+            node.report(actor, PlatformListed(True, sequence, seats, ()), born)
+            return
         there = {p.id for p in listed}
         for server in self.byAddress.values():
             if server.goneAtMs >= 0 and server.id not in there:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -177,3 +179,37 @@
     assert told.status == 200 and told.doneMs - told.atMs < 1_000
     clean(sim)
     assert level(sim.log(), told.atMs, told.atMs + 17_000) > 0.97
+
+
+def test_fullDiskAndOneWayCuts(sim: Sim) -> None:
+    """A member whose disk refuses writes stops voting; the others go on. Then exchanges are
+    heard by the core but don't hear it, and the other way round."""
+    sim.settle()
+    sim.traffic(40, 24_000)
+    disk = sim.registries[0].disk
+    assert disk is not None
+    disk.full = True
+    told = sim.apply(configuration(name="on two"), registry=1)
+    sim.run(6_000)
+    assert told.status == 200
+    assert sim.registries[0].state("keeper").failed
+    for registry in sim.registries:
+        sim.net.cuts |= {(registry.name, "ex1"), ("ex2", registry.name)}
+    sim.run(6_000)
+    sim.net.cuts.clear()
+    disk.full = False
+    sim.registries[0].kill()
+    sim.registries[0].start()
+    backMs = sim.env.now
+    sim.run(12_000)
+    shown = sim.show(0)
+    clean(sim)
+    assert shown.doc["configuration"]["name"] == "on two"
+    assert level(sim.log(), backMs + 6_000, backMs + 11_000) > 0.99
+
+
+def test_noDecisionLooksAtAWallClock() -> None:
+    """Clocks may jump by hours: only the monotonic clock is ever read."""
+    for path in (Path(__file__).parent.parent / "spokeroute").rglob("*.py"):
+        text = path.read_text()
+        assert not re.search(r"time\.time\(|datetime|time\.time_ns|CLOCK_REALTIME", text), path
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.sim.cluster import Sim, configuration
+from tests.sim.platform import Server
 from tools.judges import judge, level
 
 SEEDS = (1, 2)
@@ -323,3 +324,22 @@
         assert sim.platform.refused == 0
     finally:
         sim.close()
+
+
+def test_bareListingsAndOrphans(sim: Sim) -> None:
+    """A listing that lacks everything for a second drops nothing; an instance that is on no
+    floor is stopped in time; a platform that numbers its listings anew is heard again."""
+    sim.settle()
+    sim.traffic(40, 20_000)
+    before = {s.id for s in sim.platform.servers.values() if s.service == "readings"}
+    sim.platform.listBare = True
+    sim.run(1_200)
+    sim.platform.listBare = False
+    orphan = Server("nobodys-1", "readings", "w1", 4, "running", "10.9.9.9:1")
+    sim.platform.servers[orphan.id] = orphan
+    sim.platform.sequence = 0
+    sim.run(19_000)
+    assert orphan.state == "stopped"
+    assert before <= {s.id for s in sim.platform.servers.values()}
+    assert level(sim.log(), 0, 1e9) == 1.0
+    clean(sim)
