--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -47,7 +47,7 @@
 from spokeroute.register.proposer import Ask, Read, Settled
 from spokeroute.register.steward import RosterChanged
 from spokeroute.trunk.colleagues import ViewNow
-from spokeroute.trunk.messages import Lists, Probe, Successors
+from spokeroute.trunk.messages import Lists, Probe, Successors, Took
 
 PLAN_MS = 100
 LIST_MS = 400
@@ -55,6 +55,7 @@
 SHIFT_REST_MS = 10_000
 ANEW_MS = 5_000
 BARE_LISTINGS = 5
+MOST_TOOK = 5_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,7 @@
     missing: Map[str, int] = field(default_factory=Map)
     bare: int = 0  # listings in a row that lacked everything
     orphanMs: Map[str, int] = field(default_factory=Map)
+    took: Map[str, int] = field(default_factory=Map)  # tries whose successor is entered
     marks: Marks = Marks()
     demand: Map[str, Demand] = field(default_factory=Map)
     demandMs: Ms = Ms(0)
@@ -104,10 +106,11 @@
     match event:
         case Tick():
             return _tick(state, nowMs)
-        case From(node, incarnation, Probe(_, _, _, held, demand)):
+        case From(node, incarnation, Probe(_, _, _, held, demand, took)):
             if state.coreIds.isdisjoint((node,)):
                 known = Reported(incarnation, nowMs, held, demand)
-                return replace(state, reports=state.reports.set(node, known)), ()
+                state = replace(state, reports=state.reports.set(node, known))
+                return _tookBy(state, node, took)
         case ViewNow(known):
             core = frozenset(e.node for e in known if e.role == "registry")
             kept = {n: r for n, r in state.reports.items() if n not in core}
@@ -131,6 +134,28 @@
     return state, ()
 
 
+def _tookBy(state: State, node: NodeId, took: tuple[Took, ...]) -> tuple[State, Effects]:
+    """Enter each successor that an exchange took, once."""
+    if not state.term:
+        return state, ()
+    new = tuple(t for t in took if t.tryId not in state.took)
+    if not new:
+        return state, ()
+    known = state.took if len(state.took) < MOST_TOOK else Map()
+    for each in new:
+        known = known.set(each.tryId, 1)
+    records = [
+        Record(
+            "successor",
+            {"exchange": node, "try": t.tryId, "service": t.service, "lost": t.lost,
+             "rule": t.rule, "list": [t.listTerm, t.listSequence]},
+            t.taken,
+        )
+        for t in new
+    ]  # fmt: skip
+    return replace(state, took=known), tuple(_record(state, r) for r in records)
+
+
 def _listed(state: State, listing: PlatformListed, nowMs: Ms) -> State:
     """Take a listing in: not an older one (unless the platform began anew), nor, until it
     persists, one that lacks everything that is up."""
--- a/spokeroute/exchange/calls.py
+++ b/spokeroute/exchange/calls.py
@@ -33,6 +33,7 @@
     Ferry,
     FerryDrop,
     Lists,
+    Took,
 )
 
 HOLD_MS = 30
@@ -167,6 +168,7 @@
             why = f"{call.why}; the share of second sends is spent"
             return _refuse(state, call, Kind.UNREACHED, why, nowMs)
         budget = budget.second(name, nowMs)
+        state = _tookNote(state, call, placed.id, picked.rule, nowMs)
     elif not call.failed and not call.tries and call.draws == 0:
         budget = budget.first(name, nowMs)
     tryId = f"{call.ask.callId}.{call.draws}"
@@ -191,6 +193,17 @@
     return state, (Send(NodeId(placed.holder), ferry),)
 
 
+def _tookNote(state: State, call: Call, taken: str, rule: str, nowMs: Ms) -> State:
+    """The ledger hears which successor was taken, by which rule, and whose list."""
+    lists = state.lists
+    lost = call.failed[-1].instance if call.failed else ""
+    note = Took(
+        f"{call.ask.callId}.{call.draws}", call.service.name, lost, taken, rule,
+        lists.term if lists else 0, lists.sequence if lists else 0,
+    )  # fmt: skip
+    return replace(state, took=(*state.took, (nowMs, note)))
+
+
 def _ferried(state: State, got: Ferried, nowMs: Ms) -> tuple[State, Effects]:
     state, call, each = endTry(state, got.tryId)
     if call is None or each is None:
--- a/spokeroute/exchange/entry.py
+++ b/spokeroute/exchange/entry.py
@@ -12,9 +12,11 @@
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.types import Call, Tables, Try
 from spokeroute.register.copies import Reports
-from spokeroute.trunk.messages import DemandReport, HeldReport, Lists
+from spokeroute.trunk.messages import DemandReport, HeldReport, Lists, Took
 
 REPORT_MS = 200
+TOLD_MS = 1_500  # in at least three probes
+MOST_TOOK = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,7 @@
     held: tuple[HeldReport, ...] = ()
     arrived: Map[str, int] = field(default_factory=Map)
     reportMs: Ms = Ms(0)
+    took: tuple[tuple[int, Took], ...] = ()  # when, and what the ledger should hear
     stopping: bool = False
     draws: int = 0
     verdicts: int = 0
@@ -113,4 +116,6 @@
         DemandReport(n, state.arrived.get(n, 0), waiting.get(n, 0), trying.get(n, 0)) for n in names
     )
     state = replace(state, arrived=Map(), reportMs=Ms(nowMs + REPORT_MS))
-    return state, Tell("copies", Reports(state.held, demand, urgent or bool(waiting)))
+    took = tuple(t for atMs, t in state.took if nowMs - atMs < TOLD_MS)[-MOST_TOOK:]
+    state = replace(state, took=tuple(x for x in state.took if nowMs - x[0] < TOLD_MS))
+    return state, Tell("copies", Reports(state.held, demand, took, urgent or bool(waiting)))
--- a/spokeroute/register/copies.py
+++ b/spokeroute/register/copies.py
@@ -28,6 +28,7 @@
     Probe,
     ProbeAck,
     RosterNews,
+    Took,
 )
 
 PROBE_MS = 400
@@ -60,6 +61,7 @@
 
     held: tuple[HeldReport, ...]
     demand: tuple[DemandReport, ...]
+    took: tuple[Took, ...] = ()
     urgent: bool = False  # calls wait for an instance: ask sooner
 
 
@@ -155,7 +157,8 @@
     nonce = state.nonce + 1
     epoch = state.roster.epoch if state.roster else 0
     have = tuple(got.copy.digest for got in state.here.values())
-    ask = Probe(nonce, epoch, have, state.reports.held, state.reports.demand)
+    said = state.reports
+    ask = Probe(nonce, epoch, have, said.held, said.demand, said.took)
     to = state.roster.ids if state.roster else state.registries
     probes = state.probes.set(nonce, Asked(nowMs))
     if nonce - OPEN_PROBES in probes:
--- a/spokeroute/trunk/messages.py
+++ b/spokeroute/trunk/messages.py
@@ -65,6 +65,19 @@
     inFlight: int
 
 
+@dataclass(frozen=True, slots=True)
+class Took:
+    """An exchange sent a call on to a second instance: which, by what rule and whose list."""
+
+    tryId: str
+    service: str
+    lost: str
+    taken: str
+    rule: str
+    listTerm: int
+    listSequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class FetchAsk:
     """Asks for a register's value."""
@@ -92,6 +105,7 @@
     have: tuple[str, ...]
     held: tuple[HeldReport, ...]
     demand: tuple[DemandReport, ...]
+    took: tuple[Took, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -103,11 +103,21 @@
     sim.traffic(60, 4_000)
     sim.platform.crash("w1")
     sim.run(8_000)
+    next(s for s in sim.platform.servers.values() if s.service == "readings").behave = "lost"
+    for _ in range(20):
+        sim.call("/readings")
+        sim.run(100)
+    sim.run(3_000)
     disk = sim.registries[1].disk
     assert disk is not None
     lines = [text for _, text in sorted(disk.ledger.items())]
     kinds = {json.loads(x)["kind"] for x in lines}
-    assert {"term", "laaf", "start", "up", "holder", "route", "vanished"} <= kinds
+    assert {"term", "laaf", "start", "up", "holder", "route", "vanished", "successor"} <= kinds
+    taken = [json.loads(x) for x in lines if '"kind":"successor"' in x]
+    names = [d["inputs"]["try"] for d in taken]
+    seconds = {r.call for r in sim.platform.runs if not r.tryId.endswith(".0")}
+    assert len(names) == len(set(names)) and len(names) >= len(seconds) > 0
+    assert {d["inputs"]["rule"] for d in taken} == {"successor"}
     got = replay(lines)
     assert got.difference is None and got.recomputed > 10
     at = next(i for i, x in enumerate(lines) if '"kind":"laaf"' in x)
