The ledger never takes the registers' room on disk; candidates re-ranked each second

Cause (by reckoning from a fleet's ledger): 353 LAAF entries of 35 KB in two minutes; 200,000 entries outgrow the environment of diskMb 1024, and a full environment ends the member's vote. Changed: entries are kept compressed, bounded to 0.4 of the disk; candidates that come or go are ranked within a second, not at once; utilizations past the trigger still at once.

--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -51,6 +51,7 @@
 
 PLAN_MS = 100
 LIST_MS = 400
+RERANK_MS = 1_000
 PUSH_MS = 1_000
 SHIFT_REST_MS = 10_000
 ANEW_MS = 5_000
@@ -91,6 +92,7 @@
     rankings: tuple[Ranking, ...] = ()
     ranked: Picture | None = None
     sequence: int = 0
+    rankedMs: Ms = Ms(-(10**6))
     pushedMs: Ms = Ms(0)
     shifts: tuple[Shift, ...] = ()
     shiftedMs: Map[tuple[str, str], int] = field(default_factory=Map)
@@ -321,8 +323,10 @@
         state.evacuated, suspects, state.policy,
     )  # fmt: skip
     effects: list[Effect] = []
-    if _moved(state.ranked, now, table.thresholds.triggerPct):
-        state = replace(state, rankings=laaf(now), ranked=now, sequence=state.sequence + 1)
+    if _moved(state, now, table.thresholds.triggerPct, nowMs):
+        state = replace(
+            state, rankings=laaf(now), ranked=now, sequence=state.sequence + 1, rankedMs=nowMs
+        )
         record = Record("laaf", pictureDoc(now), rankingDoc(state.rankings))
         effects.append(_record(state, record))
         if faults:
@@ -364,14 +368,17 @@
     return state, tuple(effects)
 
 
-def _moved(old: Picture | None, now: Picture, triggerPct: float) -> bool:
-    if old is None or old.sites != now.sites:
-        return True
-    if [(f.service, f.worker) for f in old.functions] != [
-        (f.service, f.worker) for f in now.functions
-    ]:
+def _moved(state: State, now: Picture, triggerPct: float, nowMs: Ms) -> bool:
+    """Whether LAAF runs again: at once when a utilization moved past the trigger, within a
+    second when candidates came or went (exchanges pass over heads that are not fit)."""
+    old = state.ranked
+    if old is None:
         return True
     before = dict(old.cuPct)
-    return set(before) != {w for w, _ in now.cuPct} or any(
-        abs(cu - before[w]) > triggerPct for w, cu in now.cuPct
-    )
+    if set(before) != {w for w, _ in now.cuPct}:
+        return True
+    if any(abs(cu - before[w]) > triggerPct for w, cu in now.cuPct):
+        return True
+    known = [(f.service, f.worker) for f in old.functions]
+    changed = old.sites != now.sites or known != [(f.service, f.worker) for f in now.functions]
+    return changed and nowMs - state.rankedMs >= RERANK_MS
--- a/spokeroute/register/disk.py
+++ b/spokeroute/register/disk.py
@@ -9,8 +9,10 @@
 import fcntl
 import json
 import secrets
+import zlib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import lmdb
 from immutables import Map
@@ -19,6 +21,8 @@
 from spokeroute.register.cells import Cell, Roster, digestOf, packRoster, unpackRoster
 from spokeroute.register.keeper import DiskWrite
 
+LEDGER_SHARE = 0.4
+
 
 class DiskFault(Exception):
     """The data folder can't be used; the message names the remedy."""
@@ -70,6 +74,7 @@
             folder.mkdir(parents=True, exist_ok=True)
             self.lock = open(folder / "in-use", "a")  # noqa: SIM115
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.ledgerBytes = int(sizeMb * 1024 * 1024 * LEDGER_SHARE)
             self.env = lmdb.open(str(folder), map_size=sizeMb * 1024 * 1024, max_dbs=4)
             self.cells = self.env.open_db(b"cells")
             self.meta = self.env.open_db(b"meta")
@@ -122,19 +127,22 @@
                 txn.put(b"votes", b"1" if job.votes else b"0", db=self.meta)
 
     def append(self, entries: tuple[tuple[str, str], ...], keep: int) -> None:
-        """Ledger entries, synced; the oldest past ``keep`` go.
+        """Ledger entries, synced. The oldest go past ``keep``, or past the ledger's share of the
+        disk, so that it never takes the registers' room.
 
         Example:
             disk.append((("k", "{}"),), 1000)
         """
         with self.env.begin(write=True) as txn:
             for key, text in entries:
-                txn.put(key.encode(), text.encode(), db=self.ledger)
-            extra = txn.stat(self.ledger)["entries"] - keep
+                txn.put(key.encode(), zlib.compress(text.encode(), 6), db=self.ledger)
             cursor = txn.cursor(db=self.ledger)
-            while extra > 0 and cursor.first():
+            while self._over(txn.stat(self.ledger), keep) and cursor.first():
                 cursor.delete()
-                extra -= 1
+
+    def _over(self, stat: Any, keep: int) -> bool:
+        pages = stat["leaf_pages"] + stat["overflow_pages"] + stat["branch_pages"]
+        return stat["entries"] > keep or pages * stat["psize"] > self.ledgerBytes
 
     def entries(self, after: str, limit: int) -> list[tuple[str, str]]:
         """Ledger entries after a key, oldest first.
@@ -149,7 +157,7 @@
             while found and len(out) < limit:
                 key = bytes(cursor.key()).decode()
                 if key != after:
-                    out.append((key, bytes(cursor.value()).decode()))
+                    out.append((key, zlib.decompress(cursor.value()).decode()))
                 found = cursor.next()
         return out
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -5,6 +5,7 @@
 
 import json
 import queue
+import random
 import socket
 import subprocess
 import sys
@@ -19,7 +20,9 @@
 from spokeroute.dispatch.desired import DesiredState, readDesired
 from spokeroute.exchange.sender import Sender
 from spokeroute.exchange.types import SendTry, TryDone
+from spokeroute.register.cells import Cell
 from spokeroute.register.disk import Disk, DiskFault
+from spokeroute.register.keeper import DiskWrite
 from spokeroute.trunk.frames import MAX_FRAME_BYTES, Envelope, FrameFault, cut, decode, encode
 from spokeroute.trunk.messages import Finish
 from spokeroute.trunk.net import monotonicMs
@@ -235,3 +238,19 @@
     blank = Disk(tmp_path / "b", 16)
     assert blank.load().member != member
     blank.close()
+
+
+def test_theLedgerLeavesTheRegistersTheirRoom(tmp_path: Path) -> None:
+    """Found by reckoning: at the brief's load a day's entries filled the whole environment,
+    and a full one ends the member's vote."""
+    disk = Disk(tmp_path / "small", 16)
+    rng = random.Random(1)
+    for batch in range(60):
+        entries = tuple((f"{batch:04d}-{n:04d}", rng.randbytes(4_000).hex()) for n in range(100))
+        disk.append(entries, 200_000)
+    kept = disk.entries("", 100_000)
+    assert 500 < len(kept) < 6_000 and kept[-1][0] == "0059-0099"
+    cell = Cell(value=b"x" * 500_000)
+    for number in range(6):
+        disk.write(DiskWrite(number, ((f"r{number}", cell),), (), None, False))
+    disk.close()
