--- a/spokeroute/register/disk.py
+++ b/spokeroute/register/disk.py
@@ -142,7 +142,7 @@
 
     def _over(self, stat: Any, keep: int) -> bool:
         pages = stat["leaf_pages"] + stat["overflow_pages"] + stat["branch_pages"]
-        return stat["entries"] > keep or pages * stat["psize"] > self.ledgerBytes
+        return bool(stat["entries"] > keep or pages * stat["psize"] > self.ledgerBytes)
 
     def entries(self, after: str, limit: int) -> list[tuple[str, str]]:
         """Ledger entries after a key, oldest first.
