--- a/tools/faults.py
+++ b/tools/faults.py
@@ -78,6 +78,13 @@
             (0.70, partial(fleet.signal, "ex5", stop)),
             (0.74, partial(fleet.signal, "ex5", go)),
         ],
+        "swaps": [
+            (0.15, partial(fleet.swap, "reg1", "reg4")),
+            (0.35, partial(fleet.swap, "reg2", "reg5")),
+            (0.55, partial(fleet.swap, "reg3", "reg6")),
+            (0.75, apply),
+            (0.80, partial(fleet.signal, "ex1", kill)),
+        ],
         "disks": [
             (0.20, partial(loseDisk, fleet, apply, "reg1")),
             (0.50, partial(loseDisk, fleet, apply, "reg2")),
@@ -87,4 +94,4 @@
     return table[scenario]
 
 
-SCENARIOS = ("kills", "calm", "herds", "freezes", "disks")
+SCENARIOS = ("kills", "calm", "herds", "freezes", "disks", "swaps")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -98,6 +98,29 @@
         )
         out.close()
 
+    def swap(self, old: str, new: str) -> None:
+        """End a registry for good and start another machine's in its place: other addresses, a
+        blank disk, and seeds that are alive."""
+        self.signal(old, signal.SIGKILL)
+        trunk, http = (f"127.0.0.1:{p}" for p in freePorts(2))
+        living = [n for n in self.processes if n not in (old, "platform")]
+        living.sort(key=lambda n: not n.startswith("reg"))
+        seeds = ",".join(self.trunkOf(n) for n in living[:3])
+        command = list(self.commands[old])
+        changes = {"--name": new, "--trunk": trunk, "--http": http, "--seeds": seeds,
+                   "--data": str(self.folder / new)}  # fmt: skip
+        for flag, value in changes.items():
+            command[command.index(flag) + 1] = value
+        self.commands[new] = [word for word in command if word != "--found"]
+        self.http[new] = http
+        del self.processes[old]
+        self.start(new)
+
+    def trunkOf(self, name: str) -> str:
+        """Where a process listens for colleagues."""
+        command = self.commands[name]
+        return command[command.index("--trunk") + 1]
+
     def startAll(self) -> None:
         """Start every process and wait until the registries vote."""
         self.plan()
--- a/tools/load.py
+++ b/tools/load.py
@@ -54,11 +54,16 @@
         self.small = doc["lanes"][4:]
         self.behind = 0.0
 
+    def operators(self) -> list[str]:
+        """Operator addresses of the registries that are there."""
+        names = sorted(n for n in self.fleet.processes if n.startswith("reg"))
+        return [self.fleet.http[n] for n in names]
+
     def apply(self) -> Told:
         """Apply the configuration as an operator would."""
         told = Told("apply", nowMs(), detail=self.doc["name"])
         body = json.dumps(self.doc).encode()
-        got = self.http.request("PUT", f"http://{self.fleet.http['reg1']}/desired-state", body=body)
+        got = self.http.request("PUT", f"http://{self.operators()[0]}/desired-state", body=body)
         told.doneMs, told.status, told.doc = nowMs(), got.status, json.loads(got.data)
         self.told.append(told)
         return told
@@ -66,7 +71,7 @@
     def show(self) -> None:
         """Read the configuration back."""
         told = Told("show", nowMs())
-        got = self.http.request("GET", f"http://{self.fleet.http['reg2']}/desired-state")
+        got = self.http.request("GET", f"http://{self.operators()[-1]}/desired-state")
         told.doneMs, told.status, told.doc = nowMs(), got.status, json.loads(got.data)
         self.told.append(told)
 
