--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -213,3 +213,23 @@
     for path in (Path(__file__).parent.parent / "spokeroute").rglob("*.py"):
         text = path.read_text()
         assert not re.search(r"time\.time\(|datetime|time\.time_ns|CLOCK_REALTIME", text), path
+
+
+def test_evacuationsAndAppliesAtOnce(sim: Sim) -> None:
+    """A locality is emptied and restored again and again, through any registry, beside applies
+    and beside the fall of a worker elsewhere."""
+    sim.settle()
+    sim.traffic(40, 40_000)
+    for number in range(4):
+        sim.evacuate("south", True, registry=number % 3)
+        sim.apply(configuration(name=f"beside-{number}"), registry=(number + 1) % 3)
+        sim.run(4_500)
+        sim.evacuate("south", False, registry=(number + 2) % 3)
+        if number == 1:
+            sim.platform.crash("w1")
+        sim.run(4_500)
+    shown = sim.show()
+    clean(sim)
+    assert shown.doc["configuration"]["name"] == "beside-3"
+    assert all(t.status == 200 for t in sim.told)
+    assert level(sim.log(), sim.env.now - 40_000, sim.env.now - 9_500) > 0.98
