An exchange that stops hands its instances over

Cause: on SIGTERM an exchange ended its calls and went; its instances waited out the lease and the longest run, about 4 s, as after a kill. Ruled out: naming a new holder at once, since a try may still run. Changed: its reports say that it is leaving and where tries may still run; the role fences it at once and names new holders for the rest without a wait.

--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -108,9 +108,9 @@
     match event:
         case Tick():
             return _tick(state, nowMs)
-        case From(node, incarnation, Probe(_, _, _, held, demand, took)):
+        case From(node, incarnation, Probe(_, _, _, held, demand, took, leaving, busy)):
             if state.coreIds.isdisjoint((node,)):
-                known = Reported(incarnation, nowMs, held, demand)
+                known = Reported(incarnation, nowMs, held, demand, leaving, busy)
                 state = replace(state, reports=state.reports.set(node, known))
                 return _tookBy(state, node, took)
         case ViewNow(known):
@@ -255,7 +255,7 @@
 
 def _fold(state: State, nowMs: Ms) -> State:
     demand = demandNow(state.demand, state.reports, nowMs, nowMs - state.demandMs)
-    marks = remark(state.marks, state.floor, state.table, nowMs)
+    marks = remark(state.marks, state.floor, state.reports, state.table, nowMs)
     return replace(state, demand=demand, demandMs=nowMs, marks=marks)
 
 
@@ -311,7 +311,9 @@
         return replace(state, floorVersion=-1, term=0), (
             Note("a newer term wrote the floor: this node stops deciding"),
         )
-    marks = state.marks.acked(state.floor, floor, nowMs)
+    # Only a floor that this term wrote tells who held what last; a copy may be older.
+    before = state.floor if state.floorVersion >= 0 else floor
+    marks = state.marks.acked(before, floor, nowMs)
     return replace(state, floor=floor, floorVersion=version, marks=marks), ()
 
 
--- a/spokeroute/dispatch/reports.py
+++ b/spokeroute/dispatch/reports.py
@@ -22,10 +22,12 @@
     atMs: Ms
     held: tuple[HeldReport, ...]
     demand: tuple[DemandReport, ...]
+    leaving: bool = False
+    busy: tuple[str, ...] = ()
 
 
 def liveHolders(reports: Mapping[str, Reported], nowMs: int) -> dict[NodeId, Incarnation]:
-    """Exchanges heard from lately, and their incarnations.
+    """Exchanges heard from lately that are not leaving, and their incarnations.
 
     Example:
         >>> liveHolders({}, 0)
@@ -34,7 +36,7 @@
     return {
         NodeId(node): r.incarnation
         for node, r in reports.items()
-        if nowMs - r.atMs <= HOLDER_SILENT_MS
+        if nowMs - r.atMs <= HOLDER_SILENT_MS and not r.leaving
     }
 
 
--- a/spokeroute/dispatch/upkeep.py
+++ b/spokeroute/dispatch/upkeep.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from immutables import Map
@@ -14,6 +15,7 @@
 from spokeroute.dispatch.desired import Table
 from spokeroute.dispatch.floor import DRAINING, STARTING, STOPPING, UP, Floor, Placed
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
+from spokeroute.dispatch.reports import Reported
 from spokeroute.register.copies import LEASE_MS
 
 RECALL_MS = 4_000
@@ -32,6 +34,7 @@
     surplusMs: Map[str, int] = field(default_factory=Map)
     calledMs: Map[str, int] = field(default_factory=Map)  # op/instance -> when it was called
     stoppedOk: frozenset[str] = frozenset()
+    lastHolder: Map[str, tuple[str, int]] = field(default_factory=Map)  # of the fenced
     neverHeld: frozenset[str] = frozenset()  # seen starting in this term, not held since
 
     def done(self, done: PlatformDone, nowMs: Ms) -> Marks:
@@ -61,7 +64,13 @@
         for key in list(self.ackedMs):
             if key not in now:
                 del acked[key]
-        return replace(self, ackedMs=acked.finish())
+        before: dict[str, tuple[str, int]] = {
+            p.id: (p.holder, p.holderIncarnation) for p in old.instances if p.holder
+        }
+        fenced = {p.id for p in new.instances if not p.holder}
+        last: dict[str, tuple[str, int]] = {**self.lastHolder, **before}
+        last = {name: holder for name, holder in last.items() if name in fenced}
+        return replace(self, ackedMs=acked.finish(), lastHolder=Map(last))
 
     def surplus(self, services: frozenset[str], nowMs: Ms) -> Marks:
         """Since when services have too many instances.
@@ -124,16 +133,18 @@
 def remark(
     marks: Marks,
     floor: Floor,
+    reports: Mapping[str, Reported],
     table: Table | None,
     nowMs: Ms,
 ) -> Marks:
     """Bring the waits up to date with the chosen floor.
 
-    An instance that this term saw start, and that none held since, may be held at once. Any
-    other without a holder waits out the lease and the longest run.
+    An instance that this term saw start, and that none held since, may be held at once; so may
+    one whose last holder is leaving, hands nothing on any more, and has nothing running there.
+    Any other without a holder waits out the lease and the longest run.
 
     Example:
-        remark(Marks(), NO_FLOOR, None, 0).neverHeld == frozenset()
+        remark(Marks(), NO_FLOOR, {}, None, 0).neverHeld == frozenset()
     """
     ready: dict[str, int] = {}
     upSince: dict[str, int] = {}
@@ -147,6 +158,8 @@
         if not placed.holder:
             waitMs = 0 if placed.id in neverHeld else quietMs(placed, table)
             ready[placed.id] = marks.readyMs.get(placed.id, nowMs + waitMs)
+            if released(marks, reports, placed.id):
+                ready[placed.id] = min(ready[placed.id], nowMs)
     live = {p.id for p in floor.instances}
     called = {k: atMs for k, atMs in marks.calledMs.items() if k.split("/", 1)[1] in live}
     return replace(
@@ -159,6 +172,22 @@
     )
 
 
+def released(marks: Marks, reports: Mapping[str, Reported], instance: str) -> bool:
+    """Whether the last holder itself says that it sends no more and has nothing in flight.
+
+    Example:
+        released(Marks(), {}, "a") is False
+    """
+    node, incarnation = marks.lastHolder.get(instance, ("", 0))
+    known = reports.get(node)
+    return (
+        known is not None
+        and known.incarnation == incarnation
+        and known.leaving
+        and instance not in known.busy
+    )
+
+
 def platformCalls(
     floor: Floor,
     table: Table,
--- a/spokeroute/exchange/calls.py
+++ b/spokeroute/exchange/calls.py
@@ -81,8 +81,8 @@
         case ViewNow(known):
             found = tuple(NodeId(e.node) for e in known if e.role == "registry")
             return replace(state, registries=found), ()
-        case HeldNow(held):
-            return replace(state, held=held), ()
+        case HeldNow(held, leaving, busy):
+            return replace(state, held=held, leaving=leaving, busy=busy), ()
         case Stopping():
             return replace(state, stopping=True), ()
     return state, ()
--- a/spokeroute/exchange/entry.py
+++ b/spokeroute/exchange/entry.py
@@ -24,6 +24,8 @@
     """From the holder's core: its reports on the instances it holds."""
 
     held: tuple[HeldReport, ...]
+    leaving: bool
+    busy: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +46,8 @@
     shunnedMs: Map[str, int] = field(default_factory=Map)
     registries: tuple[NodeId, ...] = ()
     held: tuple[HeldReport, ...] = ()
+    leaving: bool = False
+    busy: tuple[str, ...] = ()
     arrived: Map[str, int] = field(default_factory=Map)
     reportMs: Ms = Ms(0)
     took: tuple[tuple[int, Took], ...] = ()  # when, and what the ledger should hear
@@ -118,4 +122,7 @@
     state = replace(state, arrived=Map(), reportMs=Ms(nowMs + REPORT_MS))
     took = tuple(t for atMs, t in state.took if nowMs - atMs < TOLD_MS)[-MOST_TOOK:]
     state = replace(state, took=tuple(x for x in state.took if nowMs - x[0] < TOLD_MS))
-    return state, Tell("copies", Reports(state.held, demand, took, urgent or bool(waiting)))
+    return state, Tell(
+        "copies",
+        Reports(state.held, demand, took, state.leaving, state.busy, urgent or bool(waiting)),
+    )
--- a/spokeroute/exchange/holder.py
+++ b/spokeroute/exchange/holder.py
@@ -18,6 +18,7 @@
     FRESH_MARGIN_MS,
     Revoke,
     SendTry,
+    Stopping,
     Tables,
     TryDone,
     freshTables,
@@ -89,6 +90,7 @@
     seats: Map[str, Seat] = field(default_factory=Map)
     undatedUntilMs: Ms = Ms(-1)
     reportMs: Ms = Ms(0)
+    stopping: bool = False
 
 
 def step(state: State, event: object, nowMs: Ms) -> tuple[State, Effects]:
@@ -108,6 +110,8 @@
             return _drop(state, node, tryId)
         case TryDone() as done:
             return _done(state, done, nowMs)
+        case Stopping():
+            return replace(state, stopping=True), ()
         case Fresh() as fresh:
             state = replace(state, tables=freshTables(state.tables, fresh))
             return _seated(state, nowMs) if fresh.changed else (state, ())
@@ -176,6 +180,8 @@
     Example:
         mayServe(state, placed, nowMs) == ""
     """
+    if state.stopping:
+        return "the holder stops"
     if not state.tables.fresh(nowMs):
         return "the holder's copies are not proved newest"
     now = state.tables.byId.get(placed.id)
@@ -335,4 +341,5 @@
             HeldReport(name, seat.meanMilli, before.answered, before.failures, before.confirmed)
         )
     state = replace(state, seats=seats.finish(), reportMs=Ms(nowMs + SAMPLE_MS // 4))
-    return state, Tell("calls", HeldNow(tuple(held)))
+    busy = tuple(name for name, seat in state.seats.items() if seat.handed)
+    return state, Tell("calls", HeldNow(tuple(held), state.stopping, busy))
--- a/spokeroute/register/copies.py
+++ b/spokeroute/register/copies.py
@@ -62,6 +62,8 @@
     held: tuple[HeldReport, ...]
     demand: tuple[DemandReport, ...]
     took: tuple[Took, ...] = ()
+    leaving: bool = False
+    busy: tuple[str, ...] = ()
     urgent: bool = False  # calls wait for an instance: ask sooner
 
 
@@ -158,7 +160,7 @@
     epoch = state.roster.epoch if state.roster else 0
     have = tuple(got.copy.digest for got in state.here.values())
     said = state.reports
-    ask = Probe(nonce, epoch, have, said.held, said.demand, said.took)
+    ask = Probe(nonce, epoch, have, said.held, said.demand, said.took, said.leaving, said.busy)
     to = state.roster.ids if state.roster else state.registries
     probes = state.probes.set(nonce, Asked(nowMs))
     if nonce - OPEN_PROBES in probes:
--- a/spokeroute/trunk/messages.py
+++ b/spokeroute/trunk/messages.py
@@ -106,6 +106,8 @@
     held: tuple[HeldReport, ...]
     demand: tuple[DemandReport, ...]
     took: tuple[Took, ...]
+    leaving: bool  # this process stops, and hands nothing on any more
+    busy: tuple[str, ...]  # instances where a try that it handed may still run
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from spokeroute.exchange.types import Stopping
 from tests.sim.cluster import Sim, configuration
 from tests.sim.platform import Server
 from tools.judges import judge, level
@@ -343,3 +344,31 @@
     assert before <= {s.id for s in sim.platform.servers.values()}
     assert level(sim.log(), 0, 1e9) == 1.0
     clean(sim)
+
+
+def test_anExchangeThatStopsHandsItsInstancesOver(sim: Sim) -> None:
+    """SIGTERM: others hold its instances within two seconds, not after the lease and the
+    longest run, and no call but those in its own line is refused."""
+    sim.settle()
+    sim.traffic(60, 12_000)
+    sim.run(2_000)
+    leaving = sim.exchanges[0]
+    held = set(leaving.state("holder").seats)
+    assert held
+    leaving.report("holder", Stopping(), leaving.births)
+    leaving.report("calls", Stopping(), leaving.births)
+    stoppedMs = sim.env.now
+    assert sim.upTo(lambda: not leaving.state("holder").seats, 2_000)
+    others = sim.exchanges[1:]
+
+    def taken() -> bool:
+        now = {i for e in others for i in e.state("holder").seats}
+        return held <= now
+
+    assert sim.upTo(taken, 2_000)
+    assert sim.env.now - stoppedMs < 3_000
+    leaving.kill()
+    sim.run(10_000)
+    clean(sim)
+    elsewhere = [a for a in sim.asked if a.exchange != leaving.name]
+    assert all(a.status == 200 for a in elsewhere)
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -78,6 +78,12 @@
             (0.70, partial(fleet.signal, "ex5", stop)),
             (0.74, partial(fleet.signal, "ex5", go)),
         ],
+        "restarts": [
+            (0.20, partial(fleet.signal, "ex2", signal.SIGTERM)),
+            (0.40, partial(fleet.start, "ex2")),
+            (0.60, partial(fleet.signal, "ex3", signal.SIGTERM)),
+            (0.80, partial(fleet.start, "ex3")),
+        ],
         "swaps": [
             (0.15, partial(fleet.swap, "reg1", "reg4")),
             (0.35, partial(fleet.swap, "reg2", "reg5")),
@@ -94,4 +100,4 @@
     return table[scenario]
 
 
-SCENARIOS = ("kills", "calm", "herds", "freezes", "disks", "swaps")
+SCENARIOS = ("kills", "calm", "herds", "freezes", "disks", "swaps", "restarts")
