The holder takes a call's longest run from where placement does

It reckoned the same number from the same table, with the same default. Also a minimum whose second side was always the lesser is written plainly.

--- a/spokeroute/exchange/holder.py
+++ b/spokeroute/exchange/holder.py
@@ -13,6 +13,7 @@
 from spokeroute.dial.effects import Effect, Effects, From, Launch, Send, Tell, Tick
 from spokeroute.dial.ids import Ms, NodeId, TryId
 from spokeroute.dispatch.floor import UP, Placed
+from spokeroute.dispatch.upkeep import runMs
 from spokeroute.exchange.entry import HeldNow
 from spokeroute.exchange.types import (
     FRESH_MARGIN_MS,
@@ -271,13 +272,7 @@
             )
         ]
         if done.ran == "maybe":
-            service = (
-                state.tables.table.services.get(seat.placed.service)
-                if (state.tables.table)
-                else None
-            )
-            runMs = service.longestRunMs if service else 10_000
-            freeAtMs = Ms(max(nowMs, handed.sentMs + runMs))
+            freeAtMs = Ms(max(nowMs, handed.sentMs + runMs(seat.placed, state.tables.table)))
             kept = replace(handed, reported=True, freeAtMs=freeAtMs)
             seat = replace(seat, handed=seat.handed.set(done.tryId, kept))
         else:
--- a/spokeroute/register/copies.py
+++ b/spokeroute/register/copies.py
@@ -150,7 +150,7 @@
         case Reports() as reports:
             nextMs = state.nextMs
             if reports.urgent:
-                nextMs = Ms(min(nextMs, nextMs - PROBE_MS + URGENT_MS))
+                nextMs = Ms(nextMs - PROBE_MS + URGENT_MS)
             return replace(state, reports=reports, nextMs=nextMs), ()
     return state, ()
 
