A cold instance gets no burst beyond its rate; second sends charged for ten whole seconds

Cause: the cold bucket held a burst of a fifth of its rate beside the refill, so a slow fresh instance got 7 calls in a second at a rate of 1 (bound 6.5). The budget summed its seconds by buckets of a second, so the tenth second before was forgotten by up to a second too early. Ruled out: a smaller burst (any burst beside a refill adds to some second). Now the holder counts what it sent in the last 1.05 s, and the budget charges eleven buckets and earns from ten.

--- a/spokeroute/exchange/budget.py
+++ b/spokeroute/exchange/budget.py
@@ -49,8 +49,10 @@
             True
         """
         share = FLOOR_SHARE if nowMs - self.startMs >= WINDOW_MS else 0
-        firsts = _sum(self.firsts, service, nowMs)
-        return _sum(self.seconds, service, nowMs) + 1 <= EARN * firsts + share
+        # Never more than the 10 s before earn, never less than those are charged.
+        firsts = _sum(self.firsts, service, nowMs, WINDOW_MS // BUCKET_MS)
+        seconds = _sum(self.seconds, service, nowMs, WINDOW_MS // BUCKET_MS + 1)
+        return seconds + 1 <= EARN * firsts + share
 
 
 def _bump(counts: Map[tuple[str, int], int], service: str, nowMs: int) -> Map[tuple[str, int], int]:
@@ -63,7 +65,6 @@
     return counts.delete(old) if old in counts else counts
 
 
-def _sum(counts: Map[tuple[str, int], int], service: str, nowMs: int) -> int:
+def _sum(counts: Map[tuple[str, int], int], service: str, nowMs: int, buckets: int) -> int:
     last = nowMs // BUCKET_MS
-    first = last - WINDOW_MS // BUCKET_MS + 1
-    return sum(counts.get((service, at), 0) for at in range(first, last + 1))
+    return sum(counts.get((service, at), 0) for at in range(last - buckets + 1, last + 1))
--- a/spokeroute/exchange/holder.py
+++ b/spokeroute/exchange/holder.py
@@ -35,6 +35,7 @@
 SAMPLE_MS = 1_000
 COLD_FACTOR = 1.5
 COLD_PLUS_PER_S = 5.0
+COLD_SPAN_MS = 1_050  # a second, and what sends may crowd together on their way
 RATE_WINDOW_MS = 2_000
 DOWN_FIRST_MS = 500
 DOWN_MOST_MS = 8_000
@@ -67,8 +68,7 @@
     placed: Placed
     line: tuple[Waiting, ...] = ()
     handed: Map[str, Handed] = field(default_factory=Map)
-    tokens: float = COLD_PLUS_PER_S / 5
-    tokensMs: Ms = Ms(0)
+    coldMs: tuple[Ms, ...] = ()  # sends while cold, within the last second
     answeredMs: tuple[Ms, ...] = ()  # whole answers, within the rate's window
     busyMs: float = 0.0  # in flight times time, in this sample
     sampledMs: Ms = Ms(0)
@@ -135,9 +135,7 @@
         if _mine(state, placed):
             old = state.seats.get(placed.id)
             if old is None:
-                seats[placed.id] = Seat(
-                    placed, tokensMs=nowMs, sampledMs=nowMs, sampleStartMs=nowMs
-                )
+                seats[placed.id] = Seat(placed, sampledMs=nowMs, sampleStartMs=nowMs)
             else:
                 seats[placed.id] = replace(old, placed=placed)
     for name, seat in state.seats.items():
@@ -193,14 +191,13 @@
     return ""
 
 
-def _refill(seat: Seat, nowMs: Ms) -> Seat:
-    """The cold bucket: one and a half times the instance's own rate, plus five a second."""
-    rate = len(seat.answeredMs) * 1000.0 / RATE_WINDOW_MS
-    perS = COLD_FACTOR * rate + COLD_PLUS_PER_S
-    burst = max(1.0, perS / 5)
-    tokens = min(burst, seat.tokens + perS * (nowMs - seat.tokensMs) / 1000.0)
-    recent = tuple(t for t in seat.answeredMs if nowMs - t < RATE_WINDOW_MS)
-    return replace(seat, tokens=tokens, tokensMs=nowMs, answeredMs=recent)
+def _coldRoom(seat: Seat, nowMs: Ms) -> bool:
+    """Whether a cold instance may get one more: in any second one and a half times its own
+    rate, plus five."""
+    answered = sum(1 for t in seat.answeredMs if nowMs - t < RATE_WINDOW_MS)
+    rate = answered * 1000.0 / RATE_WINDOW_MS
+    sent = sum(1 for t in seat.coldMs if nowMs - t < COLD_SPAN_MS)
+    return sent + 1 <= COLD_FACTOR * rate + COLD_PLUS_PER_S
 
 
 def _pump(state: State, name: str, nowMs: Ms) -> tuple[State, Effects]:
@@ -213,15 +210,13 @@
     if why:
         effects.extend(_no(w.origin, w.ferry.tryId, why) for w in seat.line)
         return replace(state, seats=state.seats.set(name, replace(seat, line=()))), tuple(effects)
-    if not seat.placed.warm:
-        seat = _refill(seat, nowMs)
     line: list[Waiting] = []
     for waiting in seat.line:
         if waiting.deadlineMs - nowMs < LINE_MARGIN_MS:
             effects.append(_no(waiting.origin, waiting.ferry.tryId, "no room in time"))
             continue
         cold = not seat.placed.warm
-        if len(seat.handed) >= seat.placed.limit or (cold and seat.tokens < 1.0):
+        if len(seat.handed) >= seat.placed.limit or (cold and not _coldRoom(seat, nowMs)):
             line.append(waiting)
             continue
         seat = _sample(seat, nowMs)
@@ -237,8 +232,8 @@
             )
         )  # fmt: skip
         handed = Handed(ferry.tryId, waiting.origin, nowMs)
-        tokens = seat.tokens - 1.0 if cold else seat.tokens
-        seat = replace(seat, handed=seat.handed.set(ferry.tryId, handed), tokens=tokens)
+        coldMs = (*(t for t in seat.coldMs if nowMs - t < COLD_SPAN_MS), nowMs) if cold else ()
+        seat = replace(seat, handed=seat.handed.set(ferry.tryId, handed), coldMs=coldMs)
     seat = replace(seat, line=tuple(line))
     return replace(state, seats=state.seats.set(name, seat)), tuple(effects)
 
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -182,7 +182,7 @@
 
 def test_coldWithinRateSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
-    monkeypatch.setattr(holder, "_refill", lambda seat, nowMs: replace(seat, tokens=99.0))
+    monkeypatch.setattr(holder, "_coldRoom", lambda seat, nowMs: True)
     services = configuration()["services"]
     services[0] = {**services[0], "name": "fresh", "coldMs": 8_000}
     lanes = [{"path": "/readings", "service": "fresh", "methods": ["POST"], "repeatable": True,
