--- /dev/null
+++ b/tests/sim/acts.py
@@ -0,0 +1,85 @@
+"""What befalls a simulated cluster: acts that scenarios and the random search share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Generator, Sequence
+from typing import Any
+
+from tests.sim.cluster import Sim
+from tests.sim.world import Node
+from tools.log import Return, Told
+
+
+def after(sim: Sim, waitMs: float, act: Callable[[], object]) -> None:
+    """Carry an act out later."""
+
+    def steps() -> Generator[Any, Any, None]:
+        yield sim.env.timeout(waitMs)
+        act()
+
+    sim.env.process(steps())
+
+
+def holderOf(sim: Sim) -> Node:
+    """The registry that holds the placement role."""
+    return next(r for r in sim.registries if r.alive and r.state("role").term)
+
+
+def fallAndReturn(
+    sim: Sim, nodes: Sequence[Node], awayMs: float, blank: Node | None = None, judged: bool = True
+) -> None:
+    """Kill processes at once and start them again, one of them perhaps with a blank disk."""
+    faultMs = sim.env.now
+    for node in nodes:
+        node.kill()
+    sim.run(awayMs)
+    for node in nodes:
+        node.start(blank=node is blank)
+    if judged:
+        sim.returns.append(Return(faultMs, sim.env.now))
+
+
+def slow(sim: Sim, nodes: Sequence[Node], syncMs: float, forMs: float) -> None:
+    """Make disks slow for a while."""
+    for node in nodes:
+        disk = node.disk
+        assert disk is not None
+        before, disk.syncMs = disk.syncMs, syncMs
+
+        def heal(disk: Any = disk, before: float = before) -> None:
+            disk.syncMs = before
+
+        after(sim, forMs, heal)
+
+
+def swapRegistry(sim: Sim, index: int, name: str) -> Node:
+    """A registry's machine goes for good; one with another address and a blank disk comes."""
+    old = sim.registries[index]
+    old.kill()
+    old.machineUp = False
+    new = Node(sim, name, "registry", old.locality, f"10.0.7.{sim.draw()}:1", False)
+    living = [n for n in sim.nodes if n.alive]
+    new.seeds = [n.address for n in sorted(living, key=lambda n: n.role != "registry")[:3]]
+    sim.registries[index] = new
+    new.start()
+    return new
+
+
+def readBack(sim: Sim) -> list[Told]:
+    """Ask every registry for what was acknowledged."""
+    asked: list[Told] = []
+    for i, node in enumerate(sim.registries):
+        if node.alive:
+            asked += [sim.show(i), sim.evacuated(i)]
+    sim.run(4_500)
+    return asked
+
+
+def clientRepeats(sim: Sim, key: str, everyMs: float, times: int) -> None:
+    """A caller that repeats a keyed once-only call at one exchange after the other."""
+    for number in range(times):
+        up = [e for e in sim.exchanges if e.alive]
+        if up:
+            path = next(p for p, x in sim.lanes.items() if not x.get("repeatable"))
+            sim.call(path, up[number % len(up)], key=key, waitMs=4_000)
+        sim.run(everyMs)
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -5,6 +5,7 @@
 import json
 import random
 from collections.abc import Callable, Generator
+from pathlib import Path
 from typing import Any
 
 import simpy
@@ -19,6 +20,7 @@
 from tests.sim.world import Net, Node
 from tools.log import Asked, Down, Log, Return, Told
 
+EXAMPLES = Path(__file__).parent.parent.parent / "examples"
 LOCALITIES = ("north", "centre", "south")
 
 
@@ -50,6 +52,23 @@
     return doc
 
 
+def deployment(name: str) -> dict[str, Any]:
+    """A whole deployment of the brief: four busy services and 75 small ones."""
+    doc: dict[str, Any] = json.loads((EXAMPLES / f"{name}.json").read_text())
+    return doc
+
+
+def briefSim(name: str, seed: int, exchanges: int = 9) -> Sim:
+    """A cluster of a deployment's size, settled: its syncs and its instances' starts."""
+    organismo = name == "organismo"
+    sim = Sim(seed, exchanges, syncMs=5.0 if organismo else 0.5,
+              startMs=500.0 if organismo else 1_400.0)  # fmt: skip
+    sim.platform.startSmallMs = 300.0 if organismo else 1_000.0
+    sim.busy = 4
+    sim.settle(deployment(name))
+    return sim
+
+
 class Sim:
     """The cluster. Planted faults (``skip…``) switch one check of the edge off."""
 
@@ -74,10 +93,10 @@
             Node(self, f"ex{i + 1}", "exchange", LOCALITIES[i % 3], f"10.1.0.{i + 1}:1", False)
             for i in range(exchanges)
         ]
+        self.busy = 2  # the first lanes are the busy ones
         self.asked: list[Asked] = []
         self.told: list[Told] = []
-        self.laneServices = {"/readings": "readings", "/corrections": "corrections",
-                             "/small/1": "small-1", "/small/2": "small-2"}  # fmt: skip
+        self.lanes: dict[str, dict[str, Any]] = {x["path"]: x for x in configuration()["lanes"]}
         self.floors: list[tuple[float, int, Any]] = []  # when each floor was first chosen
         self.downs: list[Down] = []
         self.returns: list[Return] = []
@@ -135,14 +154,17 @@
                 return False
         return True
 
-    def settle(self, **changes: Any) -> None:
+    def settle(self, doc: dict[str, Any] | None = None, **changes: Any) -> None:
         """Start, apply the configuration, and wait until it serves."""
+        doc = doc or configuration(**changes)
         self.start()
         assert self.upTo(lambda: all(r.state("keeper").syncedVotes for r in self.registries), 8000)
-        told = self.apply(configuration(**changes))
+        told = self.apply(doc)
         assert self.upTo(lambda: told.status == 200, 6000), told
-        ready = self.upTo(lambda: self.serving("readings") and self.serving("corrections"), 25_000)
+        busy = [s["name"] for s in doc["services"] if s.get("minInstances", 0) >= 2]
+        ready = self.upTo(lambda: all(self.serving(s) for s in busy), 25_000)
         assert ready, "the cluster did not come up"
+        self.lanes = {x["path"]: x for x in doc["lanes"]}
 
     def apply(self, doc: dict[str, Any], registry: int = 0, expect: int = -1) -> Told:
         """An operator's apply."""
@@ -204,14 +226,12 @@
             up = [e for e in self.exchanges if e.alive]
             exchange = self.rng.choice(up or self.exchanges)
         name = f"c{self.draw()}"
-        once = path == "/corrections"
+        lane = self.lanes.get(path, {"service": "", "repeatable": True})
         asked = Asked(
-            name, key, path, self.laneServices.get(path, ""), once, exchange.name,
-            self.env.now, waitMs,
+            name, key, path, lane["service"], not lane.get("repeatable"), exchange.name,
+            self.env.now, waitMs, method=lane.get("methods", ["GET"])[0], agent=agent or name,
         )  # fmt: skip
         self.asked.append(asked)
-        asked.method = "POST" if path in ("/readings", "/corrections") else "GET"
-        asked.agent = agent or name
         if not exchange.alive:
             asked.status, asked.kind, asked.doneMs = 0, "refused", self.env.now
             return asked
@@ -231,7 +251,7 @@
                 CallId(name),
                 asked.agent,
                 asked.method,
-                path,
+                path.replace("*", "x"),
                 "",
                 headers,
                 body,
@@ -253,14 +273,23 @@
         count = 0
         while self.env.now < untilMs:
             count += 1
-            if paths:
-                path = self.rng.choice(paths)
-            else:
-                path = "/corrections" if count % 6 == 0 else "/readings"
-            key = f"k{self.draw()}" if path == "/corrections" and count % 12 == 0 else ""
+            path = self.rng.choice(paths) if paths else self._choose(count)
+            once = not self.lanes[path].get("repeatable")
+            key = f"k{self.draw()}" if once and count % 12 == 0 else ""
             self.call(path, key=key, waitMs=self.rng.randrange(4000, 8000))
             yield self.env.timeout(self.rng.expovariate(perS) * 1000)
 
+    def _choose(self, count: int) -> str:
+        """A sixth of the calls are once-only, a tenth of the others go to small services."""
+        busy = list(self.lanes)[: self.busy]
+        once = [p for p in busy if not self.lanes[p].get("repeatable")]
+        free = [p for p in busy if self.lanes[p].get("repeatable")]
+        if count % 6 == 0:
+            return self.rng.choice(once)
+        if self.busy > 2 and count % 10 == 1:
+            return self.rng.choice(list(self.lanes)[self.busy :])
+        return self.rng.choice(free)
+
     def log(self) -> Log:
         """What this run's callers, operators and instances saw."""
         drained: dict[str, float] = {}
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -55,6 +55,7 @@
         self.servers: dict[str, Server] = {}
         self.byAddress: dict[str, Server] = {}
         self.startMs, self.workMs, self.capPerS = startMs, workMs, capPerS
+        self.startSmallMs = 0.0  # for instances that run one at once; 0: as the others
         self.listDelayMs = 500.0
         self.listFails = False
         self.listBare = False  # a listing without any instance, though there are some
@@ -155,7 +156,8 @@
         node.report(actor, PlatformDone(job.op, job.instance, outcome, "worker down"), born)
 
     def _boot(self, server: Server) -> Steps:
-        yield self.env.timeout(self.startMs * self.rng.uniform(0.9, 1.2))
+        startMs = self.startSmallMs if self.startSmallMs and server.limit == 1 else self.startMs
+        yield self.env.timeout(startMs * self.rng.uniform(0.9, 1.2))
         if server.state != "starting":
             return
         self.ports += 1
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -128,7 +128,7 @@
     doc["services"].append({"name": "late", "memoryMb": 7000, "limit": 1})
     doc["lanes"].append({"path": "/late", "service": "late"})
     sim.apply(doc)
-    sim.laneServices["/late"] = "late"
+    sim.lanes["/late"] = doc["lanes"][-1]
     sim.run(4_000)
     sim.call("/late")
     sim.run(1_500)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -322,8 +322,8 @@
                                     "coldMs": 500, "longestRunMs": 1000})  # fmt: skip
             doc["lanes"].append({"path": f"/rare/{number}", "service": f"rare-{number}",
                                  "repeatable": True})  # fmt: skip
-            sim.laneServices[f"/rare/{number}"] = f"rare-{number}"
         sim.apply(doc)
+        sim.lanes = {x["path"]: x for x in doc["lanes"]}
         sim.run(8_000)
         for number in range(75):
             sim.call(f"/rare/{number}", waitMs=6_000)
