A key's call is in progress only within its wait, and once-only on any lane

An apply whose offer was overtaken by another's was told "conflict", though it may have been chosen in between: now "unsure". Ruled out: a wall-clock time in the claim (clocks jump); dropping claims of dead exchanges (their calls may have run).

--- a/spokeroute/exchange/calls.py
+++ b/spokeroute/exchange/calls.py
@@ -102,7 +102,7 @@
     assert got.lane is not None and got.service is not None
     call = Call(
         ask, got.lane, got.service, nowMs, Ms(nowMs + got.waitMs), "holding", nowMs,
-        once=not got.lane.repeatable,
+        once=not got.lane.repeatable or ask.key != "",
     )  # fmt: skip
     name = call.service.name
     state = replace(
@@ -124,7 +124,7 @@
         return state, ()
     first = sum(call.ask.callId.encode())  # each ask goes to the next registry
     node = registries[(first + call.claimAsks) % len(registries)]
-    return state, (Send(node, askClaim(call, opId, to)),)
+    return state, (Send(node, askClaim(call, opId, to, nowMs)),)
 
 
 def _claim(state: State, got: ClaimGot, nowMs: Ms) -> tuple[State, Effects]:
@@ -289,7 +289,7 @@
     if call.claimed and call.phase != "freeing" and state.registries:
         known = "may have run" if verdict.status in (502, 504) else f"ended {verdict.status}"
         opId = f"{call.ask.callId}/end/{state.draws}"
-        effects.append(Send(state.registries[0], askClaim(call, opId, known)))
+        effects.append(Send(state.registries[0], askClaim(call, opId, known, nowMs)))
     state = replace(
         state,
         calls=state.calls.delete(call.ask.slot.index),
--- a/spokeroute/register/proposer.py
+++ b/spokeroute/register/proposer.py
@@ -80,7 +80,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Settled:
-    """To the asker. ``outcome`` is done, timeout (nothing of ours was written) or unsure."""
+    """To the asker. ``outcome`` is done, timeout (nothing of ours was written) or unsure.
+    ``ageMs``: the longest that a member says to have had the value; -1 where none can tell."""
 
     opId: str
     register: str
@@ -89,6 +90,7 @@
     value: bytes
     wrote: bool
     reason: str = ""
+    ageMs: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,7 +297,14 @@
     ask = current.op.ask
     effects: list[Effect] = []
     if ask.replyTo:
-        done = Settled(ask.opId, ask.register, "done", copy.version, value, wrote)
+        # What was offered and is not there now may have been chosen and changed since.
+        outcome = "unsure" if current.op.offered and not wrote else "done"
+        reason = "another change came after it, or instead of it" if outcome == "unsure" else ""
+        ages = [p.ageMs for p in current.promises.values() if p.accepted.digest == copy.digest]
+        done = Settled(
+            ask.opId, ask.register, outcome, copy.version, value, wrote, reason,
+            max(ages, default=-1),
+        )  # fmt: skip
         effects.append(Tell(ask.replyTo, done))
     if ask.register in SPREAD and copy.version:
         effects.append(Tell("copies", Chosen(copy, value)))
--- a/spokeroute/trunk/messages.py
+++ b/spokeroute/trunk/messages.py
@@ -152,6 +152,7 @@
     boundCounter: int
     accepted: Copy
     value: bytes
+    ageMs: int  # how long this member has had it, by its running time; -1 where it can't tell
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,6 +239,7 @@
     fingerprint: str
     callId: str
     to: str
+    waitMs: int  # what is left of the call's wait
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -242,6 +242,7 @@
             if verdict.status >= 400:
                 doc = json.loads(verdict.body)
                 asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
+                asked.retryAfter = dict(verdict.headers).get("Retry-After", "")
 
         headers = (("Standin-Call", name), *((("Idempotency-Key", key),) if key else ()))
         exchange.ask(
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -46,6 +46,7 @@
     lanes = configuration()["lanes"]
     lanes[1]["repeatable"] = True  # the rule is not told to the product
     sim.settle(lanes=lanes)
+    sim.lanes["/corrections"]["repeatable"] = False
     sim.run(11_000)  # past the first window, so that there is a share of second sends
     behave(sim, "lost", "corrections")
     for _ in range(5):
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,60 @@
+"""Registers by their parts: rounds that are overtaken, and what lmdb keeps of a lost power."""
+
+from __future__ import annotations
+
+from spokeroute.dial.effects import From, Send, Tell, Tick
+from spokeroute.dial.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
+from spokeroute.register import proposer
+from spokeroute.register.cells import Roster, digestOf
+from spokeroute.register.proposer import Ask, Settled, Swap
+from spokeroute.trunk.messages import Accept, Copy, Prepare, Promise
+from tests.sim.cluster import Sim, configuration
+
+MEMBERS = tuple(MemberId(f"m{i}") for i in range(3))
+ROSTER = Roster(Epoch(1), tuple((m, Address(f"10.0.0.{i}:1")) for i, m in enumerate(MEMBERS)))
+
+
+def promise(member: str, ask: Prepare, version: int, value: bytes, counter: int) -> From:
+    copy = Copy(
+        ask.name, version, digestOf(value) if value else "", counter, "m1" if counter else ""
+    )
+    said = Promise(1, ask.name, ask.counter, ask.member, True, ask.counter, copy, value, -1)
+    return From(NodeId(member), Incarnation(1), said)
+
+
+def test_anOfferThatWasOvertakenIsUnsureNotRefused() -> None:
+    """Our offer may have been chosen and then changed by another: to say "conflict, nothing
+    done" would be false, so the outcome is unsure."""
+    state = proposer.State(MEMBERS[0], 1, ROSTER)
+    state, effects = proposer.step(state, Ask("op", "desired-state", Swap(0, b"ours"), "op"), Ms(0))
+    prepare = next(e.message for e in effects if isinstance(e, Send))
+    assert isinstance(prepare, Prepare)
+    for member in MEMBERS[:2]:
+        state, effects = proposer.step(state, promise(member, prepare, 0, b"", 0), Ms(5))
+    assert any(isinstance(e, Send) and isinstance(e.message, Accept) for e in effects)
+    nowMs = 0
+    again: list[Prepare] = []
+    while not again:  # no acceptance is heard of; the round begins anew
+        nowMs += 20
+        state, effects = proposer.step(state, Tick(0), Ms(nowMs))
+        again = [
+            e.message for e in effects if isinstance(e, Send) and isinstance(e.message, Prepare)
+        ]
+    for member in MEMBERS[:2]:
+        state, effects = proposer.step(state, promise(member, again[0], 2, b"theirs", 9), Ms(nowMs))
+    told = [e.event for e in effects if isinstance(e, Tell) and isinstance(e.event, Settled)]
+    assert [t.outcome for t in told] == ["unsure"]
+
+
+def test_aKeyOnARepeatableLaneIsOnceToo(sim: Sim) -> None:
+    """Its caller named it; answers that are lost are not sent on to a successor."""
+    sim.settle()
+    sim.run(11_000)
+    for server in sim.platform.servers.values():
+        server.behave = "lost"
+    for number in range(10):
+        sim.call("/readings", key=f"named-{number}")
+    sim.run(6_000)
+    runs = [r.key for r in sim.platform.runs if r.key]
+    assert len(runs) == len(set(runs)) == 10
+    assert configuration()["lanes"][0]["repeatable"]
--- a/tools/load.py
+++ b/tools/load.py
@@ -112,6 +112,7 @@
             if got.status >= 400:
                 doc = json.loads(got.data)
                 asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
+                asked.retryAfter = got.headers.get("Retry-After", "")
         except urllib3.exceptions.NewConnectionError:
             asked.status, asked.kind = 0, "refused"
         except (urllib3.exceptions.HTTPError, ValueError) as fault:
--- a/tools/log.py
+++ b/tools/log.py
@@ -46,6 +46,7 @@
     verdicts: int = 0
     method: str = ""
     agent: str = ""
+    retryAfter: str = ""  # when a refusal says to come back
 
 
 @dataclass
