--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,157 @@
+"""Crowds, jumps, repeats and lost holders, at the brief's shape or near it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+
+from tests.sim.acts import clientRepeats
+from tests.sim.cluster import Sim, briefSim, configuration
+from tests.test_scenarios import EACH, clean
+from tools.judges import level
+
+BOTH = pytest.mark.parametrize("day", [("tooluur", 3), ("organismo", 4)], indirect=True)
+
+
+@pytest.fixture
+def day(request: pytest.FixtureRequest) -> Iterator[Sim]:
+    made = briefSim(*request.param)
+    yield made
+    made.close()
+
+
+@EACH
+@pytest.mark.parametrize("afterMs", [9, 16, 25])
+def test_aKeyedCallWhoseExchangeDies(sim: Sim, afterMs: int) -> None:
+    """Between claim and send, or right after it; the caller repeats at the others, quickly and
+    often, beyond the first call's wait."""
+    sim.syncMs = 5.0
+    sim.settle()
+    sim.call("/corrections", sim.exchanges[0], key="mine", waitMs=4_000)
+    sim.run(afterMs)
+    sim.exchanges[0].kill()
+    clientRepeats(sim, "mine", 300, 20)
+    clean(sim)
+    first = sim.asked[0]
+    for asked in sim.asked[1:]:
+        if asked.status == 409 and asked.doneMs > first.atMs + first.waitMs + 600:
+            assert b"in progress" not in asked.body, asked.body
+
+
+@EACH
+def test_aKilledExchangeHeldTheOnlyInstances(sim: Sim) -> None:
+    """Small services with one instance, all held by the exchange that is killed: a fresh
+    instance starts in a fraction of the time that a new holder has to wait."""
+    services = configuration()["services"]
+    for i in (2, 3):
+        services[i] = {**services[i], "spares": 0, "longestRunMs": 4_000}
+    sim.settle(services=services)
+    sim.traffic(20, 30_000, ("/small/1", "/small/2"))
+    sim.run(8_000)
+    small = [p for p in sim.floors[-1][2].instances if p.service.startswith("small")]
+    victim = next(e for e in sim.exchanges if any(p.holder == e.name for p in small))
+    victim.kill()
+    killedMs = sim.env.now
+    sim.run(20_000)
+    clean(sim)
+    asked = [
+        a for a in sim.asked
+        if a.exchange != victim.name and killedMs < a.atMs < killedMs + 10_000
+    ]  # fmt: skip
+    lost = [a for a in asked if a.status != 200 and a.ran == "no"]
+    assert lost == [], (len(lost), len(asked), lost[0])
+
+
+@EACH
+def test_theSameCallAtSeveralExchangesWithTheBudgetSpent(sim: Sim) -> None:
+    """Thirteen exchanges; instances of a busy service answer nothing for a while, so that
+    overdue answers and successors spend the share; callers send their calls three times over."""
+    sim.close()
+    made = Sim(int(sim.rng.random() * 1e6), exchanges=13)
+    try:
+        made.settle()
+        made.traffic(100, 24_000)
+        made.run(11_000)
+        made.platform.misbehave["readings"] = "lost"
+        ill = [s for s in made.platform.servers.values() if s.service == "readings"]
+        for server, how in zip(ill, ("late", "lost", "lost", "lost"), strict=False):
+            server.behave = how
+        for number in range(60):
+            for exchange in made.rng.sample(made.exchanges, 3):
+                made.call("/corrections", exchange, key=f"again-{number}")
+                made.call("/readings", exchange)
+            made.run(100)
+        made.platform.misbehave.clear()
+        for server in made.platform.servers.values():
+            server.behave = "well"
+        made.run(7_000)
+        clean(made)
+        seconds = {a.call for a in made.asked} & {
+            c for c in {d.call for d in made.platform.dials}
+            if len({d.instance for d in made.platform.dials if d.call == c}) > 1
+        }  # fmt: skip
+        assert len(seconds) > 12
+    finally:
+        made.close()
+
+
+ONE_EACH = pytest.mark.parametrize(
+    ("day", "times"), [(("tooluur", 3), 10), (("organismo", 4), 5)], indirect=["day"]
+)
+
+
+@ONE_EACH
+def test_aCrowdAtOneBusyService(day: Sim, times: int) -> None:
+    """One busy service gets many times its share at once, beside the usual load: what fits is
+    served, what can't be is told so at once and when to come back, others are not harmed."""
+    day.traffic(150, 18_000)
+    day.run(3_000)
+    path = next(iter(p for p, x in day.lanes.items() if x.get("repeatable")))
+    fromMs = day.env.now
+    day.traffic(30 * times, 8_000, (path,))
+    day.run(15_000)
+    clean(day, 5_000)
+    crowd = [a for a in day.asked if a.path == path and fromMs <= a.atMs < fromMs + 8_000]
+    others = [a for a in day.asked if a.path != path and fromMs <= a.atMs < fromMs + 15_000]
+    good = [a for a in crowd if a.status == 200]
+    assert sum(1 for a in others if a.status == 200) > 0.99 * len(others)
+    refused = [a for a in crowd if a.status in (429, 503)]
+    assert len(good) + len(refused) == len(crowd)
+    assert all(a.retryAfter for a in refused)
+    assert len(good) > 0.9 * len(crowd)
+
+
+@BOTH
+def test_aCrowdBeyondAllRoom(day: Sim) -> None:
+    """A small service, one at once, whose work takes half a second, gets more than every worker
+    together could do. Refusals come at once, not at the end of the wait."""
+    day.platform.workMs = 500.0
+    day.platform.seats = [replace(s, memoryMb=2_560) for s in day.platform.seats]
+    path = list(day.lanes)[-1]
+    fromMs = day.env.now
+    day.traffic(400, 7_000, (path,))
+    day.run(8_000)
+    clean(day)
+    crowd = [a for a in day.asked if a.path == path and a.atMs >= fromMs + 4_000]
+    refused = [a for a in crowd if a.status in (429, 503)]
+    assert refused and all(a.retryAfter for a in refused)
+    slow = [a for a in refused if a.doneMs - a.atMs > 1_500]
+    good = [a for a in crowd if a.status == 200]
+    late = [a for a in crowd if a.status == 504]  # handed over in time, and not answered in it
+    assert len(good) + len(refused) + len(late) == len(crowd)
+    assert len(good) > 100 and len(late) < 0.05 * len(crowd)
+    assert len(slow) < 0.05 * len(refused), (len(slow), len(refused))
+
+
+@BOTH
+def test_busyServicesJump(day: Sim) -> None:
+    """The load of one service falls to nothing while another's rises five times over."""
+    one, two = [p for p in list(day.lanes)[:4] if day.lanes[p].get("repeatable")][:2]
+    for path, other in ((one, two), (two, one), (one, two)):
+        day.traffic(200, 4_000, (path,))
+        day.traffic(10, 4_000, (other,))
+        day.run(4_000)
+    clean(day)
+    assert level(day.log(), 0, 1e9) > 0.97
