--- a/tools/explore.py
+++ b/tools/explore.py
@@ -1,6 +1,7 @@
 """A longer random search by hand: random failures over many seeds, judged. Prints each seed.
 
 python -m tools.explore --first 100 --count 50
+python -m tools.explore --first 1 --count 8 --shape tooluur     # nine exchanges, 79 services
 """
 
 from __future__ import annotations
@@ -9,118 +10,197 @@
 import os
 import random
 import sys
-from collections.abc import Callable, Generator
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 from typing import Any
 
-from tests.sim.cluster import Sim, configuration
+from tests.sim.acts import after, readBack, slow, swapRegistry
+from tests.sim.cluster import Sim, briefSim, configuration, deployment
 from tests.sim.world import Node
 from tools.judges import judge, level
 
 KINDS = (
-    "kill", "kill", "freeze", "cut", "oneway", "worker", "ill", "apply", "apply", "evacuate",
-    "stall", "herd", "blank", "crowd", "takeover", "listing",
+    "kill", "kill", "freeze", "cut", "oneway", "worker", "pair", "empty", "ill", "apply", "apply",
+    "storm", "evacuate", "stall", "slow", "herd", "everything", "blank", "swap", "crowd", "jump",
+    "keys", "takeover", "listing",
 )  # fmt: skip
 
 
-def revive(node: Node) -> None:
-    if not node.alive:
-        node.start()
+class Search:
+    """One seed's cluster and what is caused in it."""
 
+    def __init__(self, seed: int, shape: str) -> None:
+        self.rng = random.Random(seed)
+        if shape:
+            self.sim = briefSim(shape, seed)
+            self.doc = deployment(shape)
+        else:
+            self.sim = Sim(seed, exchanges=4, syncMs=self.rng.choice((0.5, 5.0)))
+            self.sim.settle()
+            self.doc = configuration()
+        self.perS = 120.0 if shape else 40.0
 
-def fault(sim: Sim, rng: random.Random) -> str:
-    """Cause one random failure; most heal by themselves after a while."""
-    kind = rng.choice(KINDS)
-    node = rng.choice(sim.nodes)
-    later = rng.uniform(200, 7_000)
+    def apply(self) -> None:
+        up = [i for i, r in enumerate(self.sim.registries) if r.alive and not r.frozen]
+        if up:
+            self.sim.apply({**self.doc, "name": f"v{self.sim.draw()}"}, self.rng.choice(up))
+
+    def cause(self) -> str:
+        """Cause one random failure; most heal by themselves after a while."""
+        kind = self.rng.choice(KINDS)
+        later = self.rng.uniform(200, 7_000)
+        act: Callable[[float], None] = getattr(self, f"_{kind}")
+        act(later)
+        return kind
+
+    def _kill(self, later: float) -> None:
+        node = self.rng.choice(self.sim.nodes)
+        node.kill()
+        after(self.sim, later, partial(revive, node))
 
-    def after(waitMs: float, act: Callable[[], object]) -> None:
-        def steps() -> Generator[Any, Any, None]:
-            yield sim.env.timeout(waitMs)
-            act()
+    def _fall(self, nodes: list[Node], later: float) -> None:
+        for each in nodes:
+            each.kill()
+            after(self.sim, later, partial(revive, each))
 
-        sim.env.process(steps())
+    def _herd(self, later: float) -> None:
+        self._fall(list(self.rng.choice((self.sim.registries, self.sim.exchanges))), later)
 
-    if kind == "kill":
-        node.kill()
-        after(later, partial(revive, node))
-    elif kind == "herd":
-        group = rng.choice((sim.registries, sim.exchanges))
-        for each in group:
-            each.kill()
-            after(later, partial(revive, each))
-    elif kind == "freeze":
+    def _everything(self, later: float) -> None:
+        self._fall(self.sim.nodes, later / 2)
+
+    def _freeze(self, later: float) -> None:
+        node = self.rng.choice(self.sim.nodes)
         node.freeze()
-        after(later, node.wake)
-    elif kind in ("cut", "oneway"):
-        other = rng.choice(sim.nodes)
-        pairs = {(node.name, other.name)}
-        if kind == "cut":
-            pairs |= {(other.name, node.name)}
-        sim.net.cuts |= pairs
-        after(later, lambda: sim.net.cuts.difference_update(pairs))
-    elif kind == "worker":
-        worker = f"w{rng.randint(1, 6)}"
-        sim.platform.crash(worker)
-        after(later, lambda: sim.platform.downWorkers.discard(worker))
-    elif kind == "ill":
-        how = rng.choice(("garbage", "short", "late", "dies", "lost"))
-        for server in rng.sample(list(sim.platform.servers.values()),
-                                 min(2, len(sim.platform.servers))):  # fmt: skip
+        after(self.sim, later, node.wake)
+
+    def _cutPairs(self, pairs: set[tuple[str, str]], later: float) -> None:
+        self.sim.net.cuts |= pairs
+        after(self.sim, later, lambda: self.sim.net.cuts.difference_update(pairs))
+
+    def _cut(self, later: float) -> None:
+        a, b = self.rng.sample(self.sim.nodes, 2)
+        self._cutPairs({(a.name, b.name), (b.name, a.name)}, later)
+
+    def _oneway(self, later: float) -> None:
+        a, b = self.rng.sample(self.sim.nodes, 2)
+        self._cutPairs({(a.name, b.name)}, later)
+
+    def _crash(self, workers: list[str], later: float) -> None:
+        for worker in workers:
+            self.sim.platform.crash(worker)
+            after(self.sim, later, partial(self.sim.platform.downWorkers.discard, worker))
+
+    def _worker(self, later: float) -> None:
+        self._crash([f"w{self.rng.randint(1, 6)}"], later)
+
+    def _pair(self, later: float) -> None:
+        self._crash(self.rng.sample([f"w{i}" for i in range(1, 7)], 2), later)
+
+    def _empty(self, later: float) -> None:
+        worker = f"w{self.rng.randint(1, 6)}"
+        self.sim.platform.emptied.add(worker)
+        after(self.sim, later, partial(self.sim.platform.emptied.discard, worker))
+
+    def _ill(self, later: float) -> None:
+        how = self.rng.choice(("garbage", "short", "late", "dies", "lost"))
+        there = list(self.sim.platform.servers.values())
+        for server in self.rng.sample(there, min(2, len(there))):
             server.behave = how
-    elif kind == "apply":
-        sim.apply(configuration(name=f"v{sim.draw()}"), registry=rng.randrange(3)) if (
-            sim.registries[0].alive and sim.registries[1].alive and sim.registries[2].alive
-        ) else None
-    elif kind == "evacuate":
-        locality = rng.choice(("north", "centre", "south"))
-        up = [i for i, r in enumerate(sim.registries) if r.alive and not r.frozen]
-        if up:
-            first = rng.choice(up)
-            sim.evacuate(locality, True, first)
-            after(later, lambda: sim.evacuate(locality, False, first)
-                  if sim.registries[first].alive else None)  # fmt: skip
-    elif kind == "stall":
-        disk = rng.choice(sim.registries).disk
+
+    def _apply(self, later: float) -> None:
+        self.apply()
+
+    def _storm(self, later: float) -> None:
+        for number in range(8):
+            after(self.sim, number * later / 20, self.apply)
+
+    def _evacuate(self, later: float) -> None:
+        locality = self.rng.choice(("north", "centre", "south"))
+        up = [i for i, r in enumerate(self.sim.registries) if r.alive and not r.frozen]
+        if not up:
+            return
+        first = self.rng.choice(up)
+        self.sim.evacuate(locality, True, first)
+
+        def restore() -> None:
+            if self.sim.registries[first].alive:
+                self.sim.evacuate(locality, False, first)
+
+        after(self.sim, later, restore)
+
+    def _stall(self, later: float) -> None:
+        disk = self.rng.choice(self.sim.registries).disk
         if disk is not None:
-            disk.stalledUntilMs = sim.env.now + later
-    elif kind == "blank":
-        lost = rng.choice(sim.registries)
-        others = [r for r in sim.registries if r is not lost]
-        if lost.alive and all(r.alive and r.state("keeper").syncedVotes for r in others):
+            disk.stalledUntilMs = self.sim.env.now + later
+
+    def _slow(self, later: float) -> None:
+        some = self.rng.sample(self.sim.registries, self.rng.randint(1, 2))
+        slow(self.sim, some, self.rng.choice((200.0, 1_000.0, 5_000.0)), later)
+
+    def _others(self, lost: Node) -> bool:
+        """Whether this one may go for good: the others vote."""
+        others = [r for r in self.sim.registries if r is not lost]
+        return lost.alive and all(r.alive and r.state("keeper").syncedVotes for r in others)
+
+    def _blank(self, later: float) -> None:
+        lost = self.rng.choice(self.sim.registries)
+        if self._others(lost):
             lost.kill()
-            after(300, lambda: None if lost.alive else lost.start(blank=True))
-    elif kind == "crowd":
+            after(self.sim, 300, lambda: None if lost.alive else lost.start(blank=True))
+
+    def _swap(self, later: float) -> None:
+        index = self.rng.randrange(3)
+        if self._others(self.sim.registries[index]):
+            swapRegistry(self.sim, index, f"reg{index + 1}-{self.sim.draw()}")
+
+    def _crowd(self, later: float) -> None:
+        small = list(self.sim.lanes)[self.sim.busy :]
         for _ in range(30):
-            sim.call(rng.choice(("/small/1", "/small/2")), waitMs=6_000)
-    elif kind == "takeover":
-        old = rng.choice(list(sim.platform.servers.values()) or [None])  # type: ignore[list-item]
-        if old is not None and old.state == "running":
-            sim.platform.takeOver(old, rng.choice(("small-1", "corrections")))
-    else:
-        sim.platform.listFails = True
+            self.sim.call(self.rng.choice(small[:3]), waitMs=6_000)
+
+    def _jump(self, later: float) -> None:
+        path = self.rng.choice(list(self.sim.lanes)[: self.sim.busy])
+        if self.sim.lanes[path].get("repeatable"):
+            self.sim.traffic(5 * self.perS, min(later, 2_000), (path,))
+
+    def _keys(self, later: float) -> None:
+        """A caller sends one key again and again, wherever somebody answers."""
+        path = next(p for p, x in self.sim.lanes.items() if not x.get("repeatable"))
+        key = f"again-{self.sim.draw()}"
+        for number in range(12):
+            call = partial(self.sim.call, path, key=key)
+            after(self.sim, number * later / 12, call)
+
+    def _takeover(self, later: float) -> None:
+        there = [s for s in self.sim.platform.servers.values() if s.state == "running"]
+        if there:
+            names = [s["name"] for s in self.doc["services"][:4]]
+            self.sim.platform.takeOver(self.rng.choice(there), self.rng.choice(names))
+
+    def _listing(self, later: float) -> None:
+        self.sim.platform.listFails = True
 
         def heal() -> None:
-            sim.platform.listFails = False
+            self.sim.platform.listFails = False
+
+        after(self.sim, later, heal)
 
-        after(later, heal)
-    return kind
 
+def revive(node: Node) -> None:
+    if not node.alive and node.machineUp:
+        node.start()
 
-def run(seed: int, harsh: bool = False) -> tuple[int, list[str], list[str], float]:
+
+def run(seed: int, harsh: bool = False, shape: str = "") -> tuple[int, list[str], list[str], float]:
     """One seed: what was caused, what the judges say, the level at the end."""
-    rng = random.Random(seed)
-    sim = Sim(seed, exchanges=4, syncMs=rng.choice((0.5, 5.0)))
-    sim.settle()
+    search = Search(seed, shape)
+    rng, sim = search.rng, search.sim
     caused: list[str] = []
-    sim.traffic(40, 75_000)
-    frozen: dict[str, float] = {}
+    sim.traffic(search.perS, 75_000)
     for _ in range(rng.randint(12, 24) if harsh else rng.randint(4, 9)):
-        caused.append(f"{sim.env.now:.0f} {fault(sim, rng)}")
-        for node in sim.exchanges:
-            if node.frozen:
-                frozen[node.name] = 8_000.0
+        caused.append(f"{sim.env.now:.0f} {search.cause()}")
         sim.run(rng.uniform(50, 1_500) if harsh else rng.uniform(300, 5_000))
     sim.run(9_000)
     sim.net.cuts.clear()
@@ -129,13 +209,10 @@
     sim.run(16_000)
     lastMs = sim.env.now
     sim.run(6_000)
-    shown = sim.show()
-    sim.run(9_000)
-    for asked in sim.asked:  # a frozen process can't keep its callers' waits
-        asked.waitMs += int(frozen.get(asked.exchange, 0))
+    shown = readBack(sim)
+    sim.run(4_500)
     found = judge(sim.log())
-    if shown.status not in (200,):
-        found.append(f"show at the end: {shown.status} {shown.doc}")
+    found += [f"{t.what} at the end: {t.status} {t.doc}" for t in shown if t.status != 200]
     good = level(sim.log(), lastMs - 3_000, lastMs + 5_000)
     if good < 0.97:
         found.append(f"level at the end {good:.3f}")
@@ -149,14 +226,16 @@
     parser.add_argument("--count", type=int, default=20)
     parser.add_argument("--processes", type=int, default=6)
     parser.add_argument("--harsh", action="store_true", help="many faults, close together")
+    parser.add_argument("--shape", choices=("", "tooluur", "organismo"), default="")
     args = parser.parse_args()
     if os.environ.get("PYTHONHASHSEED") != "0":  # one order of hashes: a seed is one run
         os.execve(sys.executable, [sys.executable, "-m", "tools.explore", *sys.argv[1:]],
                   {**os.environ, "PYTHONHASHSEED": "0"})  # fmt: skip
     bad = 0
     seeds = range(args.first, args.first + args.count)
+    same: dict[str, Any] = {"harsh": args.harsh, "shape": args.shape}
     with ProcessPoolExecutor(args.processes) as pool:
-        for seed, caused, found, good in pool.map(run, seeds, [args.harsh] * len(seeds)):
+        for seed, caused, found, good in pool.map(partial(run, **same), seeds):
             if found:
                 bad += 1
                 print(f"seed {seed}: {found}\n    caused: {caused}", flush=True)
