--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -251,7 +251,7 @@
         effects.extend(more)
     tokens = min(BURST, state.tokens + STARTS_PER_S * (nowMs - state.tokensMs) / 1000.0)
     calls, marks, tokens = platformCalls(
-        state.floor, table, state.marks, tokens, state.leaseUntilMs, nowMs
+        state.floor, table, state.marks, state.evacuated, tokens, state.leaseUntilMs, nowMs
     )
     stops, orphanMs = orphanStops(
         state.floor, state.listing, state.orphanMs, state.leaseUntilMs, nowMs
--- a/spokeroute/dispatch/upkeep.py
+++ b/spokeroute/dispatch/upkeep.py
@@ -216,14 +216,16 @@
     floor: Floor,
     table: Table,
     marks: Marks,
+    evacuated: frozenset[str],
     tokens: float,
     leaseUntilMs: Ms,
     nowMs: Ms,
 ) -> tuple[list[PlatformCall], Marks, float]:
-    """Starts and stops that the chosen floor asks for, under the cap, starts first.
+    """Starts and stops that the chosen floor asks for, under the cap, starts first. A start
+    that the floor still has, and that is not wanted any more, is not asked for.
 
     Example:
-        platformCalls(NO_FLOOR, table, Marks(), 10.0, 1000, 0)[0] == []
+        platformCalls(NO_FLOOR, table, Marks(), frozenset(), 10.0, 1000, 0)[0] == []
     """
     calls: list[PlatformCall] = []
     order = sorted(floor.instances, key=lambda p: (p.state != STARTING, p.id))
@@ -231,6 +233,8 @@
         op = {STARTING: "start", STOPPING: "stop"}.get(placed.state)
         if op is None or placed.id in marks.stoppedOk:
             continue
+        if op == "start" and (placed.locality in evacuated or placed.service not in table.services):
+            continue
         key = f"{op}/{placed.id}"
         if nowMs - marks.calledMs.get(key, -RECALL_MS) < RECALL_MS:
             continue
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -9,7 +9,7 @@
 
 from spokeroute.dial.effects import SlotId
 from spokeroute.dial.verdict import Verdict
-from spokeroute.dispatch import plan, scaler, upkeep
+from spokeroute.dispatch import placement, plan, scaler, upkeep
 from spokeroute.exchange import budget, holder, types
 from spokeroute.exchange.types import TryDone
 from spokeroute.register import copies
@@ -190,6 +190,8 @@
     assert judges.evacuatedGetNothing(sim.log()) == []
     monkeypatch.setattr(plan, "roomOf", lambda seats, now, services, evacuated: scaler.roomOf(
         seats, now, services, frozenset()))  # fmt: skip
+    monkeypatch.setattr(placement, "platformCalls", lambda floor, table, marks, out, *rest:
+                        upkeep.platformCalls(floor, table, marks, frozenset(), *rest))  # fmt: skip
     for _ in range(60):
         sim.call("/small/1")
         sim.call("/readings")
--- a/tools/log.py
+++ b/tools/log.py
@@ -81,6 +81,15 @@
     instance: str
 
 
+@dataclass
+class Emptied:
+    """A listing showed an instance as draining; ``toMs``: when one first did not any more."""
+
+    instance: str
+    fromMs: float
+    toMs: float = float("inf")
+
+
 @dataclass
 class Return:
     """What fell at ``faultMs`` was back at ``backMs``."""
@@ -104,7 +113,7 @@
     deadSends: list[tuple[float, str]] = field(default_factory=list)  # tries towards the gone
     downs: list[Down] = field(default_factory=list)
     dials: list[Dial] = field(default_factory=list)
-    emptiedMs: dict[str, float] = field(default_factory=dict)  # instance -> listed as draining
+    emptied: list[Emptied] = field(default_factory=list)
     stopMs: dict[str, float] = field(default_factory=dict)  # instance -> its stop was asked for
     starts: list[tuple[float, str]] = field(default_factory=list)  # when, and in which locality
     returns: list[Return] = field(default_factory=list)
