A holder that nothing reaches is fenced, though it is heard

Cause: an exchange that is cut off one way goes on reporting, so placement took it for a live holder, and calls ferried to its instances went nowhere for as long as that lasted. Ruled out: shunning by the entry alone (each call pays for it, once-only ones end as maybe). Its probes now say how old its newest proof is; after 2.5 s without one, lasting 1 s, it holds nothing.

--- a/spokeroute/dispatch/placement.py
+++ b/spokeroute/dispatch/placement.py
@@ -36,6 +36,7 @@
     demandNow,
     liveHolders,
     meansOf,
+    reported,
     suspectsOf,
 )
 from spokeroute.dispatch.role import TermIs
@@ -116,13 +117,13 @@
     match event:
         case Tick():
             return _tick(state, nowMs)
-        case From(node, incarnation, Probe(_, _, _, held, demand, took, leaving, busy)):
+        case From(node, incarnation, Probe() as probe):
             if state.coreIds.isdisjoint((node,)):
-                known = Reported(incarnation, nowMs, held, demand, leaving, busy)
+                known = reported(state.reports.get(node), incarnation, probe, nowMs)
                 state = replace(state, reports=state.reports.set(node, known))
-                return _tookBy(state, node, took)
-        case ViewNow(known):
-            core = frozenset(e.node for e in known if e.role == "registry")
+                return _tookBy(state, node, probe.took)
+        case ViewNow(entries):
+            core = frozenset(e.node for e in entries if e.role == "registry")
             kept = {n: r for n, r in state.reports.items() if n not in core}
             return replace(state, coreIds=core | {state.me}, reports=Map(kept)), ()
         case Fresh() as fresh:
--- a/spokeroute/dispatch/reports.py
+++ b/spokeroute/dispatch/reports.py
@@ -9,9 +9,10 @@
 
 from spokeroute.dial.ids import Incarnation, Ms, NodeId
 from spokeroute.dispatch.scaler import Demand, smooth
-from spokeroute.trunk.messages import DemandReport, HeldReport
+from spokeroute.trunk.messages import DemandReport, HeldReport, Probe
 
 HOLDER_SILENT_MS = 2_500
+DEAF_MS = 1_000  # a proof may be on its way to one that just started, or after an outage
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,10 +25,24 @@
     demand: tuple[DemandReport, ...]
     leaving: bool = False
     busy: tuple[str, ...] = ()
+    deafSinceMs: Ms = Ms(-1)  # it is heard, and has had no proof: nothing seems to reach it
+
+
+def reported(old: Reported | None, incarnation: Incarnation, probe: Probe, nowMs: Ms) -> Reported:
+    """What a probe says of its sender.
+
+    Example:
+        reported(None, incarnation, probe, nowMs).atMs == nowMs
+    """
+    deafMs = Ms(-1)
+    if not 0 <= probe.provedAgoMs <= HOLDER_SILENT_MS:
+        same = old is not None and old.incarnation == incarnation and old.deafSinceMs >= 0
+        deafMs = old.deafSinceMs if old is not None and same else nowMs
+    return Reported(incarnation, nowMs, probe.held, probe.demand, probe.leaving, probe.busy, deafMs)
 
 
 def liveHolders(reports: Mapping[str, Reported], nowMs: int) -> dict[NodeId, Incarnation]:
-    """Exchanges heard from lately that are not leaving, and their incarnations.
+    """Exchanges heard from lately that are neither leaving nor deaf, and their incarnations.
 
     Example:
         >>> liveHolders({}, 0)
@@ -36,7 +51,9 @@
     return {
         NodeId(node): r.incarnation
         for node, r in reports.items()
-        if nowMs - r.atMs <= HOLDER_SILENT_MS and not r.leaving
+        if nowMs - r.atMs <= HOLDER_SILENT_MS
+        and not r.leaving
+        and not (r.deafSinceMs >= 0 and nowMs - r.deafSinceMs > DEAF_MS)
     }
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 from tests.sim.cluster import Sim
 from tests.test_scenarios import EACH, clean
 from tools.judges import level
+from tools.log import Return
 
 
 def holderOf(sim: Sim) -> int:
@@ -95,3 +96,33 @@
     assert len(shifts) <= 2
     moved = [c for c in sim.platform.calls if c[0] > calmMs + 5_000]
     assert len(moved) <= 6, moved
+
+
+@EACH
+@pytest.mark.parametrize("how", ["deaf", "mute", "both"])
+def test_aHolderThatIsDeafOrMute(sim: Sim, how: str) -> None:
+    """Nothing gets to an exchange any more, though all hear it; the other way round; or its
+    machine is simply gone, without a reset of any connection."""
+    sim.settle()
+    sim.traffic(60, 36_000)
+    sim.run(3_000)
+    victim = sim.exchanges[0]
+    assert victim.state("holder").seats
+    others = [n for n in sim.nodes if n is not victim]
+    if how in ("deaf", "both"):
+        sim.net.cuts |= {(n.name, victim.name) for n in others}
+    if how in ("mute", "both"):
+        sim.net.cuts |= {(victim.name, n.name) for n in others}
+    cutMs = sim.env.now
+    sim.run(15_000)
+    sim.net.cuts.clear()
+    sim.returns.append(Return(cutMs, sim.env.now))
+    sim.run(18_000)
+    clean(sim)
+    late = [
+        a for a in sim.asked
+        if a.exchange != victim.name and cutMs + 5_000 < a.atMs < cutMs + 15_000
+    ]  # fmt: skip
+    assert sum(1 for a in late if a.status == 200) > 0.99 * len(late)
+    slow = [a for a in late if a.doneMs - a.atMs > 1_000]
+    assert len(slow) < 0.02 * len(late), len(slow)
