A wall clock that jumps closes no connection; machines that vanish, on real processes

Cause: waitress closes idle connections by the wall clock. A jump ahead by hours closed at once every connection that had no whole request, half-read ones too; a jump back would have closed none for as long, up to its bound of 1000. Ruled out: our own times (monotonic everywhere). Also real: a relay before an exchange's trunk that swallows everything and resets nothing: it refuses as not run, others serve, it comes back.

--- /dev/null
+++ b/tests/test_machines.py
@@ -0,0 +1,123 @@
+"""Real processes on machines that go wrong: wall clocks that jump by hours, colleagues that
+vanish without a reset. Everything is waited for; nothing is timed."""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.test_fleet import EXAMPLE, desk, post, untilServed
+from tools.fleet import Fleet, freePorts
+from tools.relay import Relay
+
+HOUR_S = 3_600
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(tmp_path / "fleet", exchanges=3, organismo=True)
+    made.plan()
+    yield made
+    made.stop()
+
+
+def launched(fleet: Fleet, name: str, *options: str) -> None:
+    """Let one process be started by the launcher."""
+    command = fleet.commands[name]
+    at = command.index("spokeroute")
+    fleet.commands[name] = [*command[: at - 1], "-m", "tools.launch", *options, "--",
+                            *command[at + 1 :]]  # fmt: skip
+
+
+def untilTrue(said: Callable[[], bool], what: str) -> None:
+    until = time.monotonic() + 90
+    while not said():
+        assert time.monotonic() < until, what
+        time.sleep(0.05)
+
+
+def answerOn(sock: socket.socket) -> bytes:
+    """One whole answer, so that the next one on the connection begins at its head."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        got = sock.recv(65536)
+        assert got, "the connection was closed"
+        data += got
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode().lower().split("\r\n")
+    length = int(next(x for x in lines if x.startswith("content-length:")).split(":")[1])
+    while len(body) < length:
+        body += sock.recv(65536)
+    return data
+
+
+def begin(fleet: Fleet) -> None:
+    for name in fleet.commands:
+        fleet.start(name)
+    assert fleet.waitReady([n for n in fleet.commands if n.startswith("reg")], 90) == []
+    assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
+    for name in ("ex1", "ex2", "ex3"):
+        untilServed(fleet, name, "/port-ins")
+
+
+def test_wallClocksJumpByHours(fleet: Fleet, tmp_path: Path) -> None:
+    """Ahead by ten hours, then back by thirty: idle connections stay, a half-read request is
+    read to its end, keys hold, applies and the ledger go on."""
+    clock = tmp_path / "clock"
+    clock.write_text("0")
+    for name in fleet.commands:
+        if name != "platform":
+            launched(fleet, name, "--clock", str(clock))
+    begin(fleet)
+    untilServed(fleet, "ex1", "/port-ins", key="before")
+    host, _, port = fleet.http["ex1"].rpartition(":")
+    whole = (
+        b"POST /port-ins HTTP/1.1\r\nHost: x\r\nSpokeroute-Wait-Ms: 8000\r\n"
+        b"Content-Length: 2\r\n\r\n{}"
+    )
+    with socket.create_connection((host, int(port)), timeout=30) as sock:
+        for jumpS in (10 * HOUR_S, -30 * HOUR_S, 0):
+            sock.sendall(whole[:60])
+            untilServed(fleet, "ex1", "/port-ins")  # so that the half was read before the jump
+            clock.write_text(str(jumpS))
+            for name in ("ex1", "ex2", "ex3"):  # many turns of each loop by the new clock
+                for _ in range(5):
+                    untilServed(fleet, name, "/port-ins")
+            sock.sendall(whole[60:])
+            assert answerOn(sock).startswith(b"HTTP/1.1 200 ")
+            status, body = post(fleet, "ex2", "/port-ins", key="before")
+            assert status == 409 and b"ended 200" in body
+            assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
+    replayed = desk(fleet, "replay")
+    assert replayed.returncode == 0, replayed.stderr
+
+
+def test_aMachineThatVanishesWithoutAReset(fleet: Fleet) -> None:
+    """A relay before an exchange's trunk goes dumb: connections stay open and nothing gets
+    through. Others serve on, also what it held; when the relay forwards again, it serves."""
+    command = fleet.commands["ex2"]
+    real = f"127.0.0.1:{freePorts(1)[0]}"
+    relay = Relay(real)
+    command[command.index("--trunk") + 1] = relay.address
+    launched(fleet, "ex2", "--listen", real)
+    begin(fleet)
+    relay.dumb(True)
+
+    def ready(name: str) -> bool:
+        return fleet.waitReady([name], 0.3) == []
+
+    untilTrue(lambda: not ready("ex2"), "the deaf exchange still believes its copies")
+    status, body = post(fleet, "ex2", "/port-ins")
+    assert status == 503 and json.loads(body)["ran"] == "no"
+    assert relay.swallowed > 0
+    for name in ("ex1", "ex3"):
+        for _ in range(10):
+            untilServed(fleet, name, "/port-ins")
+    relay.dumb(False)
+    untilTrue(lambda: ready("ex2"), "it did not come back")
+    untilServed(fleet, "ex2", "/port-ins")
