--- a/tools/faults.py
+++ b/tools/faults.py
@@ -22,7 +22,7 @@
 
 
 def _herd(fleet: Fleet, prefix: str, number: int) -> None:
-    for name in [n for n in fleet.processes if n.startswith(prefix)]:
+    for name in [n for n in fleet.processes if n.startswith(prefix) and n != "platform"]:
         if number == signal.SIGKILL:
             fleet.signal(name, number)
         else:
@@ -62,8 +62,8 @@
         "kills": [
             (0.30, partial(_post, fleet.platform, "/crash/w1")),
             (0.45, partial(_post, fleet.platform, "/revive/w1")),
-            (0.60, partial(fleet.signal, "ex2", kill)),
-            (0.65, partial(fleet.start, "ex2")),
+            (0.65, partial(fleet.signal, "ex2", kill)),
+            (0.70, partial(fleet.start, "ex2")),
         ],
         "herds": [
             (0.25, partial(_herd, fleet, "reg", kill)),
@@ -74,9 +74,20 @@
         "freezes": [
             (0.20, partial(fleet.signal, "ex3", stop)),
             (0.32, partial(fleet.signal, "ex3", go)),
-            (0.45, partial(freezeHolder, fleet, 8.0)),
-            (0.70, partial(fleet.signal, "ex5", stop)),
-            (0.74, partial(fleet.signal, "ex5", go)),
+            (0.52, partial(freezeHolder, fleet, 8.0)),
+            (0.72, partial(fleet.signal, "ex5", stop)),
+            (0.76, partial(fleet.signal, "ex5", go)),
+        ],
+        "empties": [
+            (0.15, partial(_post, fleet.platform, "/empty/w1")),
+            (0.30, partial(_post, fleet.platform, "/fill/w1")),
+            *((0.55, partial(_post, fleet.platform, f"/crash/{w}")) for w in ("w2", "w3")),
+            *((0.65, partial(_post, fleet.platform, f"/revive/{w}")) for w in ("w2", "w3")),
+        ],
+        "day": [
+            *((0.20 + n / 500, apply) for n in range(10)),
+            (0.25, partial(_herd, fleet, "", kill)),
+            (0.30, partial(_herd, fleet, "", 0)),
         ],
         "restarts": [
             (0.20, partial(fleet.signal, "ex2", signal.SIGTERM)),
@@ -100,4 +111,14 @@
     return table[scenario]
 
 
-SCENARIOS = ("kills", "calm", "herds", "freezes", "disks", "swaps", "restarts")
+SCENARIOS = (
+    "kills", "calm", "herds", "freezes", "disks", "swaps", "restarts", "empties", "day",
+)  # fmt: skip
+# From when to when something was away, as shares of the run: the level is judged 12 s later.
+RETURNS: dict[str, tuple[tuple[float, float], ...]] = {
+    "kills": ((0.30, 0.45), (0.65, 0.70)),
+    "herds": ((0.25, 0.30), (0.60, 0.63)),
+    "freezes": ((0.20, 0.32), (0.72, 0.76)),
+    "empties": ((0.15, 0.30), (0.55, 0.65)),
+    "day": ((0.20, 0.30),),
+}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -16,6 +16,8 @@
 
 import urllib3
 
+from tools.log import Down
+
 LOCALITIES = ("north", "centre", "south")
 
 
@@ -52,6 +54,7 @@
     commands: dict[str, list[str]] = field(default_factory=dict)
     http: dict[str, str] = field(default_factory=dict)
     platform: str = ""
+    downs: list[Down] = field(default_factory=list)
 
     def plan(self) -> None:
         """Choose addresses and write each process's command."""
@@ -92,6 +95,7 @@
 
     def start(self, name: str) -> None:
         """Start one process; its words go to a file of its own."""
+        self._over(name)
         out = open(self.folder / f"{name}.out", "ab")  # noqa: SIM115
         self.processes[name] = subprocess.Popen(
             self.commands[name], stdout=out, stderr=out, cwd=Path(__file__).parent.parent
@@ -149,9 +153,19 @@
     def signal(self, name: str, number: int) -> None:
         """Signal a process that this fleet started."""
         self.processes[name].send_signal(number)
+        if number == signal.SIGCONT:
+            self._over(name)
+        elif number in (signal.SIGKILL, signal.SIGSTOP):
+            how = "killed" if number == signal.SIGKILL else "frozen"
+            self.downs.append(Down(name, time.monotonic_ns() / 1e6, -1.0, how))
         if number == signal.SIGKILL:
             self.processes[name].wait()
 
+    def _over(self, name: str) -> None:
+        for down in self.downs:
+            if down.process == name and down.toMs < 0:
+                down.toMs = time.monotonic_ns() / 1e6
+
     def stop(self) -> dict[str, int]:
         """End every process: SIGTERM, then SIGKILL; the exit codes."""
         for name, process in self.processes.items():
--- a/tools/load.py
+++ b/tools/load.py
@@ -25,10 +25,10 @@
 
 import urllib3
 
-from tools.faults import SCENARIOS, events
+from tools.faults import RETURNS, SCENARIOS, events
 from tools.fleet import Fleet
 from tools.judges import judge, level
-from tools.log import Asked, Log, Run, Told
+from tools.log import Asked, Emptied, Log, Return, Run, Told
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -53,6 +53,8 @@
         self.busy = doc["lanes"][:4]
         self.small = doc["lanes"][4:]
         self.behind = 0.0
+        self.returns: list[Return] = []
+        self.applies = 0
 
     def operators(self) -> list[str]:
         """Operator addresses of the registries that are there."""
@@ -61,19 +63,28 @@
 
     def apply(self) -> Told:
         """Apply the configuration as an operator would."""
-        told = Told("apply", nowMs(), detail=self.doc["name"], sent=self.doc)
-        body = json.dumps(self.doc).encode()
-        got = self.http.request("PUT", f"http://{self.operators()[0]}/desired-state", body=body)
-        told.doneMs, told.status, told.doc = nowMs(), got.status, json.loads(got.data)
+        self.applies += 1
+        doc = {**self.doc, "name": f"{self.doc['name']} {self.applies}"}
+        told = Told("apply", nowMs(), detail=doc["name"], sent=doc)
         self.told.append(told)
+        return self.ask(told, "PUT", "/desired-state", json.dumps(doc).encode())
+
+    def ask(self, told: Told, method: str, path: str, body: bytes | None = None) -> Told:
+        """One operator request at some registry; a broken connection leaves it unsure."""
+        address = self.operators()[self.applies % 3]
+        try:
+            got = self.http.request(method, f"http://{address}{path}", body=body, timeout=15)
+            told.status, told.doc = got.status, json.loads(got.data)
+        except (urllib3.exceptions.HTTPError, ValueError):
+            told.status = 0
+        told.doneMs = nowMs()
         return told
 
     def show(self) -> None:
         """Read the configuration back."""
-        told = Told("show", nowMs())
-        got = self.http.request("GET", f"http://{self.operators()[-1]}/desired-state")
-        told.doneMs, told.status, told.doc = nowMs(), got.status, json.loads(got.data)
-        self.told.append(told)
+        for what, path in (("show", "/desired-state"), ("evacuated", "/evacuation")):
+            told = Told(what, nowMs())
+            self.told.append(self.ask(told, "GET", path))
 
     def choose(self, number: int) -> Asked:
         """The next call: a sixth once-only, a tenth to small services."""
@@ -145,22 +156,45 @@
     runs: list[Run] = []
     answers: dict[str, bytes] = {}
     up: dict[str, float] = {}
+    byTry: dict[str, Run] = {}
+    stops: dict[str, float] = {}
+    starts: list[tuple[float, str]] = []
+    emptied: list[Emptied] = []
+
+    def localityOf(worker: str) -> str:
+        return localities[(int(worker[1:]) - 1) % len(localities)]
+
     keys = {a.call: a.key for a in load.asked}
     for line in (folder / "standin.log").read_text().splitlines():
         e = json.loads(line)
         if e["kind"] == "up":
             up[e["instance"]] = e["atMs"]
         elif e["kind"] == "run":
-            locality = localities[(int(e["worker"][1:]) - 1) % len(localities)]
-            runs.append(
-                Run(e["atMs"], e["instance"], e["service"], e["worker"], locality, e["call"],
-                    keys.get(e["call"], ""), e["path"], e["tryId"], e["running"], e["limit"],
-                    e["atMs"] - up.get(e["instance"], 0.0))
+            run = Run(
+                e["atMs"], e["instance"], e["service"], e["worker"], localityOf(e["worker"]),
+                e["call"], keys.get(e["call"], ""), e["path"], e["tryId"], e["running"],
+                e["limit"], e["atMs"] - up.get(e["instance"], 0.0),
             )  # fmt: skip
+            runs.append(run)
+            byTry[run.tryId] = run
         elif e["kind"] == "answer":
             answers[e["tryId"]] = e["body"].encode()
+            byTry[e["tryId"]].doneMs = e["atMs"]
+        elif e["kind"] == "start":
+            starts.append((e["atMs"], localityOf(e["worker"])))
+        elif e["kind"] == "stop" and e["why"] == "asked":
+            stops[e["instance"]] = e["atMs"]
+        elif e["kind"] == "shown":
+            emptied.append(Emptied(e["instance"], e["atMs"]))
+        elif e["kind"] == "unshown":
+            for each in emptied:
+                if each.instance == e["instance"]:
+                    each.toMs = min(each.toMs, e["atMs"])
     cold = {x["name"]: x["coldMs"] for x in load.doc["services"]}
-    return Log(nowMs(), load.asked, runs, answers, load.told, cold)
+    return Log(
+        nowMs(), load.asked, runs, answers, load.told, cold, downs=load.fleet.downs,
+        emptied=emptied, stopMs=stops, starts=starts, returns=load.returns,
+    )  # fmt: skip
 
 
 def usage(pid: int) -> tuple[float, float]:
@@ -174,6 +208,13 @@
     return rss / 2**20, (int(stat[11]) + int(stat[12])) / ticks
 
 
+def ninth(log: Log, fromMs: float) -> str:
+    """The 0.9 quantile of successes asked in 5 s."""
+    asked = [a for a in log.asked if fromMs <= a.atMs < fromMs + 5_000]
+    good = sorted(a.doneMs - a.atMs for a in asked if 200 <= a.status < 300)
+    return f"{good[int(0.9 * len(good))]:.0f}" if good else "-"
+
+
 def figures(load: Load, log: Log, seconds: float, fleet: Fleet) -> None:
     """Print what came of it."""
     asked = log.asked
@@ -193,6 +234,10 @@
     starts = [first + s * 1000 for s in range(0, int(seconds), 10)]
     row = [f"{100 * level(log, t, t + 10_000):.1f}" for t in starts]
     print("  success by 10 s:", " ".join(row))
+    print(
+        "  p90 ms by 5 s:",
+        " ".join(ninth(log, first + s * 1000) for s in range(0, int(seconds), 5)),
+    )
     tries: dict[str, set[str]] = {}
     for r in log.runs:
         tries.setdefault(r.call, set()).add(r.instance)
@@ -233,11 +278,13 @@
         time.sleep(6)
 
         acts = [(args.seconds * at, act) for at, act in events(args.scenario, fleet, load.apply)]
+        beginMs = nowMs()
+        load.returns = [
+            Return(*(beginMs + 1000 * args.seconds * share for share in span))
+            for span in RETURNS.get(args.scenario, ())
+        ]
         load.run(args.per_s, args.seconds, acts)
         load.show()
-        if args.scenario == "freezes":  # a frozen process can't keep its callers' waits
-            for asked in load.asked:
-                asked.waitMs += 20_000 if asked.exchange in ("ex3", "ex5") else 0
         log = readLog(folder, load, doc["localities"])
         figures(load, log, args.seconds, fleet)
         found = judge(log)
--- a/tools/standin.py
+++ b/tools/standin.py
@@ -51,6 +51,8 @@
         self.lock = threading.Lock()
         self.instances: dict[str, Instance] = {}
         self.down: set[str] = set()
+        self.emptied: set[str] = set()
+        self.shown: set[str] = set()  # instances that the newest listing served shows as draining
         self.sequence = 0
         self.listing = b""
         self.log = open(args.log, "a", buffering=1)  # noqa: SIM115
@@ -66,7 +68,12 @@
     def workers(self) -> list[dict[str, Any]]:
         names = self.args.localities.split(",")
         return [
-            {"id": f"w{i + 1}", "locality": names[i % len(names)], "memoryMb": self.args.worker_mb}
+            {
+                "id": f"w{i + 1}",
+                "locality": names[i % len(names)],
+                "memoryMb": self.args.worker_mb,
+                "draining": f"w{i + 1}" in self.emptied,
+            }
             for i in range(self.args.workers)
             if f"w{i + 1}" not in self.down
         ]
@@ -157,6 +164,24 @@
             self.stop(name, "crash")
         return 200
 
+    def empty(self, worker: str, out: bool) -> int:
+        with self.lock:
+            (self.emptied.add if out else self.emptied.discard)(worker)
+        self.write("empty" if out else "fill", worker=worker)
+        return 200
+
+    def serveListing(self) -> bytes:
+        """The newest listing; the log says what it shows as draining for the first time."""
+        doc = json.loads(self.listing)
+        out = {w["id"] for w in doc["workers"] if w["draining"]}
+        now = {i["id"] for i in doc["instances"] if i["worker"] in out}
+        for name in now - self.shown:
+            self.write("shown", instance=name)
+        for name in self.shown - now:
+            self.write("unshown", instance=name)
+        self.shown = now
+        return self.listing
+
     def revive(self, worker: str) -> int:
         with self.lock:
             self.down.discard(worker)
@@ -234,7 +259,7 @@
             self.wfile.write(body)
 
         def do_GET(self) -> None:
-            self.answer(200, standin.listing) if standin.listing else self.answer(503)
+            self.answer(200, standin.serveListing()) if standin.listing else self.answer(503)
 
         def do_POST(self) -> None:
             body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
@@ -243,6 +268,8 @@
                 self.answer(standin.crash(parts[1]))
             elif parts[0] == "revive":
                 self.answer(standin.revive(parts[1]))
+            elif parts[0] in ("empty", "fill"):
+                self.answer(standin.empty(parts[1], parts[0] == "empty"))
             else:
                 self.answer(standin.start(json.loads(body)))
 
