The last locality is not evacuated, also when all are asked for at once

Emptying the last one left every call without room and no word why. The register's own change now refuses it (so a race can't get round it), with 409 last_locality and the remedy. Before: three of three evacuations acknowledged, no call served; after: two and a 409.

--- a/spokeroute/registry/api.py
+++ b/spokeroute/registry/api.py
@@ -130,7 +130,7 @@
         if known and name not in known:
             return problem(404, "unknown locality", f"no locality {name!r}",
                            f"known: {', '.join(known)}")  # fmt: skip
-        return self._loop(lambda slot: Evacuate(slot, name, out))
+        return self._loop(lambda slot: Evacuate(slot, name, out, known))
 
     def _ledger(self, environ: dict[str, Any]) -> Verdict:
         query = parse_qs(environ.get("QUERY_STRING", ""))
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -185,7 +185,7 @@
         told.detail = locality
         self.told.append(told)
         node = self.registries[registry]
-        node.ask("operator", lambda s: Evacuate(s, locality, out), self._teller(told))
+        node.ask("operator", lambda s: Evacuate(s, locality, out, LOCALITIES), self._teller(told))
         return told
 
     def show(self, registry: int = 0) -> Told:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -227,6 +227,24 @@
     clean(sim)
 
 
+@EACH
+def test_theLastLocalityStays(sim: Sim) -> None:
+    """All three are asked for at once, at three registries: two are emptied, one asker is told
+    clearly why not, and calls are served."""
+    sim.settle()
+    sim.traffic(30, 16_000)
+    told = [sim.evacuate(x, True, i) for i, x in enumerate(("north", "centre", "south"))]
+    sim.run(8_000)
+    assert sorted(t.status for t in told) == [200, 200, 409]
+    refused = next(t for t in told if t.status == 409)
+    assert refused.doc["kind"] == "last_locality" and "restore" in refused.doc["remedy"]
+    shown = sim.evacuated(1)
+    sim.run(9_000)
+    assert refused.detail not in shown.doc["evacuated"] and len(shown.doc["evacuated"]) == 2
+    clean(sim)
+    assert level(sim.log(), sim.env.now - 17_000, sim.env.now - 10_000) > 0.99
+
+
 @EACH
 def test_fullDiskAndOneWayCuts(sim: Sim) -> None:
     """A member whose disk refuses writes stops voting; the others go on. Then exchanges are
