--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -245,6 +245,25 @@
     assert level(sim.log(), sim.env.now - 17_000, sim.env.now - 10_000) > 0.99
 
 
+@EACH
+def test_anOutageOfTheCoreFencesNobody(sim: Sim) -> None:
+    """Two registries away for 8 s: no exchange has a proof, and none is deaf for that. When the
+    first is back, the third, which knew all reports, takes the role at once and fences nothing."""
+    sim.settle()
+    sim.traffic(40, 22_000)
+    sim.run(2_000)
+    for node in sim.registries[:2]:
+        node.kill()
+    sim.run(8_000)
+    sim.registries[0].start()
+    sim.run(6_000)
+    assert sim.entries("fence") == []
+    sim.registries[1].start()
+    sim.run(4_000)
+    clean(sim)
+    assert level(sim.log(), sim.env.now - 15_000, sim.env.now - 9_500) > 0.99
+
+
 @EACH
 def test_fullDiskAndOneWayCuts(sim: Sim) -> None:
     """A member whose disk refuses writes stops voting; the others go on. Then exchanges are
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -103,6 +103,20 @@
     bad.write_text('{"lanes": [], "services": [], "localities": ["moon"], "colour": 1}')
     refused = desk(fleet, "apply", str(bad))
     assert refused.returncode == 1 and "colour: unknown field" in refused.stderr
+    checked = desk(fleet, "apply", str(bad), "--check")
+    assert checked.returncode == 1 and "colour: unknown field" in checked.stderr
+    del doc["lanes"][-1]
+    doc["services"][0]["limit"] = 5
+    other = tmp_path / "other.json"
+    other.write_text(json.dumps(doc))
+    checked = desk(fleet, "apply", str(other), "--check")
+    assert checked.returncode == 0, checked.stderr
+    assert checked.stdout.splitlines() == [
+        "no faults; against version 1: 2 changes, nothing applied",
+        "- lanes /slow",
+        "~ services port-ins limit: 4 -> 5",
+    ]
+    assert json.loads(desk(fleet, "show").stdout)["version"] == 1
     assert fleet.waitReady(exs, 60) == []
     for name in exs:
         assert b"instance" in untilServed(fleet, name, "/port-ins")
