--- a/tests/test_readback.py
+++ b/tests/test_readback.py
@@ -13,6 +13,22 @@
 from tools.log import Return
 
 
+def loseWrites(sim: Sim) -> None:
+    """Every disk says that it synced, and did not."""
+    for node in sim.registries:
+        assert node.disk is not None
+        node.disk.losesWrites = True
+
+
+def herd(sim: Sim) -> None:
+    """Kill all registries, and wait until they are back."""
+    for node in sim.registries:
+        node.kill()
+        node.start()
+    assert sim.upTo(lambda: sim.registries[0].state("keeper").syncedVotes, 3_000)
+    sim.run(2_000)
+
+
 def test_ackedReadsBackSpeaksOfAChangedField(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     """The right name and version, and one number of one service is another."""
     sim.settle()
@@ -39,17 +55,11 @@
     sim.evacuated()
     sim.run(500)
     assert readback.ackedReadsBack(sim.log()) == []
-    for node in sim.registries:
-        assert node.disk is not None
-        node.disk.losesWrites = True
+    loseWrites(sim)
     told = sim.evacuate("south", True)
     sim.run(1_000)
     assert told.status == 200
-    for node in sim.registries:
-        node.kill()
-        node.start()
-    assert sim.upTo(lambda: sim.registries[0].state("keeper").syncedVotes, 3_000)
-    sim.run(2_000)
+    herd(sim)
     sim.evacuated(1)
     sim.run(2_000)
     assert readback.ackedReadsBack(sim.log())
@@ -83,17 +93,11 @@
 
 def test_ackedReadsBackSpeaks(sim: Sim) -> None:
     sim.settle()
-    for node in sim.registries:
-        assert node.disk is not None
-        node.disk.losesWrites = True
+    loseWrites(sim)
     told = sim.apply(configuration(name="never synced"))
     sim.run(1_000)
     assert told.status == 200
-    for node in sim.registries:
-        node.kill()
-        node.start()
-    assert sim.upTo(lambda: sim.registries[0].state("keeper").syncedVotes, 3_000)
-    sim.run(2_000)
+    herd(sim)
     sim.show()
     sim.run(2_000)
     assert readback.ackedReadsBack(sim.log())
