--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -12,9 +12,9 @@
 
 from spokeroute.dial.ids import CallId
 from spokeroute.dial.verdict import Verdict
-from spokeroute.dispatch.desired import DesiredState, packDesired, readDesired
+from spokeroute.dispatch.desired import DesiredState, pack_desired, read_desired
 from spokeroute.exchange.types import CallIn
-from spokeroute.register.cells import digestOf
+from spokeroute.register.cells import digest_of
 from spokeroute.registry.operator import Apply, Evacuate, Show, ShowEvacuated
 from tests.sim.platform import Platform
 from tests.sim.world import Net, Node
@@ -58,12 +58,12 @@
     return doc
 
 
-def briefSim(name: str, seed: int, exchanges: int = 9) -> Sim:
+def brief_sim(name: str, seed: int, exchanges: int = 9) -> Sim:
     """A cluster of a deployment's size, settled: its syncs and its instances' starts."""
     organismo = name == "organismo"
-    sim = Sim(seed, exchanges, syncMs=5.0 if organismo else 0.5,
-              startMs=500.0 if organismo else 1_400.0)  # fmt: skip
-    sim.platform.startSmallMs = 300.0 if organismo else 1_000.0
+    sim = Sim(seed, exchanges, sync_ms=5.0 if organismo else 0.5,
+              start_ms=500.0 if organismo else 1_400.0)  # fmt: skip
+    sim.platform.start_small_ms = 300.0 if organismo else 1_000.0
     sim.busy = 4
     sim.settle(deployment(name))
     return sim
@@ -73,16 +73,16 @@
     """The cluster. Planted faults (``skip…``) switch one check of the edge off."""
 
     def __init__(
-        self, seed: int, exchanges: int = 3, syncMs: float = 0.5, startMs: float = 600.0,
-        workMs: float = 40.0,
+        self, seed: int, exchanges: int = 3, sync_ms: float = 0.5, start_ms: float = 600.0,
+        work_ms: float = 40.0,
     ) -> None:  # fmt: skip
         self.env = simpy.Environment()
         self.rng = random.Random(seed)
-        self.syncMs = syncMs
+        self.sync_ms = sync_ms
         self.net = Net(self.env, self.rng)
         self.notes: list[tuple[float, str, str]] = []
-        self.skipWho = self.skipProof = self.skipWhole = False
-        self.platform = Platform(self.env, self.rng, LOCALITIES, 6, startMs, workMs)
+        self.skip_who = self.skip_proof = self.skip_whole = False
+        self.platform = Platform(self.env, self.rng, LOCALITIES, 6, start_ms, work_ms)
         self.seeds = [f"10.0.0.{i + 1}:1" for i in range(3)]
         self.draws = 0
         self.registries = [
@@ -101,7 +101,7 @@
         self.downs: list[Down] = []
         self.returns: list[Return] = []
         self.entered: dict[str, float] = {}  # ledger entry -> when a first disk had it
-        self.coldMs: dict[str, float] = {}
+        self.cold_ms: dict[str, float] = {}
         self.env.process(self._watch())
 
     def draw(self) -> int:
@@ -128,13 +128,13 @@
         for node in self.nodes:
             node.start()
 
-    def run(self, forMs: float) -> None:
+    def run(self, for_ms: float) -> None:
         """Let simulated time pass."""
-        self.env.run(until=self.env.now + forMs)
+        self.env.run(until=self.env.now + for_ms)
 
-    def upTo(self, ready: Callable[[], bool], mostMs: float) -> bool:
+    def up_to(self, ready: Callable[[], bool], most_ms: float) -> bool:
         """Run until something holds."""
-        until = self.env.now + mostMs
+        until = self.env.now + most_ms
         while self.env.now < until:
             if ready():
                 return True
@@ -147,9 +147,9 @@
             if not node.alive or node.frozen:
                 continue
             tables = node.state("calls").tables
-            if not tables.fresh(node.nowMs()):
+            if not tables.fresh(node.now_ms()):
                 return False
-            here = [p for p in tables.byService.get(service, ()) if p.warm and p.holder]
+            here = [p for p in tables.by_service.get(service, ()) if p.warm and p.holder]
             if len(here) < count:
                 return False
         return True
@@ -158,25 +158,29 @@
         """Start, apply the configuration, and wait until it serves."""
         doc = doc or configuration(**changes)
         self.start()
-        assert self.upTo(lambda: all(r.state("keeper").syncedVotes for r in self.registries), 8000)
+        assert self.up_to(
+            lambda: all(r.state("keeper").synced_votes for r in self.registries), 8000
+        )
         told = self.apply(doc)
-        assert self.upTo(lambda: told.status == 200, 6000), told
+        assert self.up_to(lambda: told.status == 200, 6000), told
         busy = [s["name"] for s in doc["services"] if s.get("minInstances", 0) >= 2]
-        ready = self.upTo(lambda: all(self.serving(s) for s in busy), 25_000)
+        ready = self.up_to(lambda: all(self.serving(s) for s in busy), 25_000)
         assert ready, "the cluster did not come up"
         self.lanes = {x["path"]: x for x in doc["lanes"]}
 
     def apply(self, doc: dict[str, Any], registry: int = 0, expect: int = -1) -> Told:
         """An operator's apply."""
-        got = readDesired(json.dumps(doc).encode(), LOCALITIES)
+        got = read_desired(json.dumps(doc).encode(), LOCALITIES)
         assert isinstance(got, DesiredState), got
-        value = packDesired(got, f"a{self.draw()}")
+        value = pack_desired(got, f"a{self.draw()}")
         told = Told("apply", self.env.now)
         told.detail, told.sent = str(doc.get("name", "")), doc
-        self.coldMs.update({x["name"]: x.get("coldMs", 2000) for x in doc["services"]})
+        self.cold_ms.update({x["name"]: x.get("coldMs", 2000) for x in doc["services"]})
         self.told.append(told)
         node = self.registries[registry]
-        node.ask("operator", lambda s: Apply(s, value, digestOf(value), expect), self._teller(told))
+        node.ask(
+            "operator", lambda s: Apply(s, value, digest_of(value), expect), self._teller(told)
+        )
         return told
 
     def evacuate(self, locality: str, out: bool, registry: int = 0) -> Told:
@@ -212,13 +216,13 @@
 
     def _teller(self, told: Told) -> Callable[[Verdict], None]:
         def tell(verdict: Verdict) -> None:
-            told.doneMs, told.status = self.env.now, verdict.status
+            told.done_ms, told.status = self.env.now, verdict.status
             told.doc = json.loads(verdict.body) if verdict.body else {}
 
         return tell
 
     def call(
-        self, path: str, exchange: Node | None = None, key: str = "", waitMs: int = 5000,
+        self, path: str, exchange: Node | None = None, key: str = "", wait_ms: int = 5000,
         agent: str = "", body: bytes = b"{}",
     ) -> Asked:  # fmt: skip
         """One caller's call."""
@@ -229,20 +233,20 @@
         lane = self.lanes.get(path, {"service": "", "repeatable": True})
         asked = Asked(
             name, key, path, lane["service"], not lane.get("repeatable"), exchange.name,
-            self.env.now, waitMs, method=lane.get("methods", ["GET"])[0], agent=agent or name,
+            self.env.now, wait_ms, method=lane.get("methods", ["GET"])[0], agent=agent or name,
         )  # fmt: skip
         self.asked.append(asked)
         if not exchange.alive:
-            asked.status, asked.kind, asked.doneMs = 0, "refused", self.env.now
+            asked.status, asked.kind, asked.done_ms = 0, "refused", self.env.now
             return asked
 
         def tell(verdict: Verdict) -> None:
             asked.verdicts += 1 if verdict.status else 0
-            asked.doneMs, asked.status, asked.body = self.env.now, verdict.status, verdict.body
+            asked.done_ms, asked.status, asked.body = self.env.now, verdict.status, verdict.body
             if verdict.status >= 400:
                 doc = json.loads(verdict.body)
                 asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
-                asked.retryAfter = dict(verdict.headers).get("Retry-After", "")
+                asked.retry_after = dict(verdict.headers).get("Retry-After", "")
 
         headers = (("Standin-Call", name), *((("Idempotency-Key", key),) if key else ()))
         exchange.ask(
@@ -256,7 +260,7 @@
                 "",
                 headers,
                 body,
-                str(waitMs),
+                str(wait_ms),
                 key,
                 0,
             ),
@@ -264,21 +268,21 @@
         )
         return asked
 
-    def traffic(self, perS: float, forMs: float, paths: tuple[str, ...] = ()) -> None:
+    def traffic(self, per_s: float, for_ms: float, paths: tuple[str, ...] = ()) -> None:
         """Callers for a while; a sixth of the calls are once-only, half of those keyed."""
-        self.env.process(self._traffic(perS, self.env.now + forMs, paths))
+        self.env.process(self._traffic(per_s, self.env.now + for_ms, paths))
 
     def _traffic(
-        self, perS: float, untilMs: float, paths: tuple[str, ...]
+        self, per_s: float, until_ms: float, paths: tuple[str, ...]
     ) -> Generator[Any, Any, None]:
         count = 0
-        while self.env.now < untilMs:
+        while self.env.now < until_ms:
             count += 1
             path = self.rng.choice(paths) if paths else self._choose(count)
             once = not self.lanes[path].get("repeatable")
             key = f"k{self.draw()}" if once and count % 12 == 0 else ""
-            self.call(path, key=key, waitMs=self.rng.randrange(4000, 8000))
-            yield self.env.timeout(self.rng.expovariate(perS) * 1000)
+            self.call(path, key=key, wait_ms=self.rng.randrange(4000, 8000))
+            yield self.env.timeout(self.rng.expovariate(per_s) * 1000)
 
     def _choose(self, count: int) -> str:
         """A sixth of the calls are once-only, a tenth of the others go to small services."""
@@ -294,15 +298,15 @@
     def log(self) -> Log:
         """What this run's callers, operators and instances saw."""
         drained: dict[str, float] = {}
-        for atMs, _, floor in self.floors:
+        for at_ms, _, floor in self.floors:
             for placed in floor.instances:
                 if placed.state in ("draining", "stopping"):
-                    drained.setdefault(placed.id, atMs)
+                    drained.setdefault(placed.id, at_ms)
         platform = self.platform
         return Log(
             self.env.now, self.asked, platform.runs, platform.answers, self.told,
-            self.coldMs, drained, platform.shownGoneMs, platform.deadSends, self.downs,
-            platform.dials, platform.shownEmpty, platform.stopMs, platform.starts, self.returns,
+            self.cold_ms, drained, platform.shown_gone_ms, platform.dead_sends, self.downs,
+            platform.dials, platform.shown_empty, platform.stop_ms, platform.starts, self.returns,
         )  # fmt: skip
 
     def close(self) -> None:
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -15,12 +15,12 @@
 from spokeroute.dial.effects import SlotId
 from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.dial.verdict import Verdict
-from spokeroute.dispatch.desired import buildTable
+from spokeroute.dispatch.desired import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import LinkDown, Revoke, SendTry, TryDone
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
-from spokeroute.nodes import Start, buildExchange, buildRegistry
+from spokeroute.nodes import Start, build_exchange, build_registry
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.copies import Compile, Compiled
 from spokeroute.register.disk import Loaded
@@ -41,10 +41,10 @@
     roster: Roster | None = None
     votes: bool = False
     ledger: dict[str, str] = field(default_factory=dict)
-    syncMs: float = 0.5
-    stalledUntilMs: float = 0.0
+    sync_ms: float = 0.5
+    stalled_until_ms: float = 0.0
     full: bool = False
-    losesWrites: bool = False  # a planted fault: says synced, and is not
+    loses_writes: bool = False  # a planted fault: says synced, and is not
 
 
 class Net:
@@ -55,15 +55,15 @@
         self.rng = rng
         self.nodes: dict[Address, Node] = {}
         self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "locality:x"
-        self.lastMs: dict[tuple[str, str], float] = {}
+        self.last_ms: dict[tuple[str, str], float] = {}
 
-    def cutBetween(self, a: Node, b: Node) -> bool:
+    def cut_between(self, a: Node, b: Node) -> bool:
         """Whether nothing gets from a to b."""
         froms = (a.name, f"locality:{a.locality}")
         tos = (b.name, f"locality:{b.locality}")
         return any((f, t) in self.cuts for f in froms for t in tos)
 
-    def delayMs(self, a: str, b: str) -> float:
+    def delay_ms(self, a: str, b: str) -> float:
         return (0.2 if a == b else 1.4) + self.rng.random() * 0.3
 
     def send(self, sender: Node, address: Address, frame: bytes) -> None:
@@ -72,16 +72,16 @@
     def _carry(self, sender: Node, address: Address, frame: bytes) -> Steps:
         born = sender.births
         there = self.nodes.get(address)
-        delay = self.delayMs(sender.locality, there.locality if there else "")
+        delay = self.delay_ms(sender.locality, there.locality if there else "")
         key = (sender.name, address)
-        at = max(self.env.now + delay, self.lastMs.get(key, 0.0))
-        self.lastMs[key] = at
+        at = max(self.env.now + delay, self.last_ms.get(key, 0.0))
+        self.last_ms[key] = at
         yield self.env.timeout(at - self.env.now)
         there = self.nodes.get(address)
-        if there is not None and self.cutBetween(sender, there):
+        if there is not None and self.cut_between(sender, there):
             return
         if there is None or not there.alive:
-            if there is not None and there.machineUp and sender.births == born:
+            if there is not None and there.machine_up and sender.births == born:
                 sender.lost(there)
             return
         there.frame(frame)
@@ -101,23 +101,23 @@
         self.address = Address(address)
         self.found = found
         self.seeds: list[str] = []  # its own, where they differ from the cluster's
-        self.machineUp = True
+        self.machine_up = True
         self.alive = False
         self.frozen = False
         self.births = 0
-        self.offsetMs = 0
+        self.offset_ms = 0
         self.process: Process | None = None
         self.disk: SimDisk | None = None
         self.backlog: list[Callable[[], None]] = []
         self.woken = self.env.event()
         self.slots: dict[int, Callable[[Verdict], None]] = {}
-        self.nextSlot = 0
+        self.next_slot = 0
         self.tokens: dict[str, Token] = {}
 
     # the world that the product's process stands on
 
-    def nowMs(self) -> Ms:
-        return Ms(int(self.env.now) + self.offsetMs)
+    def now_ms(self) -> Ms:
+        return Ms(int(self.env.now) + self.offset_ms)
 
     def send(self, address: Address, frame: bytes) -> None:
         self.sim.net.send(self, address, frame)
@@ -144,12 +144,12 @@
                 self.env.process(self._compile(actor, job, born))
             case SendTry():
                 token = Token()
-                self.tokens[job.tryId] = token
-                self.env.process(self.sim.platform.sendTry(self, job, token, born))
-            case Revoke(tryId):
-                held = self.tokens.get(tryId)
+                self.tokens[job.try_id] = token
+                self.env.process(self.sim.platform.send_try(self, job, token, born))
+            case Revoke(try_id):
+                held = self.tokens.get(try_id)
                 if held is not None and held.revoke():
-                    self.report("holder", TryDone(tryId, "no", "dropped"), born)
+                    self.report("holder", TryDone(try_id, "no", "dropped"), born)
             case ListPlatform():
                 self.env.process(self.sim.platform.list(self, actor, born))
             case PlatformCall():
@@ -160,15 +160,15 @@
     def _disk(self, actor: str, job: DiskWrite, born: int) -> Steps:
         disk = self.disk
         assert disk is not None
-        yield self.env.timeout(disk.syncMs)
-        while self.env.now < disk.stalledUntilMs:
-            yield self.env.timeout(disk.stalledUntilMs - self.env.now)
+        yield self.env.timeout(disk.sync_ms)
+        while self.env.now < disk.stalled_until_ms:
+            yield self.env.timeout(disk.stalled_until_ms - self.env.now)
         if self.births != born:
             return  # killed before the sync: the tail is gone
         if disk.full:
             self.report(actor, DiskFailed("full"), born)
             return
-        if not disk.losesWrites:
+        if not disk.loses_writes:
             for name, cell in job.cells:
                 disk.cells[name] = cell
             for name in job.drops:
@@ -180,16 +180,16 @@
     def _ledger(self, actor: str, job: LedgerWrite, born: int) -> Steps:
         disk = self.disk
         assert disk is not None
-        yield self.env.timeout(disk.syncMs)
+        yield self.env.timeout(disk.sync_ms)
         if self.births == born:
             disk.ledger.update(job.entries)
             for key, _ in job.entries:
                 self.sim.entered.setdefault(key, self.env.now)
-            self.report(actor, LedgerWritten(job.entries[-1][0], job.ackTo), born)
+            self.report(actor, LedgerWritten(job.entries[-1][0], job.ack_to), born)
 
     def _compile(self, actor: str, job: Compile, born: int) -> Steps:
         yield self.env.timeout(5)
-        table = buildTable(Version(job.copy.version), job.copy.digest, job.value)
+        table = build_table(Version(job.copy.version), job.copy.digest, job.value)
         self.report(actor, Compiled(job.copy, job.value, table), born)
 
     def report(self, actor: str, event: object, born: int) -> None:
@@ -230,22 +230,22 @@
         self.alive, self.frozen, self.backlog = True, False, []
         self._over("killed")
         rng = self.sim.rng
-        self.offsetMs = rng.randrange(10**6, 10**9)
+        self.offset_ms = rng.randrange(10**6, 10**9)
         incarnation = Incarnation(self.sim.draw())
         seeds = tuple(Address(a) for a in self.seeds or self.sim.seeds)
         if self.role == "registry":
             if self.disk is None or blank:
                 member = MemberId(f"m-{self.sim.draw():06d}")
-                self.disk = SimDisk(member, syncMs=self.sim.syncMs)
+                self.disk = SimDisk(member, sync_ms=self.sim.sync_ms)
             disk = self.disk
             loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
             me = Me(disk.member, incarnation, self.address, self.role, self.locality)
             rank = seeds.index(self.address) if self.address in seeds else 3
             start = Start(seeds, rng.randrange(10**9), self.found, rank)
-            self.process = buildRegistry(me, self, start, loaded)
+            self.process = build_registry(me, self, start, loaded)
         else:
             me = Me(NodeId(self.name), incarnation, self.address, self.role, self.locality)
-            self.process = buildExchange(me, self, Start(seeds, rng.randrange(10**9)))
+            self.process = build_exchange(me, self, Start(seeds, rng.randrange(10**9)))
         self.sim.net.nodes[self.address] = self
         self.env.process(self._beat(self.births))
 
@@ -276,8 +276,8 @@
 
     def _over(self, how: str) -> None:
         for down in self.sim.downs:
-            if (down.process, down.how, down.toMs) == (self.name, how, -1.0):
-                down.toMs = self.env.now
+            if (down.process, down.how, down.to_ms) == (self.name, how, -1.0):
+                down.to_ms = self.env.now
 
     def wake(self) -> None:
         """SIGCONT: the heartbeat comes first, then what was waiting."""
@@ -294,7 +294,7 @@
             yield self.woken
 
     def _beat(self, born: int) -> Steps:
-        lastMs = self.env.now
+        last_ms = self.env.now
         yield self.env.timeout(self.sim.rng.random() * TICK_MS)
         while self.births == born:
             if self.frozen:
@@ -302,9 +302,9 @@
                 if self.births != born:
                     return
             assert self.process is not None
-            gapMs = int(self.env.now - lastMs)
-            lastMs = self.env.now
-            self.process.tick(gapMs)
+            gap_ms = int(self.env.now - last_ms)
+            last_ms = self.env.now
+            self.process.tick(gap_ms)
             self.process.pump()
             waiting, self.backlog = self.backlog, []
             for act in waiting:
@@ -317,8 +317,8 @@
         self, actor: str, make: Callable[[SlotId], object], told: Callable[[Verdict], None]
     ) -> None:
         """A request on a slot of its own."""
-        self.nextSlot += 1
-        slot = SlotId(self.nextSlot, self.births)
+        self.next_slot += 1
+        slot = SlotId(self.next_slot, self.births)
         self.slots[slot.index] = told
         self._now(lambda: self._post(actor, make(slot)))
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,17 +16,17 @@
 
 
 @EACH
-def test_diskLostRightAfterAnAck(sim: Sim) -> None:
+def test_disk_lost_right_after_an_ack(sim: Sim) -> None:
     """A blank disk joins by a roster change, catches up before it votes, and then another
     disk is lost: what was acknowledged reads back."""
     sim.settle()
     told = sim.apply(configuration(name="kept"), registry=0)
-    assert sim.upTo(lambda: told.status == 200, 3_000)
+    assert sim.up_to(lambda: told.status == 200, 3_000)
     for node in (sim.registries[0], sim.registries[1]):
         node.kill()
         sim.run(500)
         node.start(blank=True)
-        assert sim.upTo(lambda n=node: n.state("keeper").syncedVotes, 20_000)  # type: ignore[misc]
+        assert sim.up_to(lambda n=node: n.state("keeper").synced_votes, 20_000)  # type: ignore[misc]
         sim.run(1_500)
     shown = sim.show(0)
     clean(sim)
@@ -34,7 +34,7 @@
 
 
 @EACH
-def test_allMachinesSwapped(sim: Sim) -> None:
+def test_all_machines_swapped(sim: Sim) -> None:
     """Each registry is replaced by a new machine with a new address and a blank disk; the
     old seeds are dead at the end, and an exchange that starts then finds its way."""
     sim.settle()
@@ -42,21 +42,21 @@
     old = list(sim.registries)
     for i, node in enumerate(old):
         node.kill()
-        node.machineUp = False
+        node.machine_up = False
         new = Node(sim, f"new{i + 1}", "registry", node.locality, f"10.0.7.{i + 1}:1", False)
         # Seeds must name processes that are there: the next core nodes and an exchange.
         new.seeds = [old[(i + 1) % 3].address, sim.registries[0].address, "10.1.0.1:1"]
         sim.registries[i] = new
         new.start()
-        ready = sim.upTo(lambda n=new: n.state("keeper").syncedVotes, 20_000)  # type: ignore[misc]
+        ready = sim.up_to(lambda n=new: n.state("keeper").synced_votes, 20_000)  # type: ignore[misc]
         assert ready
         told = sim.apply(configuration(name=f"after-{i}"), registry=i)
-        assert sim.upTo(lambda t=told: t.status == 200, 8_000)  # type: ignore[misc]
+        assert sim.up_to(lambda t=told: t.status == 200, 8_000)  # type: ignore[misc]
     sim.run(3_000)
-    old[0].machineUp = True
+    old[0].machine_up = True
     old[0].start()  # it comes back, and is not let in
     sim.run(4_000)
-    assert not old[0].state("keeper").syncedVotes
+    assert not old[0].state("keeper").synced_votes
     sim.exchanges[2].kill()
     sim.exchanges[2].seeds = [sim.registries[2].address, "10.1.0.2:1"]
     sim.exchanges[2].start()
@@ -68,7 +68,7 @@
 
 
 @EACH
-def test_aDiskLostBesideACutReplacesTheLostOne(sim: Sim) -> None:
+def test_a_disk_lost_beside_a_cut_replaces_the_lost_one(sim: Sim) -> None:
     """Seen by the random search: a member behind a cut was replaced instead of the lost one,
     and the newcomer found too few old members to copy from."""
     sim.settle()
@@ -78,8 +78,8 @@
     sim.registries[2].start(blank=True)
     sim.run(7_000)
     sim.net.cuts.clear()
-    assert sim.upTo(lambda: sim.registries[2].state("keeper").syncedVotes, 15_000)
-    assert all(r.state("keeper").syncedVotes for r in sim.registries)
+    assert sim.up_to(lambda: sim.registries[2].state("keeper").synced_votes, 15_000)
+    assert all(r.state("keeper").synced_votes for r in sim.registries)
     told = sim.apply(configuration(name="whole again"), registry=2)
     sim.run(2_000)
     assert told.status == 200
@@ -87,42 +87,42 @@
 
 
 @EACH
-def test_allRegistriesKilledAndBack(sim: Sim) -> None:
+def test_all_registries_killed_and_back(sim: Sim) -> None:
     sim.settle()
     sim.traffic(40, 30_000)
     told = sim.apply(configuration(name="before-the-herd"))
-    assert sim.upTo(lambda: told.status == 200, 3_000)
+    assert sim.up_to(lambda: told.status == 200, 3_000)
     for node in sim.registries:
         node.kill()
     sim.run(6_000)
-    backMs = sim.env.now
+    back_ms = sim.env.now
     for node in sim.registries:
         node.start()
     sim.run(20_000)
     shown = sim.show()
     clean(sim)
     assert shown.doc["configuration"]["name"] == "before-the-herd"
-    assert level(sim.log(), backMs + 12_000, backMs + 18_000) > 0.99
+    assert level(sim.log(), back_ms + 12_000, back_ms + 18_000) > 0.99
 
 
 @EACH
-def test_allExchangesKilledAndBack(sim: Sim) -> None:
+def test_all_exchanges_killed_and_back(sim: Sim) -> None:
     sim.settle()
     sim.traffic(40, 30_000)
     sim.run(3_000)
     for node in sim.exchanges:
         node.kill()
     sim.run(2_000)
-    backMs = sim.env.now
+    back_ms = sim.env.now
     for node in sim.exchanges:
         node.start()
     sim.run(22_000)
     clean(sim)
-    assert level(sim.log(), backMs + 12_000, backMs + 20_000) > 0.99
+    assert level(sim.log(), back_ms + 12_000, back_ms + 20_000) > 0.99
 
 
 @EACH
-def test_localityLostAndBack(sim: Sim) -> None:
+def test_locality_lost_and_back(sim: Sim) -> None:
     """A registry, an exchange and two workers go at once, and come back."""
     sim.settle()
     sim.traffic(50, 40_000)
@@ -130,25 +130,25 @@
     gone = [n for n in sim.nodes if n.locality == "south"]
     for node in gone:
         node.kill()
-        node.machineUp = False
+        node.machine_up = False
     workers = [s.id for s in sim.platform.seats if s.locality == "south"]
     for worker in workers:
         sim.platform.crash(worker)
-    lostMs = sim.env.now
+    lost_ms = sim.env.now
     sim.run(12_000)
     for node in gone:
-        node.machineUp = True
+        node.machine_up = True
         node.start()
-    sim.platform.downWorkers.clear()
-    backMs = sim.env.now
+    sim.platform.down_workers.clear()
+    back_ms = sim.env.now
     sim.run(22_000)
     clean(sim)
-    assert level(sim.log(), lostMs + 8_000, lostMs + 12_000) > 0.95
-    assert level(sim.log(), backMs + 12_000, backMs + 20_000) > 0.99
+    assert level(sim.log(), lost_ms + 8_000, lost_ms + 12_000) > 0.95
+    assert level(sim.log(), back_ms + 12_000, back_ms + 20_000) > 0.99
 
 
 @EACH
-def test_coreCutInTwo(sim: Sim) -> None:
+def test_core_cut_in_two(sim: Sim) -> None:
     """The side without a majority refuses; nothing runs by its tables."""
     sim.settle()
     sim.traffic(40, 20_000)
@@ -160,8 +160,8 @@
     sim.run(9_000)
     assert told.status == 200
     assert lone.status in (503, 504) and "silent members" in lone.doc["detail"]
-    refused = [a for a in sim.asked if a.exchange == "ex1" and a.atMs > told.doneMs + 3_000]
-    assert refused and all(a.status != 200 for a in refused if a.atMs < sim.env.now - 1_000)
+    refused = [a for a in sim.asked if a.exchange == "ex1" and a.at_ms > told.done_ms + 3_000]
+    assert refused and all(a.status != 200 for a in refused if a.at_ms < sim.env.now - 1_000)
     sim.net.cuts.clear()
     sim.run(10_000)
     shown = sim.show()
@@ -173,29 +173,29 @@
 
 
 @EACH
-def test_slowAndStalledDisk(sim: Sim) -> None:
+def test_slow_and_stalled_disk(sim: Sim) -> None:
     sim.settle()
     sim.traffic(40, 20_000)
     disk = sim.registries[0].disk
     assert disk is not None
-    disk.stalledUntilMs = sim.env.now + 15_000
+    disk.stalled_until_ms = sim.env.now + 15_000
     told = sim.apply(configuration(name="two-disks"), registry=1)
     sim.run(18_000)
-    assert told.status == 200 and told.doneMs - told.atMs < 1_000
+    assert told.status == 200 and told.done_ms - told.at_ms < 1_000
     clean(sim)
-    assert level(sim.log(), told.atMs, told.atMs + 17_000) > 0.97
+    assert level(sim.log(), told.at_ms, told.at_ms + 17_000) > 0.97
 
 
 @EACH
 @pytest.mark.parametrize("syncMs", [250.0, 600.0])
-def test_twoSlowDisksStillAcknowledge(sim: Sim, syncMs: float) -> None:
+def test_two_slow_disks_still_acknowledge(sim: Sim, sync_ms: float) -> None:
     """Seen by the random search: where a majority needs a slow disk, each round was begun anew
     before its answers could come, and nothing was ever written."""
     sim.settle()
     sim.traffic(30, 12_000)
     for node in sim.registries[:2]:
         assert node.disk is not None
-        node.disk.syncMs = syncMs
+        node.disk.sync_ms = sync_ms
     told = [sim.apply(configuration(name="slow")), sim.evacuate("north", True, registry=2)]
     sim.run(8_000)
     assert [t.status for t in told] == [200, 200]
@@ -203,11 +203,11 @@
 
 
 @EACH
-def test_aHerdAfterAnEvacuationStartsNothingThere(sim: Sim) -> None:
+def test_a_herd_after_an_evacuation_starts_nothing_there(sim: Sim) -> None:
     """Seen by the random search: starts that the floor still had in an evacuated locality were
     asked for again when everything was back."""
     sim.settle()
-    sim.platform.capPerS = 0  # what is asked for stays on the floor as starting
+    sim.platform.cap_per_s = 0  # what is asked for stays on the floor as starting
     many = configuration(name="many")
     for number in range(12):
         many["services"].append({"name": f"rare-{number}", "memoryMb": 128, "limit": 1,
@@ -215,20 +215,20 @@
     sim.apply(many)
     sim.run(400)
     told = sim.evacuate("north", True)
-    assert sim.upTo(lambda: told.status == 200, 2_000)
+    assert sim.up_to(lambda: told.status == 200, 2_000)
     for node in sim.nodes:
         node.kill()
-    sim.platform.capPerS = 110
+    sim.platform.cap_per_s = 110
     sim.run(6_000)
     for node in sim.nodes:
         node.start()
     sim.run(12_000)
-    assert sim.platform.starts[-1][0] > told.doneMs + 5_000
+    assert sim.platform.starts[-1][0] > told.done_ms + 5_000
     clean(sim)
 
 
 @EACH
-def test_theLastLocalityStays(sim: Sim) -> None:
+def test_the_last_locality_stays(sim: Sim) -> None:
     """All three are asked for at once, at three registries: two are emptied, one asker is told
     clearly why not, and calls are served."""
     sim.settle()
@@ -246,7 +246,7 @@
 
 
 @EACH
-def test_anOutageOfTheCoreFencesNobody(sim: Sim) -> None:
+def test_an_outage_of_the_core_fences_nobody(sim: Sim) -> None:
     """Two registries away for 8 s: no exchange has a proof, and none is deaf for that. When the
     first is back, the third, which knew all reports, takes the role at once and fences nothing."""
     sim.settle()
@@ -265,7 +265,7 @@
 
 
 @EACH
-def test_fullDiskAndOneWayCuts(sim: Sim) -> None:
+def test_full_disk_and_one_way_cuts(sim: Sim) -> None:
     """A member whose disk refuses writes stops voting; the others go on. Then exchanges are
     heard by the core but don't hear it, and the other way round."""
     sim.settle()
@@ -284,15 +284,15 @@
     disk.full = False
     sim.registries[0].kill()
     sim.registries[0].start()
-    backMs = sim.env.now
+    back_ms = sim.env.now
     sim.run(12_000)
     shown = sim.show(0)
     clean(sim)
     assert shown.doc["configuration"]["name"] == "on two"
-    assert level(sim.log(), backMs + 6_000, backMs + 11_000) > 0.99
+    assert level(sim.log(), back_ms + 6_000, back_ms + 11_000) > 0.99
 
 
-def test_noDecisionLooksAtAWallClock() -> None:
+def test_no_decision_looks_at_a_wall_clock() -> None:
     """Clocks may jump by hours: only the monotonic clock is ever read."""
     for path in (Path(__file__).parent.parent / "spokeroute").rglob("*.py"):
         text = path.read_text()
@@ -300,7 +300,7 @@
 
 
 @EACH
-def test_evacuationsAndAppliesAtOnce(sim: Sim) -> None:
+def test_evacuations_and_applies_at_once(sim: Sim) -> None:
     """A locality is emptied and restored again and again, through any registry, beside applies
     and beside the fall of a worker elsewhere."""
     sim.settle()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -7,39 +7,39 @@
 
 import pytest
 
-from tests.sim.acts import clientRepeats
-from tests.sim.cluster import Sim, briefSim, configuration
+from tests.sim.acts import client_repeats
+from tests.sim.cluster import Sim, brief_sim, configuration
 from tests.test_scenarios import EACH, clean
 from tools.judges import level
 
 
 @pytest.fixture
 def day(request: pytest.FixtureRequest) -> Iterator[Sim]:
-    made = briefSim(*request.param)
+    made = brief_sim(*request.param)
     yield made
     made.close()
 
 
 @EACH
 @pytest.mark.parametrize("afterMs", [9, 16, 25])
-def test_aKeyedCallWhoseExchangeDies(sim: Sim, afterMs: int) -> None:
+def test_a_keyed_call_whose_exchange_dies(sim: Sim, after_ms: int) -> None:
     """Between claim and send, or right after it; the caller repeats at the others, quickly and
     often, beyond the first call's wait."""
-    sim.syncMs = 5.0
+    sim.sync_ms = 5.0
     sim.settle()
-    sim.call("/corrections", sim.exchanges[0], key="mine", waitMs=4_000)
-    sim.run(afterMs)
+    sim.call("/corrections", sim.exchanges[0], key="mine", wait_ms=4_000)
+    sim.run(after_ms)
     sim.exchanges[0].kill()
-    clientRepeats(sim, "mine", 300, 20)
+    client_repeats(sim, "mine", 300, 20)
     clean(sim)
     first = sim.asked[0]
     for asked in sim.asked[1:]:
-        if asked.status == 409 and asked.doneMs > first.atMs + first.waitMs + 600:
+        if asked.status == 409 and asked.done_ms > first.at_ms + first.wait_ms + 600:
             assert b"in progress" not in asked.body, asked.body
 
 
 @EACH
-def test_aKilledExchangeHeldTheOnlyInstances(sim: Sim) -> None:
+def test_a_killed_exchange_held_the_only_instances(sim: Sim) -> None:
     """Small services with one instance, all held by the exchange that is killed: a fresh
     instance starts in a fraction of the time that a new holder has to wait."""
     services = configuration()["services"]
@@ -51,19 +51,19 @@
     small = [p for p in sim.floors[-1][2].instances if p.service.startswith("small")]
     victim = next(e for e in sim.exchanges if any(p.holder == e.name for p in small))
     victim.kill()
-    killedMs = sim.env.now
+    killed_ms = sim.env.now
     sim.run(20_000)
     clean(sim)
     asked = [
         a for a in sim.asked
-        if a.exchange != victim.name and killedMs < a.atMs < killedMs + 10_000
+        if a.exchange != victim.name and killed_ms < a.at_ms < killed_ms + 10_000
     ]  # fmt: skip
     lost = [a for a in asked if a.status != 200 and a.ran == "no"]
     assert lost == [], (len(lost), len(asked), lost[0])
 
 
 @EACH
-def test_theSameCallAtSeveralExchangesWithTheBudgetSpent(sim: Sim) -> None:
+def test_the_same_call_at_several_exchanges_with_the_budget_spent(sim: Sim) -> None:
     """Thirteen exchanges; instances of a busy service answer nothing for a while, so that
     overdue answers and successors spend the share; callers send their calls three times over."""
     sim.close()
@@ -101,41 +101,41 @@
 
 
 @ONE_EACH
-def test_aCrowdAtOneBusyService(day: Sim, times: int) -> None:
+def test_a_crowd_at_one_busy_service(day: Sim, times: int) -> None:
     """One busy service gets many times its share at once, beside the usual load: what fits is
     served, what can't be is told so at once and when to come back, others are not harmed."""
     day.traffic(150, 18_000)
     day.run(3_000)
     path = next(iter(p for p, x in day.lanes.items() if x.get("repeatable")))
-    fromMs = day.env.now
+    from_ms = day.env.now
     day.traffic(30 * times, 8_000, (path,))
     day.run(15_000)
     clean(day, 5_000)
-    crowd = [a for a in day.asked if a.path == path and fromMs <= a.atMs < fromMs + 8_000]
-    others = [a for a in day.asked if a.path != path and fromMs <= a.atMs < fromMs + 15_000]
+    crowd = [a for a in day.asked if a.path == path and from_ms <= a.at_ms < from_ms + 8_000]
+    others = [a for a in day.asked if a.path != path and from_ms <= a.at_ms < from_ms + 15_000]
     good = [a for a in crowd if a.status == 200]
     assert sum(1 for a in others if a.status == 200) > 0.99 * len(others)
     refused = [a for a in crowd if a.status in (429, 503)]
     assert len(good) + len(refused) == len(crowd)
-    assert all(a.retryAfter for a in refused)
+    assert all(a.retry_after for a in refused)
     assert len(good) > 0.9 * len(crowd)
 
 
 @pytest.mark.parametrize("day", [("organismo", 4)], indirect=True)
-def test_aCrowdBeyondAllRoom(day: Sim) -> None:
+def test_a_crowd_beyond_all_room(day: Sim) -> None:
     """A small service, one at once, whose work takes half a second, gets more than every worker
     together could do. Refusals come at once, not at the end of the wait."""
-    day.platform.workMs = 500.0
-    day.platform.seats = [replace(s, memoryMb=2_560) for s in day.platform.seats]
+    day.platform.work_ms = 500.0
+    day.platform.seats = [replace(s, memory_mb=2_560) for s in day.platform.seats]
     path = list(day.lanes)[-1]
-    fromMs = day.env.now
+    from_ms = day.env.now
     day.traffic(400, 7_000, (path,))
     day.run(8_000)
     clean(day)
-    crowd = [a for a in day.asked if a.path == path and a.atMs >= fromMs + 4_000]
+    crowd = [a for a in day.asked if a.path == path and a.at_ms >= from_ms + 4_000]
     refused = [a for a in crowd if a.status in (429, 503)]
-    assert refused and all(a.retryAfter for a in refused)
-    slow = [a for a in refused if a.doneMs - a.atMs > 1_500]
+    assert refused and all(a.retry_after for a in refused)
+    slow = [a for a in refused if a.done_ms - a.at_ms > 1_500]
     good = [a for a in crowd if a.status == 200]
     late = [a for a in crowd if a.status == 504]  # handed over in time, and not answered in it
     assert len(good) + len(refused) + len(late) == len(crowd)
@@ -144,7 +144,7 @@
 
 
 @pytest.mark.parametrize("day", [("tooluur", 3)], indirect=True)
-def test_busyServicesJump(day: Sim) -> None:
+def test_busy_services_jump(day: Sim) -> None:
     """The load of one service falls to nothing while another's rises five times over."""
     one, two = [p for p in list(day.lanes)[:4] if day.lanes[p].get("repeatable")][:2]
     for path, other in ((one, two), (two, one), (one, two)):
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from tests.sim.acts import after, fallAndReturn, holderOf, readBack, slow, swapRegistry
-from tests.sim.cluster import Sim, briefSim, deployment
+from tests.sim.acts import after, fall_and_return, holder_of, read_back, slow, swap_registry
+from tests.sim.cluster import Sim, brief_sim, deployment
 from tests.test_scenarios import clean
 from tools.judges import level
 from tools.log import Return
@@ -19,7 +19,7 @@
 
 @pytest.fixture
 def day(request: pytest.FixtureRequest) -> Iterator[Sim]:
-    made = briefSim(*request.param)
+    made = brief_sim(*request.param)
     made.traffic(150, 60_000)
     made.run(6_000)
     yield made
@@ -27,19 +27,19 @@
 
 
 @pytest.mark.parametrize(("day", "blank"), [(TOOLUUR, False), (ORGANISMO, True)], indirect=["day"])
-def test_everythingFallsAndComesBack(day: Sim, blank: bool) -> None:
+def test_everything_falls_and_comes_back(day: Sim, blank: bool) -> None:
     """All processes at once, two seconds away; the same with one disk blank."""
-    fallAndReturn(day, day.nodes, 2_000, day.registries[1] if blank else None)
+    fall_and_return(day, day.nodes, 2_000, day.registries[1] if blank else None)
     day.run(18_000)
-    readBack(day)
+    read_back(day)
     clean(day, 5_000)
 
 
 @BOTH
-def test_theDayEndsWithAFault(day: Sim) -> None:
+def test_the_day_ends_with_a_fault(day: Sim) -> None:
     """Applies in a storm, two evacuations and a restore, everything killed right after some
     acknowledgement, and one disk blank when it comes back."""
-    name = "tooluur" if day.syncMs < 1 else "organismo"
+    name = "tooluur" if day.sync_ms < 1 else "organismo"
     for number in range(12):
         day.apply({**deployment(name), "name": f"storm-{number}"}, registry=number % 3)
         if number in (3, 7):
@@ -48,9 +48,9 @@
             day.evacuate("north", False, registry=1)
         day.run(day.rng.uniform(5, 200))
     day.run(day.rng.uniform(0, 30))
-    fallAndReturn(day, day.nodes, 3_000, day.registries[day.rng.randrange(3)], judged=False)
+    fall_and_return(day, day.nodes, 3_000, day.registries[day.rng.randrange(3)], judged=False)
     day.run(14_000)
-    shown = readBack(day)
+    shown = read_back(day)
     assert all(t.status == 200 for t in shown)
     assert any(t.status == 200 for t in day.told if t.detail.startswith("storm-"))
     clean(day)
@@ -61,64 +61,64 @@
     [(TOOLUUR, 200.0, 2), (ORGANISMO, 1_000.0, 2), (TOOLUUR, 5_000.0, 1)],
     indirect=["day"],
 )
-def test_slowDisks(day: Sim, syncMs: float, count: int) -> None:
+def test_slow_disks(day: Sim, sync_ms: float, count: int) -> None:
     """The role's holder's disk, or two of three, slow for 8 s; a worker falls meanwhile, an
     operator applies, and callers send keys."""
-    first = day.registries.index(holderOf(day))
-    faultMs = day.env.now
-    slow(day, [day.registries[(first + i) % 3] for i in range(count)], syncMs, 8_000)
+    first = day.registries.index(holder_of(day))
+    fault_ms = day.env.now
+    slow(day, [day.registries[(first + i) % 3] for i in range(count)], sync_ms, 8_000)
     day.run(500)
     day.platform.crash("w2")
-    name = "tooluur" if day.syncMs < 1 else "organismo"
+    name = "tooluur" if day.sync_ms < 1 else "organismo"
     told = day.apply({**deployment(name), "name": "slowly"}, registry=(first + 1) % 3)
     day.run(7_500)
-    day.platform.downWorkers.clear()
-    day.returns.append(Return(faultMs, day.env.now))
+    day.platform.down_workers.clear()
+    day.returns.append(Return(fault_ms, day.env.now))
     if count == 1:
         assert told.status == 200
-    assert level(day.log(), faultMs, faultMs + 8_000) > (0.97 if count == 1 else 0.85)
+    assert level(day.log(), fault_ms, fault_ms + 8_000) > (0.97 if count == 1 else 0.85)
     day.run(19_000)
-    readBack(day)
+    read_back(day)
     clean(day, 5_000)
 
 
 @pytest.mark.parametrize("day", [ORGANISMO], indirect=True)
-def test_allRegistriesSwappedAndOldSettingsKept(day: Sim) -> None:
+def test_all_registries_swapped_and_old_settings_kept(day: Sim) -> None:
     """Three new machines one after the other; then an exchange and a registry restart with
     their unchanged settings, whose seeds are all dead, and the first machines never return."""
     for index in range(3):
-        new = swapRegistry(day, index, f"new{index + 1}")
-        ready = day.upTo(lambda n=new: n.state("keeper").syncedVotes, 20_000)  # type: ignore[misc]
+        new = swap_registry(day, index, f"new{index + 1}")
+        ready = day.up_to(lambda n=new: n.state("keeper").synced_votes, 20_000)  # type: ignore[misc]
         assert ready
     day.run(16_000)
     exchange, registry = day.exchanges[4], day.registries[0]
     registry.seeds = [f"10.0.0.{i + 1}:1" for i in range(3)]
     day.traffic(120, 45_000)
     day.run(6_000)
-    fallAndReturn(day, (exchange, registry), 20_000)  # longer than views remember
+    fall_and_return(day, (exchange, registry), 20_000)  # longer than views remember
     day.run(18_000)
-    served = [a for a in day.asked if a.exchange == exchange.name and a.atMs > day.env.now - 4_000]
-    assert served and all(a.status == 200 for a in served if a.atMs < day.env.now - 1_000)
+    served = [a for a in day.asked if a.exchange == exchange.name and a.at_ms > day.env.now - 4_000]
+    assert served and all(a.status == 200 for a in served if a.at_ms < day.env.now - 1_000)
     clean(day)
 
 
 @BOTH
-def test_aLocalityFallsAndComesBack(day: Sim) -> None:
+def test_a_locality_falls_and_comes_back(day: Sim) -> None:
     """A registry, three exchanges and two workers of one locality go at once."""
     gone = [n for n in day.nodes if n.locality == "centre"]
     for node in gone:
-        node.machineUp = False
+        node.machine_up = False
     workers = [s.id for s in day.platform.seats if s.locality == "centre"]
     for worker in workers:
         day.platform.crash(worker)
-    after(day, 9_900, day.platform.downWorkers.clear)
-    fallAndReturn(day, gone, 10_000)
+    after(day, 9_900, day.platform.down_workers.clear)
+    fall_and_return(day, gone, 10_000)
     for node in gone:
-        node.machineUp = True
+        node.machine_up = True
     day.run(18_500)
     elsewhere = [a for a in day.asked if a.exchange not in {n.name for n in gone}]
-    lostMs = day.returns[0].faultMs
-    late = [a for a in elsewhere if lostMs + 6_000 < a.atMs < lostMs + 10_000]
+    lost_ms = day.returns[0].fault_ms
+    late = [a for a in elsewhere if lost_ms + 6_000 < a.at_ms < lost_ms + 10_000]
     assert sum(1 for a in late if a.status == 200) > 0.97 * len(late)
     clean(day)
 
@@ -128,18 +128,18 @@
     [(TOOLUUR, "registry"), (TOOLUUR, "exchange"), (ORGANISMO, "acker")],
     indirect=["day"],
 )
-def test_anEvacuationThenAnyMachineLost(day: Sim, lost: str) -> None:
+def test_an_evacuation_then_any_machine_lost(day: Sim, lost: str) -> None:
     """The machine goes at the moment of the acknowledgement, its disk too."""
     told = day.evacuate("north", True, registry=1)
-    assert day.upTo(lambda: told.status == 200, 3_000)
+    assert day.up_to(lambda: told.status == 200, 3_000)
     node = {"registry": day.registries[0], "exchange": day.exchanges[0],
             "acker": day.registries[1]}[lost]  # fmt: skip
     node.kill()
-    node.machineUp = False
+    node.machine_up = False
     day.run(7_000)
-    node.machineUp = True
+    node.machine_up = True
     node.start(blank=node.role == "registry")
     day.run(10_000)
-    shown = [t for t in readBack(day) if t.what == "evacuated"]
+    shown = [t for t in read_back(day) if t.what == "evacuated"]
     assert shown and all(t.doc["evacuated"] == ["north"] for t in shown)
     clean(day)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -15,7 +15,7 @@
 import pytest
 
 from spokeroute.dial.ids import Address, Ballot, Epoch, MemberId
-from spokeroute.register.cells import Cell, Roster, digestOf
+from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.disk import Disk, DiskFault, Loaded
 from spokeroute.register.keeper import DiskWrite
 
@@ -55,7 +55,7 @@
     return loaded, keys
 
 
-def test_powerLostBetweenAnyTwoStepsOfASync(tmp_path: Path) -> None:
+def test_power_lost_between_any_two_steps_of_a_sync(tmp_path: Path) -> None:
     rng = random.Random(11)
     disk = Disk(tmp_path / "live", 16)
     member = disk.load().member
@@ -74,7 +74,7 @@
         else:
             value = rng.randbytes(rng.choice((20, 900, 9_000, 60_000)))
             ballot = Ballot(number, MemberId(member))
-            cell = Cell(ballot, ballot, number, digestOf(value), value)
+            cell = Cell(ballot, ballot, number, digest_of(value), value)
             name = rng.choice(("floor", "desired-state", f"claim/{number}"))
             disk.write(DiskWrite(number, ((name, cell),), (), roster, True))
             acked[name] = cell
@@ -95,7 +95,7 @@
     disk.close()
 
 
-def test_theTestSeesAPageThatWasNotSynced(tmp_path: Path) -> None:
+def test_the_test_sees_a_page_that_was_not_synced(tmp_path: Path) -> None:
     """Planted: were the meta page to reach the disk without all of its data, it would show."""
     disk = Disk(tmp_path / "live", 16)
     member = disk.load().member
@@ -103,7 +103,7 @@
     ballot = Ballot(1, MemberId(member))
     value = b"v" * 9_000
     before = path.read_bytes()
-    cell = Cell(ballot, ballot, 1, digestOf(value), value)
+    cell = Cell(ballot, ballot, 1, digest_of(value), value)
     disk.write(DiskWrite(1, (("floor", cell),), (), None, False))
     after = path.read_bytes()
     disk.close()
@@ -113,7 +113,7 @@
         reopened(tmp_path / "crashed", mixed(before, after, there))
 
 
-def test_aNewDisksFolderEntriesAreSyncedBeforeItIsAMember(
+def test_a_new_disks_folder_entries_are_synced_before_it_is_a_member(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """lmdb syncs the file; that the file is in its folder, and the folder in its own, is ours
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -11,7 +11,7 @@
 import pytest
 
 from spokeroute.doctor.checks import Sight, examine
-from spokeroute.registry.status import statusDoc
+from spokeroute.registry.status import status_doc
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
 
@@ -26,22 +26,22 @@
 def kinds(sim: Sim, *extra: Node) -> set[str]:
     """What the doctor finds, looking at the cluster as it stands."""
     registries: dict[str, Any] = {
-        n.address: statusDoc(n.process) if n.alive and n.process else None
+        n.address: status_doc(n.process) if n.alive and n.process else None
         for n in (*sim.registries, *extra)
     }
     exchanges: dict[str, bool | None] = {
-        n.address: bool(n.state("calls").tables.fresh(n.nowMs())) if n.alive else None
+        n.address: bool(n.state("calls").tables.fresh(n.now_ms())) if n.alive else None
         for n in sim.exchanges
     }
     return {f.kind for f in examine(Sight(registries, exchanges))}
 
 
-def test_aHealthyClusterHasNoFinding(sim: Sim) -> None:
+def test_a_healthy_cluster_has_no_finding(sim: Sim) -> None:
     sim.settle()
     assert kinds(sim) == set()
 
 
-def test_lostMachines(sim: Sim) -> None:
+def test_lost_machines(sim: Sim) -> None:
     sim.settle()
     sim.registries[2].kill()
     sim.exchanges[1].kill()
@@ -51,7 +51,7 @@
     assert "colleague-quiet" in found and "no-majority" not in found
 
 
-def test_noMajorityAndStaleness(sim: Sim) -> None:
+def test_no_majority_and_staleness(sim: Sim) -> None:
     sim.settle()
     for other in ("locality:centre", "locality:south"):
         sim.net.cuts |= {("locality:north", other), (other, "locality:north")}
@@ -68,9 +68,9 @@
     for node, change in zip(sim.registries, ("stall", "slow", "full"), strict=True):
         assert node.disk is not None
         if change == "stall":
-            node.disk.stalledUntilMs = sim.env.now + 9_000
+            node.disk.stalled_until_ms = sim.env.now + 9_000
         elif change == "slow":
-            node.disk.syncMs = 150.0
+            node.disk.sync_ms = 150.0
         else:
             node.disk.full = True
     sim.apply(configuration(name="x"), registry=1)
@@ -81,45 +81,45 @@
     assert {"disk-stalled", "slow-sync", "disk-failed"} <= found
 
 
-def test_blankAndCatchingUp(sim: Sim) -> None:
+def test_blank_and_catching_up(sim: Sim) -> None:
     sim.settle()
     blank = Node(sim, "new", "registry", "north", "10.0.9.1:1", False)
     blank.start()
     sim.run(1_000)
     assert "blank" in kinds(sim, blank)
     sim.registries[0].kill()
-    assert sim.upTo(lambda: blank.state("keeper").syncedVotes, 15_000)
+    assert sim.up_to(lambda: blank.state("keeper").synced_votes, 15_000)
     sim.registries[0].start()
     sim.run(2_000)
     assert "not-voting" in kinds(sim, blank)
     blank.kill()
 
 
-def test_versionsAndEpochsDiffer(sim: Sim) -> None:
+def test_versions_and_epochs_differ(sim: Sim) -> None:
     sim.settle()
     for other in ("locality:centre", "locality:south"):
         sim.net.cuts |= {("locality:north", other), (other, "locality:north")}
     sim.apply(configuration(name="x"), registry=1)
     blank = Node(sim, "new", "registry", "centre", "10.0.9.1:1", False)
     blank.start()
-    assert sim.upTo(lambda: blank.state("keeper").syncedVotes, 15_000)
+    assert sim.up_to(lambda: blank.state("keeper").synced_votes, 15_000)
     assert {"versions-differ", "epochs-differ"} <= kinds(sim)
     blank.kill()
 
 
-def test_platformAndPlacement(sim: Sim) -> None:
+def test_platform_and_placement(sim: Sim) -> None:
     sim.settle()
-    sim.platform.listFails = True
+    sim.platform.list_fails = True
     sim.run(6_000)
     assert "listing-stale" in kinds(sim)
-    sim.platform.listFails = False
+    sim.platform.list_fails = False
     holder = next(r for r in sim.registries if r.state("role").term)
     holder.kill()
     sim.run(200)
     assert "no-placement" in kinds(sim)
 
 
-def test_memoryAndCap(sim: Sim) -> None:
+def test_memory_and_cap(sim: Sim) -> None:
     sim.settle()
     doc = configuration(name="huge")
     for number in range(200):
@@ -138,10 +138,10 @@
         many["services"].append({"name": f"tiny-{number}", "memoryMb": 8, "limit": 1,
                                  "minInstances": 1, "spares": 0})  # fmt: skip
     sim.apply(many)
-    assert sim.upTo(lambda: "cap-saturated" in kinds(sim), 5_000)
+    assert sim.up_to(lambda: "cap-saturated" in kinds(sim), 5_000)
 
 
-def test_workerOverloadedAndOldLists() -> None:
+def test_worker_overloaded_and_old_lists() -> None:
     doc = {
         "diskFailed": False, "epoch": 1, "votes": True, "syncMs": 1, "provedAgoMs": 10,
         "roster": [], "colleagues": [], "holdsPlacement": True, "listsPushedAgoMs": 9_000,
@@ -152,7 +152,7 @@
     assert found == {"worker-overloaded", "lists-old"}
 
 
-def test_propsFileAndSeeds(tmp_path: Path) -> None:
+def test_props_file_and_seeds(tmp_path: Path) -> None:
     path = tmp_path / "ex.toml"
     path.write_text(
         'name = "ex1"\nlocality = "north"\ntrunk = "127.0.0.1:1"\nhttp = "127.0.0.1:2"\n'
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -16,8 +16,8 @@
 import pytest
 
 from spokeroute.dial.ids import Ms
-from spokeroute.dial.props import PropsFault, checkProps, readProps
-from spokeroute.dispatch.desired import DesiredState, readDesired
+from spokeroute.dial.props import PropsFault, check_props, read_props
+from spokeroute.dispatch.desired import DesiredState, read_desired
 from spokeroute.exchange.sender import Sender
 from spokeroute.exchange.types import SendTry, TryDone
 from spokeroute.register.cells import Cell
@@ -25,7 +25,7 @@
 from spokeroute.register.keeper import DiskWrite
 from spokeroute.trunk.frames import MAX_FRAME_BYTES, Envelope, FrameFault, cut, decode, encode
 from spokeroute.trunk.messages import Finish
-from spokeroute.trunk.net import monotonicMs
+from spokeroute.trunk.net import monotonic_ms
 
 WHO = b'{"service":"readings","instance":"r-1"}'
 
@@ -60,24 +60,24 @@
         self.server.close()
 
 
-def sendTry(address: str, *rest: Any) -> SendTry:
+def send_try(address: str, *rest: Any) -> SendTry:
     """The try t1 towards the instance r-1 of readings."""
     row: list[Any] = ["t1", "r-1", "readings", address, *rest]
     return SendTry(*row)
 
 
-def tried(replies: list[bytes], goodForMs: int = 5_000, waitMs: int = 1_500) -> TryDone:
+def tried(replies: list[bytes], good_for_ms: int = 5_000, wait_ms: int = 1_500) -> TryDone:
     server = Scripted(replies)
     done: queue.Queue[TryDone] = queue.Queue()
-    now = monotonicMs()
+    now = monotonic_ms()
     Sender(done.put).launch(
-        sendTry(server.address, "POST", "/readings", (), b"{}",
-                Ms(now + waitMs), Ms(now + goodForMs))
+        send_try(server.address, "POST", "/readings", (), b"{}",
+                Ms(now + wait_ms), Ms(now + good_for_ms))
     )  # fmt: skip
     return done.get(timeout=10)
 
 
-def test_aWholeEchoedAnswerCounts() -> None:
+def test_a_whole_echoed_answer_counts() -> None:
     done = tried([answer(WHO, ""), answer(b"done")])
     assert (done.ran, done.status, done.body) == ("yes", 200, b"done")
     chunked = b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -98,29 +98,29 @@
         b"",
     ],
 )
-def test_anyDoubtIsNoSuccess(reply: bytes) -> None:
+def test_any_doubt_is_no_success(reply: bytes) -> None:
     assert tried([answer(WHO, ""), reply]).ran == "maybe"
 
 
-def test_noAnswerIsUnknown() -> None:
+def test_no_answer_is_unknown() -> None:
     stalled = Scripted([answer(WHO, "")])
     stalled.replies.append(b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nContent-Length: 9\r\n\r\nx")
     done: queue.Queue[TryDone] = queue.Queue()
-    now = monotonicMs()
+    now = monotonic_ms()
     Sender(done.put).launch(
-        sendTry(stalled.address, "GET", "/", (), b"",
+        send_try(stalled.address, "GET", "/", (), b"",
                 Ms(now + 400), Ms(now + 5_000))
     )  # fmt: skip
     assert done.get(timeout=10).ran == "maybe"
 
 
-def test_anotherInstanceGetsNothing() -> None:
+def test_another_instance_gets_nothing() -> None:
     other = answer(b'{"service":"readings","instance":"r-2"}', "")
     server = Scripted([other, answer(b"done")])
     done: queue.Queue[TryDone] = queue.Queue()
-    now = monotonicMs()
+    now = monotonic_ms()
     Sender(done.put).launch(
-        sendTry(server.address, "POST", "/", (), b"{}",
+        send_try(server.address, "POST", "/", (), b"{}",
                 Ms(now + 1_500), Ms(now + 5_000))
     )  # fmt: skip
     got = done.get(timeout=10)
@@ -128,24 +128,24 @@
     assert len(server.requests) == 1
 
 
-def test_nothingIsSentPastTheProof() -> None:
-    done = tried([answer(WHO, ""), answer(b"done")], goodForMs=-1)
+def test_nothing_is_sent_past_the_proof() -> None:
+    done = tried([answer(WHO, ""), answer(b"done")], good_for_ms=-1)
     assert done.ran == "no" and "proof" in done.reason
 
 
-def test_nobodyThereIsNotRun() -> None:
+def test_nobody_there_is_not_run() -> None:
     with socket.create_server(("127.0.0.1", 0)) as held:
         port = held.getsockname()[1]
     done: queue.Queue[TryDone] = queue.Queue()
-    now = monotonicMs()
+    now = monotonic_ms()
     Sender(done.put).launch(
-        sendTry(f"127.0.0.1:{port}", "GET", "/", (), b"",
+        send_try(f"127.0.0.1:{port}", "GET", "/", (), b"",
                 Ms(now + 1_000), Ms(now + 1_000))
     )  # fmt: skip
     assert done.get(timeout=10).ran == "no"
 
 
-def test_badFramesAreRefused() -> None:
+def test_bad_frames_are_refused() -> None:
     frame = encode(Envelope("a", 1, "h:1", "b", Finish("floor")))
     assert decode(frame).message == Finish("floor")
     assert cut(frame + frame[:7]) == ([frame], frame[:7])
@@ -158,7 +158,7 @@
         cut((MAX_FRAME_BYTES + 1).to_bytes(4, "big") + b"\x01")
 
 
-def test_badConfigurationsListEveryFault() -> None:
+def test_bad_configurations_list_every_fault() -> None:
     doc = {
         "localities": ["north", "nowhere"],
         "services": [
@@ -170,7 +170,7 @@
         "lanes": [{"path": "/x", "service": "none"}],
         "extra": 1,
     }
-    got = readDesired(json.dumps(doc).encode(), ("north", "south"))
+    got = read_desired(json.dumps(doc).encode(), ("north", "south"))
     assert isinstance(got, tuple)
     paths = {f.path for f in got}
     assert {"extra", "services[1].limit", "services[2].colour", "services[3].memoryMb"} <= paths
@@ -179,28 +179,28 @@
                        {"name": "a", "memoryMb": 128, "limit": 1}]  # fmt: skip
     del doc["extra"]
     doc["programs"] = {"rank": "cu +", "shift": "nothing + 1.0"}
-    got = readDesired(json.dumps(doc).encode(), ("north", "south"))
+    got = read_desired(json.dumps(doc).encode(), ("north", "south"))
     assert isinstance(got, tuple)
     assert {f.path for f in got} == {
         "localities[1]", "services[0].memoryMb", "services[1].name", "lanes[0].service",
         "programs.rank", "programs.shift",
     }  # fmt: skip
     for bad in (b"", b"[]", b"\xff", b"{}", b'{"localities":1,"services":{},"lanes":3}'):
-        assert isinstance(readDesired(bad, ()), tuple)
+        assert isinstance(read_desired(bad, ()), tuple)
 
 
-def test_examplesAreTaken() -> None:
+def test_examples_are_taken() -> None:
     for name in ("tooluur", "organismo"):
         body = (Path(__file__).parent.parent / "examples" / f"{name}.json").read_bytes()
-        got = readDesired(body, ("north", "centre", "south"))
+        got = read_desired(body, ("north", "centre", "south"))
         assert isinstance(got, DesiredState), got
         assert len(got.services) == 79
 
 
-def test_badPropsNameTheRemedy(tmp_path: Path) -> None:
+def test_bad_props_name_the_remedy(tmp_path: Path) -> None:
     good = {"name": "ex1", "locality": "north", "trunk": "127.0.0.1:7001",
             "http": "127.0.0.1:8001", "seeds": ("127.0.0.1:7002",)}  # fmt: skip
-    checkProps(readProps("", good), "exchange")
+    check_props(read_props("", good), "exchange")
     cases: list[tuple[dict[str, object], str]] = [
         ({"trunk": "localhost:1"}, "IP number"),
         ({"http": "127.0.0.1:7001"}, "a port of its own"),
@@ -209,21 +209,21 @@
     ]
     for change, said in cases:
         with pytest.raises(PropsFault, match=said):
-            checkProps(readProps("", {**good, **change}), "exchange")
+            check_props(read_props("", {**good, **change}), "exchange")
     path = tmp_path / "p.toml"
     path.write_text("colour = 1\n")
     with pytest.raises(PropsFault, match="unknown prop"):
-        readProps(str(path), {})
+        read_props(str(path), {})
 
 
-def test_badPropsEndTheProcessInOneLine() -> None:
+def test_bad_props_end_the_process_in_one_line() -> None:
     command = [sys.executable, "-m", "spokeroute", "exchange", "--name", "x"]
     got = subprocess.run(command, capture_output=True, timeout=60, check=False)
     assert got.returncode == 2
     assert got.stderr.decode().count("\n") == 1 and b"locality" in got.stderr
 
 
-def test_aDiskIsTheMember(tmp_path: Path) -> None:
+def test_a_disk_is_the_member(tmp_path: Path) -> None:
     first = Disk(tmp_path / "a", 16)
     member = first.load().member
     first.close()
@@ -240,7 +240,7 @@
     blank.close()
 
 
-def test_theLedgerLeavesTheRegistersTheirRoom(tmp_path: Path) -> None:
+def test_the_ledger_leaves_the_registers_their_room(tmp_path: Path) -> None:
     """Found by reckoning: at the brief's load a day's entries filled the whole environment,
     and a full one ends the member's vote."""
     disk = Disk(tmp_path / "small", 16)
--- a/tests/test_flare.py
+++ b/tests/test_flare.py
@@ -9,7 +9,7 @@
     return Site(worker, (instance,))
 
 
-def test_laafFollowsDynamicLoadInTable1() -> None:
+def test_laaf_follows_dynamic_load_in_table1() -> None:
     """A-1 (40%) and B-1 (30%) on TANGO; DY-1 and DY-2 (50% each) came to LAMBADA and
     CHARLIE. The static order was A-3 then A-2 and B-3 then B-2; LAAF turns both round."""
     before = Picture(
@@ -32,7 +32,7 @@
     assert max(after.values()) <= 60.0  # the paper: none is greater than 60%
 
 
-def test_colocatedFunctionsGetDifferentSuccessors() -> None:
+def test_colocated_functions_get_different_successors() -> None:
     """Two functions of one worker with the same candidates: the first head's expected
     utilization grows before the second is ranked."""
     both = (site("a", "x-a"), site("b", "x-b"))
@@ -44,12 +44,12 @@
     assert [r.workers[0] for r in laaf(picture)] == ["a", "b"]
 
 
-def test_laafRunsOnSuccessorlessAndUnknownWorkers() -> None:
+def test_laaf_runs_on_successorless_and_unknown_workers() -> None:
     picture = Picture((("t", 5.0),), (Function("x", "t", 5.0),), ())
     assert laaf(picture)[0].instances == ()
 
 
-def test_romeMovesTheHeaviestOffBeta() -> None:
+def test_rome_moves_the_heaviest_off_beta() -> None:
     """Case 1: A-2 (40%) and H-1 (50%) make 90% on BETA; H has no replica, so A goes to
     the least loaded of its hosts, LAMBADA at 0."""
     picture = Picture(
@@ -58,14 +58,14 @@
         (("A", (site("BETA", "A-2"), site("LAMBADA", "A-3"), site("ALPHA", "A-4"))),),
     )
     relief = rome(picture, Limits())
-    assert [(s.service, s.toWorker, s.cause) for s in relief.shifts] == [
+    assert [(s.service, s.to_worker, s.cause) for s in relief.shifts] == [
         ("A", "LAMBADA", "overload")
     ]
-    eu = dict(relief.euPct)
+    eu = dict(relief.eu_pct)
     assert (eu["BETA"], eu["LAMBADA"]) == (50.0, 40.0)
 
 
-def test_romeSkipsAMoveThatOverloadsItsTarget() -> None:
+def test_rome_skips_a_move_that_overloads_its_target() -> None:
     """Case 2: A (40%), B (30%) and D (10%) on ALPHA, 80% in all. A can't go to BETA at
     50% (90 is over 70), so B goes to PRINCE; ALPHA settles at 50%."""
     picture = Picture(
@@ -78,11 +78,11 @@
         (("A", (site("BETA", "A-2"),)), ("B", (site("PRINCE", "B-3"),))),
     )
     relief = rome(picture, Limits())
-    assert [(s.service, s.toWorker) for s in relief.shifts] == [("B", "PRINCE")]
-    assert dict(relief.euPct)["ALPHA"] == 50.0
+    assert [(s.service, s.to_worker) for s in relief.shifts] == [("B", "PRINCE")]
+    assert dict(relief.eu_pct)["ALPHA"] == 50.0
 
 
-def test_imbalanceMovesDAndDoesNotThrash() -> None:
+def test_imbalance_moves_d_and_does_not_thrash() -> None:
     """Case 3: D (10%) on ALPHA at 50%, its replica on LAMBADA at 0: 50 is over 120% of 10.
     A second look after the move leaves it there."""
     sites = (("D", (site("ALPHA", "D-1"), site("LAMBADA", "D-2"))),)
@@ -92,23 +92,23 @@
         sites,
     )
     relief = rome(picture, Limits())
-    assert [(s.service, s.toWorker, s.cause) for s in relief.shifts] == [
+    assert [(s.service, s.to_worker, s.cause) for s in relief.shifts] == [
         ("D", "LAMBADA", "imbalance")
     ]
     after = Picture(
-        relief.euPct, (Function("A", "ALPHA", 40.0), Function("D", "LAMBADA", 10.0)), sites
+        relief.eu_pct, (Function("A", "ALPHA", 40.0), Function("D", "LAMBADA", 10.0)), sites
     )
     assert rome(after, Limits()).shifts == ()
 
 
-def test_imbalanceLeavesAMoveThatWouldNotShrinkTheGap() -> None:
+def test_imbalance_leaves_a_move_that_would_not_shrink_the_gap() -> None:
     """One function of 50% between two workers: moving it only turns the gap round."""
     sites = (("A", (site("a", "A-1"), site("b", "A-2"))),)
     picture = Picture((("a", 50.0), ("b", 0.0)), (Function("A", "a", 50.0),), sites)
-    assert rome(picture, Limits(migrationPct=80.0)).shifts == ()
+    assert rome(picture, Limits(migration_pct=80.0)).shifts == ()
 
 
-def test_imbalanceLeavesASmallGap() -> None:
+def test_imbalance_leaves_a_small_gap() -> None:
     """Seen on a fleet: a service with one call now and then moved at each sample, since any
     gap is over 120% of next to nothing."""
     sites = (("A", (site("a", "A-1"), site("b", "A-2"))),)
@@ -116,16 +116,16 @@
         (("a", 9.0), ("b", 0.0)), (Function("A", "a", 0.1), Function("B", "a", 8.9)), sites
     )
     assert rome(picture, Limits()).shifts == ()
-    assert len(rome(picture, Limits(gapPct=0.0)).shifts) == 1
+    assert len(rome(picture, Limits(gap_pct=0.0)).shifts) == 1
 
 
-def test_vetoHoldsAndWishMoves() -> None:
+def test_veto_holds_and_wish_moves() -> None:
     sites = (("A", (site("b", "A-2"),)),)
     picture = Picture((("a", 90.0), ("b", 0.0)), (Function("A", "a", 40.0),), sites)
-    vetoed = Picture(picture.cuPct, picture.functions, sites, vetoes=(("A", "a"),))
+    vetoed = Picture(picture.cu_pct, picture.functions, sites, vetoes=(("A", "a"),))
     assert rome(vetoed, Limits()).shifts == ()
     calm = Picture((("a", 30.0), ("b", 0.0)), (Function("A", "a", 10.0),), sites)
-    high = Limits(migrationPct=1000.0)
+    high = Limits(migration_pct=1000.0)
     assert rome(calm, high).shifts == ()
-    wished = Picture(calm.cuPct, calm.functions, sites, wishes=(("A", "a"),))
+    wished = Picture(calm.cu_pct, calm.functions, sites, wishes=(("A", "a"),))
     assert [s.cause for s in rome(wished, high).shifts] == ["program"]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,7 +22,7 @@
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[Fleet]:
     made = Fleet(tmp_path / "fleet", exchanges=3, organismo=True)
-    made.startAll()
+    made.start_all()
     yield made
     made.stop()
 
@@ -69,7 +69,7 @@
     assert fleet.processes[name].poll() is None
 
 
-def untilServed(fleet: Fleet, name: str, path: str, key: str = "") -> bytes:
+def until_served(fleet: Fleet, name: str, path: str, key: str = "") -> bytes:
     """Call until it is served: the fleet may be starting instances. A key is free again after
     each refusal that says that the call did not run."""
     until = time.monotonic() + 60
@@ -81,10 +81,10 @@
     raise AssertionError(f"{path} was not served at {name}: {status} {body!r}")
 
 
-def test_theWholePath(fleet: Fleet, tmp_path: Path) -> None:
+def test_the_whole_path(fleet: Fleet, tmp_path: Path) -> None:
     regs = [n for n in fleet.commands if n.startswith("reg")]
     exs = [n for n in fleet.commands if n.startswith("ex")]
-    assert fleet.waitReady(regs, 60) == []
+    assert fleet.wait_ready(regs, 60) == []
     until = time.monotonic() + 60
     while not get(fleet.http["ex1"], "/spokeroute/ready")[0] and time.monotonic() < until:
         time.sleep(0.05)
@@ -117,11 +117,11 @@
         "~ services port-ins limit: 4 -> 5",
     ]
     assert json.loads(desk(fleet, "show").stdout)["version"] == 1
-    assert fleet.waitReady(exs, 60) == []
+    assert fleet.wait_ready(exs, 60) == []
     for name in exs:
-        assert b"instance" in untilServed(fleet, name, "/port-ins")
-    assert b"instance" in untilServed(fleet, "ex1", "/municipal/07/x")
-    untilServed(fleet, "ex1", "/port-ins", key="k1")
+        assert b"instance" in until_served(fleet, name, "/port-ins")
+    assert b"instance" in until_served(fleet, "ex1", "/municipal/07/x")
+    until_served(fleet, "ex1", "/port-ins", key="k1")
     until = time.monotonic() + 30
     known = "in progress"  # the note of the end follows the answer
     while known == "in progress" and time.monotonic() < until:
@@ -145,11 +145,11 @@
     fleet.signal("ex2", signal.SIGKILL)
     again = desk(fleet, "apply", str(EXAMPLE))
     assert again.returncode == 0 and json.loads(again.stdout)["version"] == 2
-    untilServed(fleet, "ex1", "/port-ins")
+    until_served(fleet, "ex1", "/port-ins")
     fleet.start("reg1")
     fleet.start("ex2")
-    assert fleet.waitReady(["reg1", "ex2"], 60) == []
-    untilServed(fleet, "ex2", "/port-ins")
+    assert fleet.wait_ready(["reg1", "ex2"], 60) == []
+    until_served(fleet, "ex2", "/port-ins")
     shown = desk(fleet, "show")
     assert json.loads(shown.stdout)["version"] == 2
     assert desk(fleet, "evacuate", "north").returncode == 0
@@ -161,17 +161,17 @@
     assert {n: c for n, c in codes.items() if n != "platform" and c != 0} == {}
 
 
-def test_aHerdOfRegistriesComesBack(fleet: Fleet) -> None:
+def test_a_herd_of_registries_comes_back(fleet: Fleet) -> None:
     regs = [n for n in fleet.commands if n.startswith("reg")]
-    assert fleet.waitReady(regs, 60) == []
+    assert fleet.wait_ready(regs, 60) == []
     assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
-    untilServed(fleet, "ex1", "/port-ins")
+    until_served(fleet, "ex1", "/port-ins")
     for name in regs:
         fleet.signal(name, signal.SIGKILL)
     gone = desk(fleet, "show")
     assert gone.returncode == 3 and "does not answer" in gone.stderr
     for name in regs:
         fleet.start(name)
-    assert fleet.waitReady(regs, 60) == []
+    assert fleet.wait_ready(regs, 60) == []
     assert json.loads(desk(fleet, "show").stdout)["version"] == 1
-    untilServed(fleet, "ex3", "/port-ins")
+    until_served(fleet, "ex3", "/port-ins")
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -36,13 +36,13 @@
     monkeypatch.setattr(Node, "report", report)
 
 
-def neverStale(monkeypatch: pytest.MonkeyPatch) -> None:
+def never_stale(monkeypatch: pytest.MonkeyPatch) -> None:
     """A lease without end: copies decide although nothing proves them."""
     for module in (types, holder, copies):
         monkeypatch.setattr(module, "LEASE_MS", 10**9)
 
 
-def test_onceNeverTwiceSpeaks(sim: Sim) -> None:
+def test_once_never_twice_speaks(sim: Sim) -> None:
     lanes = configuration()["lanes"]
     lanes[1]["repeatable"] = True  # the rule is not told to the product
     sim.settle(lanes=lanes)
@@ -52,10 +52,10 @@
     for _ in range(5):
         sim.call("/corrections")
     sim.run(7_000)
-    assert judges.onceNeverTwice(sim.log())
+    assert judges.once_never_twice(sim.log())
 
 
-def test_notRunHoldsSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_not_run_holds_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     def change(event: object) -> object:
         if isinstance(event, TryDone) and event.ran == "maybe":
             return replace(event, ran="no")
@@ -67,11 +67,11 @@
     for _ in range(30):  # some are between two tries when their wait ends
         sim.call("/corrections")
     sim.run(7_000)
-    assert judges.notRunHolds(sim.log())
+    assert judges.not_run_holds(sim.log())
 
 
 @pytest.mark.parametrize("how", ["dropped", "broken"])
-def test_oneVerdictInTimeSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+def test_one_verdict_in_time_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
     """A verdict that is never given, and a connection that ends without one."""
     sim.settle()
 
@@ -81,51 +81,51 @@
             told(Verdict(0, (), b""))
 
     monkeypatch.setattr(Node, "reply", reply)
-    sim.call("/readings", sim.exchanges[0], waitMs=500)
+    sim.call("/readings", sim.exchanges[0], wait_ms=500)
     sim.run(1_000)
-    assert judges.oneVerdictInTime(sim.log())
+    assert judges.one_verdict_in_time(sim.log())
 
 
-def test_aFreezeExcusesOnlyCallsThatLayInIt(sim: Sim) -> None:
+def test_a_freeze_excuses_only_calls_that_lay_in_it(sim: Sim) -> None:
     sim.settle()
     frozen = sim.exchanges[0]
-    inIt = sim.call("/readings", frozen, waitMs=500)
+    in_it = sim.call("/readings", frozen, wait_ms=500)
     frozen.freeze()
     sim.run(2_000)
     frozen.wake()
     sim.run(3_000)
-    later = sim.call("/readings", frozen, waitMs=500)
+    later = sim.call("/readings", frozen, wait_ms=500)
     sim.run(1_000)
-    assert judges.oneVerdictInTime(sim.log()) == []
-    inIt.doneMs, later.doneMs = inIt.atMs + 2_400, later.atMs + 700
-    found = judges.oneVerdictInTime(sim.log())
+    assert judges.one_verdict_in_time(sim.log()) == []
+    in_it.done_ms, later.done_ms = in_it.at_ms + 2_400, later.at_ms + 700
+    found = judges.one_verdict_in_time(sim.log())
     assert len(found) == 1 and later.call in found[0]
 
 
-def test_successIsWholeSpeaks(sim: Sim) -> None:
+def test_success_is_whole_speaks(sim: Sim) -> None:
     sim.settle()
-    sim.skipWhole = True
+    sim.skip_whole = True
     behave(sim, "short", "readings")
     sim.call("/readings")
     sim.run(2_000)
-    assert judges.successIsWhole(sim.log())
+    assert judges.success_is_whole(sim.log())
 
 
-def test_rightServiceSpeaks(sim: Sim) -> None:
+def test_right_service_speaks(sim: Sim) -> None:
     sim.settle()
-    sim.skipWho = True
+    sim.skip_who = True
     for old in [s for s in sim.platform.servers.values() if s.service == "readings"]:
-        sim.platform.takeOver(old, "small-1")
+        sim.platform.take_over(old, "small-1")
     sim.call("/readings")
     sim.run(2_000)
-    assert judges.rightService(sim.log())
+    assert judges.right_service(sim.log())
 
 
-def movedBehindACut(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def moved_behind_a_cut(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     """Exchanges that never stop believing their copies, cut off while a lane moves to another
     service and another lane is added."""
-    neverStale(monkeypatch)
-    cutOffWithCalls(sim)
+    never_stale(monkeypatch)
+    cut_off_with_calls(sim)
     sim.net.cuts |= {("ex3", "ex1"), ("ex3", "ex2")}
     moved = configuration(name="moved")
     moved["lanes"][0]["service"] = "corrections"
@@ -135,71 +135,75 @@
     assert told.status == 200
 
 
-def test_rightServiceSpeaksOfWhatIsNotInForce(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_right_service_speaks_of_what_is_not_in_force(
+    sim: Sim, monkeypatch: pytest.MonkeyPatch
+) -> None:
     sim.settle()
-    movedBehindACut(sim, monkeypatch)
+    moved_behind_a_cut(sim, monkeypatch)
     for _ in range(20):
         sim.call("/readings", sim.exchanges[0])
     sim.run(2_000)
-    assert judges.rightService(sim.log())
+    assert judges.right_service(sim.log())
 
 
-def test_newestRulesSpeaksOfRefusals(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_newest_rules_speaks_of_refusals(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
-    movedBehindACut(sim, monkeypatch)
-    assert judges.newestRules(sim.log()) == []
+    moved_behind_a_cut(sim, monkeypatch)
+    assert judges.newest_rules(sim.log()) == []
     sim.call("/new", sim.exchanges[0])
     sim.run(1_000)
     assert sim.asked[-1].status == 404
-    assert judges.newestRules(sim.log())
+    assert judges.newest_rules(sim.log())
 
 
-def test_newestRulesSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_newest_rules_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
-    movedBehindACut(sim, monkeypatch)
+    moved_behind_a_cut(sim, monkeypatch)
     for _ in range(20):
         sim.call("/readings", sim.exchanges[0])
     sim.run(2_000)
-    assert judges.newestRules(sim.log())
+    assert judges.newest_rules(sim.log())
 
 
-def cutOffWithCalls(sim: Sim) -> None:
+def cut_off_with_calls(sim: Sim) -> None:
     """Two exchanges without a core go on sending, from one to the other and to its own."""
     for registry in sim.registries:
         for name in ("ex1", "ex2"):
             sim.net.cuts |= {(registry.name, name), (name, registry.name)}
 
 
-def test_evacuatedGetNothingSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_evacuated_get_nothing_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
-    neverStale(monkeypatch)
-    cutOffWithCalls(sim)
+    never_stale(monkeypatch)
+    cut_off_with_calls(sim)
     for locality in ("north", "centre", "south"):
         sim.evacuate(locality, True)
     sim.run(5_600)
     for _ in range(30):
         sim.call("/readings", sim.exchanges[0])
     sim.run(2_000)
-    assert judges.evacuatedGetNothing(sim.log())
+    assert judges.evacuated_get_nothing(sim.log())
 
 
-def test_evacuatedGetNothingSpeaksOfStarts(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_evacuated_get_nothing_speaks_of_starts(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
     sim.evacuate("north", True)
     sim.run(6_000)
-    assert judges.evacuatedGetNothing(sim.log()) == []
-    monkeypatch.setattr(plan, "roomOf", lambda seats, now, services, evacuated: scaler.roomOf(
+    assert judges.evacuated_get_nothing(sim.log()) == []
+    monkeypatch.setattr(plan, "roomOf", lambda seats, now, services, evacuated: scaler.room_of(
         seats, now, services, frozenset()))  # fmt: skip
     monkeypatch.setattr(placement, "platformCalls", lambda floor, table, marks, out, *rest:
-                        upkeep.platformCalls(floor, table, marks, frozenset(), *rest))  # fmt: skip
+                        upkeep.platform_calls(floor, table, marks, frozenset(), *rest))  # fmt: skip
     for _ in range(60):
         sim.call("/small/1")
         sim.call("/readings")
     sim.run(3_000)
-    assert judges.evacuatedGetNothing(sim.log())
+    assert judges.evacuated_get_nothing(sim.log())
 
 
-def test_drainedGetNothingSpeaksOfEmptiedWorkers(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_drained_get_nothing_speaks_of_emptied_workers(
+    sim: Sim, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The floor never marks what the platform says it drains."""
     sim.settle()
     monkeypatch.setattr(plan, "going", lambda *_: False)
@@ -209,42 +213,44 @@
     for _ in range(10):
         sim.call("/readings")
     sim.run(2_000)
-    assert judges.drainedGetNothing(sim.log())
+    assert judges.drained_get_nothing(sim.log())
 
 
-def test_drainedGetNothingSpeaksOfEarlyStops(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_drained_get_nothing_speaks_of_early_stops(
+    sim: Sim, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Instances are stopped before their drain could be known everywhere."""
     sim.settle()
     monkeypatch.setattr(upkeep, "quietMs", lambda *_: 0)
-    neverStale(monkeypatch)
-    cutOffWithCalls(sim)
+    never_stale(monkeypatch)
+    cut_off_with_calls(sim)
     sim.traffic(60, 3_000, ("/readings",))
     fewer = configuration(name="fewer")
     fewer["services"] = fewer["services"][1:]
     fewer["lanes"] = fewer["lanes"][1:]
     sim.apply(fewer)
     sim.run(2_500)
-    assert any("stopped" in x for x in judges.drainedGetNothing(sim.log()))
+    assert any("stopped" in x for x in judges.drained_get_nothing(sim.log()))
 
 
-def test_drainedGetNothingSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_drained_get_nothing_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
-    neverStale(monkeypatch)
-    cutOffWithCalls(sim)
+    never_stale(monkeypatch)
+    cut_off_with_calls(sim)
     fewer = configuration(name="fewer")
     fewer["services"] = fewer["services"][1:]
     fewer["lanes"] = fewer["lanes"][1:]
     sim.apply(fewer)
-    assert sim.upTo(lambda: any(
+    assert sim.up_to(lambda: any(
         p.state == "draining" for _, _, f in sim.floors for p in f.instances), 3_000)  # fmt: skip
     sim.run(3_050)
     for _ in range(30):
         sim.call("/readings", sim.exchanges[0])
     sim.run(2_000)
-    assert judges.drainedGetNothing(sim.log())
+    assert judges.drained_get_nothing(sim.log())
 
 
-def test_vanishedGetNothingSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_vanished_get_nothing_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
     monkeypatch.setattr(plan, "LOST_AFTER_LISTINGS", 10**9)
     for worker in ("w1", "w2", "w3", "w4", "w5", "w6"):
@@ -253,10 +259,10 @@
     for _ in range(10):
         sim.call("/readings")
     sim.run(2_000)
-    assert judges.vanishedGetNothing(sim.log())
+    assert judges.vanished_get_nothing(sim.log())
 
 
-def test_secondsWithinShareSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_seconds_within_share_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     sim.settle()
     monkeypatch.setattr(budget.Budget, "allows", lambda *_: True)
     behave(sim, "lost", "readings")
@@ -264,28 +270,28 @@
         sim.call("/readings")
         sim.run(80)
     sim.run(3_000)
-    assert judges.secondsWithinShare(sim.log())
+    assert judges.seconds_within_share(sim.log())
 
 
-def test_secondsWithinShareCountsTenSeconds(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_seconds_within_share_counts_ten_seconds(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     """A share of two fifths: too much for the window, not for two of them."""
     sim.settle()
     monkeypatch.setattr(budget, "EARN", 0.4)
     behave(sim, "lost", "readings")
     sim.traffic(60, 26_000, ("/readings",))
     sim.run(26_000)
-    assert judges.secondsWithinShare(sim.log())
+    assert judges.seconds_within_share(sim.log())
 
 
 @pytest.mark.parametrize("plus", [3, 99])
-def test_coldWithinRateSpeaks(sim: Sim, monkeypatch: pytest.MonkeyPatch, plus: int) -> None:
+def test_cold_within_rate_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch, plus: int) -> None:
     sim.settle()
-    honest = holder._coldRoom
+    honest = holder._cold_room
     if plus == 99:
-        monkeypatch.setattr(holder, "_coldRoom", lambda seat, nowMs: True)
+        monkeypatch.setattr(holder, "_coldRoom", lambda seat, now_ms: True)
     else:
         monkeypatch.setattr(holder, "COLD_PLUS_PER_S", holder.COLD_PLUS_PER_S + plus)
-        assert holder._coldRoom is honest
+        assert holder._cold_room is honest
     services = configuration()["services"]
     services[0] = {**services[0], "name": "fresh", "coldMs": 8_000}
     lanes = [{"path": "/readings", "service": "fresh", "methods": ["POST"], "repeatable": True,
@@ -295,14 +301,14 @@
     for _ in range(300):
         sim.call("/readings")
         sim.run(10)
-    assert judges.coldWithinRate(sim.log())
+    assert judges.cold_within_rate(sim.log())
 
 
-def test_withinLimitSpeaks(sim: Sim) -> None:
+def test_within_limit_speaks(sim: Sim) -> None:
     sim.settle()
     for server in sim.platform.servers.values():
         server.limit = 1  # the platform's instances can do less than was declared
     for _ in range(40):
         sim.call("/readings")
     sim.run(2_000)
-    assert judges.withinLimit(sim.log())
+    assert judges.within_limit(sim.log())
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from tests.test_fleet import EXAMPLE, desk, post, untilServed
-from tools.fleet import Fleet, freePorts
+from tests.test_fleet import EXAMPLE, desk, post, until_served
+from tools.fleet import Fleet, free_ports
 from tools.relay import Relay
 
 HOUR_S = 3_600
@@ -34,14 +34,14 @@
                             *command[at + 1 :]]  # fmt: skip
 
 
-def untilTrue(said: Callable[[], bool], what: str) -> None:
+def until_true(said: Callable[[], bool], what: str) -> None:
     until = time.monotonic() + 90
     while not said():
         assert time.monotonic() < until, what
         time.sleep(0.05)
 
 
-def answerOn(sock: socket.socket) -> bytes:
+def answer_on(sock: socket.socket) -> bytes:
     """One whole answer, so that the next one on the connection begins at its head."""
     data = b""
     while b"\r\n\r\n" not in data:
@@ -59,13 +59,13 @@
 def begin(fleet: Fleet) -> None:
     for name in fleet.commands:
         fleet.start(name)
-    assert fleet.waitReady([n for n in fleet.commands if n.startswith("reg")], 90) == []
+    assert fleet.wait_ready([n for n in fleet.commands if n.startswith("reg")], 90) == []
     assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
     for name in ("ex1", "ex2", "ex3"):
-        untilServed(fleet, name, "/port-ins")
+        until_served(fleet, name, "/port-ins")
 
 
-def test_wallClocksJumpByHours(fleet: Fleet, tmp_path: Path) -> None:
+def test_wall_clocks_jump_by_hours(fleet: Fleet, tmp_path: Path) -> None:
     """Ahead by ten hours, then back by thirty: idle connections stay, a half-read request is
     read to its end, keys hold, applies and the ledger go on."""
     clock = tmp_path / "clock"
@@ -74,22 +74,22 @@
         if name != "platform":
             launched(fleet, name, "--clock", str(clock))
     begin(fleet)
-    untilServed(fleet, "ex1", "/port-ins", key="before")
+    until_served(fleet, "ex1", "/port-ins", key="before")
     host, _, port = fleet.http["ex1"].rpartition(":")
     whole = (
         b"POST /port-ins HTTP/1.1\r\nHost: x\r\nSpokeroute-Wait-Ms: 8000\r\n"
         b"Content-Length: 2\r\n\r\n{}"
     )
     with socket.create_connection((host, int(port)), timeout=30) as sock:
-        for jumpS in (10 * HOUR_S, -30 * HOUR_S, 0):
+        for jump_s in (10 * HOUR_S, -30 * HOUR_S, 0):
             sock.sendall(whole[:60])
-            untilServed(fleet, "ex1", "/port-ins")  # so that the half was read before the jump
-            clock.write_text(str(jumpS))
+            until_served(fleet, "ex1", "/port-ins")  # so that the half was read before the jump
+            clock.write_text(str(jump_s))
             for name in ("ex1", "ex2", "ex3"):  # many turns of each loop by the new clock
                 for _ in range(5):
-                    untilServed(fleet, name, "/port-ins")
+                    until_served(fleet, name, "/port-ins")
             sock.sendall(whole[60:])
-            assert answerOn(sock).startswith(b"HTTP/1.1 200 ")
+            assert answer_on(sock).startswith(b"HTTP/1.1 200 ")
             status, body = post(fleet, "ex2", "/port-ins", key="before")
             assert status == 409 and b"ended 200" in body
             assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
@@ -97,11 +97,11 @@
     assert replayed.returncode == 0, replayed.stderr
 
 
-def test_aMachineThatVanishesWithoutAReset(fleet: Fleet) -> None:
+def test_a_machine_that_vanishes_without_a_reset(fleet: Fleet) -> None:
     """A relay before an exchange's trunk goes dumb: connections stay open and nothing gets
     through. Others serve on, also what it held; when the relay forwards again, it serves."""
     command = fleet.commands["ex2"]
-    real = f"127.0.0.1:{freePorts(1)[0]}"
+    real = f"127.0.0.1:{free_ports(1)[0]}"
     relay = Relay(real)
     command[command.index("--trunk") + 1] = relay.address
     launched(fleet, "ex2", "--listen", real)
@@ -109,15 +109,15 @@
     relay.dumb(True)
 
     def ready(name: str) -> bool:
-        return fleet.waitReady([name], 0.3) == []
+        return fleet.wait_ready([name], 0.3) == []
 
-    untilTrue(lambda: not ready("ex2"), "the deaf exchange still believes its copies")
+    until_true(lambda: not ready("ex2"), "the deaf exchange still believes its copies")
     status, body = post(fleet, "ex2", "/port-ins")
     assert status == 503 and json.loads(body)["ran"] == "no"
     assert relay.swallowed > 0
     for name in ("ex1", "ex3"):
         for _ in range(10):
-            untilServed(fleet, name, "/port-ins")
+            until_served(fleet, name, "/port-ins")
     relay.dumb(False)
-    untilTrue(lambda: ready("ex2"), "it did not come back")
-    untilServed(fleet, "ex2", "/port-ins")
+    until_true(lambda: ready("ex2"), "it did not come back")
+    until_served(fleet, "ex2", "/port-ins")
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,14 +13,14 @@
 from spokeroute.desk.gateway import lay
 from spokeroute.dial.effects import From, SlotId
 from spokeroute.dial.ids import CallId, Incarnation, Ms, NodeId
-from spokeroute.dispatch.desired import DesiredState, Lane, Service, readDesired
+from spokeroute.dispatch.desired import DesiredState, Lane, Service, read_desired
 from spokeroute.dispatch.flare import Function, Picture, Site
 from spokeroute.dispatch.floor import UP, Placed
 from spokeroute.exchange import calls, entry
 from spokeroute.exchange.budget import FLOOR_SHARE, WINDOW_MS, Budget
 from spokeroute.exchange.pick import pick
 from spokeroute.exchange.types import LISTS_AGE_MS, Call, CallIn, Tables, Try
-from spokeroute.logbook.entries import Record, entryText, pictureDoc
+from spokeroute.logbook.entries import Record, entry_text, picture_doc
 from spokeroute.logbook.replay import replay
 from spokeroute.trunk.messages import Lists, Successors
 from tests.sim.cluster import Sim, configuration
@@ -33,7 +33,7 @@
     return replace(Placed(*row), **changes)  # type: ignore[arg-type]
 
 
-def failedOn(worker: str, instance: str) -> Call:
+def failed_on(worker: str, instance: str) -> Call:
     lane, service = Lane("/x", "s"), Service("s", 128, 4)
     row: list[Any] = [instance, worker, "ex1", 1, Ms(0)]
     each = Try(*row)
@@ -42,16 +42,16 @@
 
 
 def tables(*instances: Placed, evacuated: frozenset[str] = frozenset()) -> Tables:
-    return Tables(byService=Map({"s": instances}), evacuated=evacuated)
+    return Tables(by_service=Map({"s": instances}), evacuated=evacuated)
 
 
-def test_theHeadThatIsStillFitTakesOver() -> None:
+def test_the_head_that_is_still_fit_takes_over() -> None:
     """The list's order decides, not the floor's; what is not fit any more is passed over."""
     here = [placed("a", "w1"), placed("b", "w2"), placed("c", "w3"), placed("d", "w4")]
     lists = Lists(1, 1, 1, 0, (Successors("s", "w1", ("d", "c", "b")),))
 
-    def head(now: Tables, shunnedMs: dict[str, int], nowMs: int = 0) -> tuple[str, str]:
-        got = pick(failedOn("w1", "a"), now, lists, 0, {}, shunnedMs, "ex1", nowMs)
+    def head(now: Tables, shunned_ms: dict[str, int], now_ms: int = 0) -> tuple[str, str]:
+        got = pick(failed_on("w1", "a"), now, lists, 0, {}, shunned_ms, "ex1", now_ms)
         assert got is not None
         return got.placed.id, got.rule
 
@@ -64,7 +64,7 @@
     assert head(tables(*here), {}, LISTS_AGE_MS + 1) == ("b", "floor order")
 
 
-def test_listsOfAnOlderTermOrSequenceAreDropped() -> None:
+def test_lists_of_an_older_term_or_sequence_are_dropped() -> None:
     state = entry.State(NodeId("ex1"), 1, Budget(0))
     first = Lists(2, 5, 1, 0, ())
     state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), first), Ms(10))
@@ -76,18 +76,18 @@
     assert state.lists == newer
 
 
-def test_secondSendsStayWithinTheShare() -> None:
+def test_second_sends_stay_within_the_share() -> None:
     budget = Budget(0)
-    nowMs = WINDOW_MS + 1
+    now_ms = WINDOW_MS + 1
     for _ in range(100):
-        budget = budget.first("s", nowMs)
+        budget = budget.first("s", now_ms)
     sent = 0
-    while budget.allows("s", nowMs):
-        budget = budget.second("s", nowMs)
+    while budget.allows("s", now_ms):
+        budget = budget.second("s", now_ms)
         sent += 1
     assert sent == 20 + FLOOR_SHARE
-    assert not budget.allows("s", nowMs + WINDOW_MS // 2)
-    assert budget.allows("s", nowMs + 2 * WINDOW_MS)
+    assert not budget.allows("s", now_ms + WINDOW_MS // 2)
+    assert budget.allows("s", now_ms + 2 * WINDOW_MS)
     assert Budget(0).allows("t", 0) is False  # a restarted process begins without a share
 
 
@@ -98,7 +98,7 @@
     made.close()
 
 
-def test_replayBearsOutAndTamperingShows(sim: Sim) -> None:
+def test_replay_bears_out_and_tampering_shows(sim: Sim) -> None:
     sim.settle()
     sim.traffic(60, 4_000)
     sim.platform.crash("w1")
@@ -115,7 +115,7 @@
     assert {"term", "laaf", "start", "up", "holder", "route", "vanished", "successor"} <= kinds
     taken = [json.loads(x) for x in lines if '"kind":"successor"' in x]
     names = [d["inputs"]["try"] for d in taken]
-    seconds = {r.call for r in sim.platform.runs if not r.tryId.endswith(".0")}
+    seconds = {r.call for r in sim.platform.runs if not r.try_id.endswith(".0")}
     assert len(names) == len(set(names)) and len(names) >= len(seconds) > 0
     assert {d["inputs"]["rule"] for d in taken} == {"successor"}
     got = replay(lines)
@@ -133,17 +133,17 @@
     assert got.difference is not None
 
 
-def test_replayNoticesAnotherOutcome(sim: Sim) -> None:
+def test_replay_notices_another_outcome(sim: Sim) -> None:
     """An entry whose digest is right but whose output the functions don't bear out."""
     picture = Picture((("t", 9.0),), (Function("A", "t", 9.0),), (("A", (Site("u", ("a",)),)),))
-    good = Record("laaf", pictureDoc(picture), [["A", "t", ["a"]]], 1)
-    assert replay([entryText("1-1-m", good, "")]).difference is None
-    bad = Record("laaf", pictureDoc(picture), [["A", "t", ["b"]]], 1)
-    got = replay([entryText("1-1-m", bad, "")])
+    good = Record("laaf", picture_doc(picture), [["A", "t", ["a"]]], 1)
+    assert replay([entry_text("1-1-m", good, "")]).difference is None
+    bad = Record("laaf", picture_doc(picture), [["A", "t", ["b"]]], 1)
+    got = replay([entry_text("1-1-m", bad, "")])
     assert got.difference is not None and "recomputed" in got.difference.reason
 
 
-def test_aMemberThatWasAwayIsHandedWhatItMissed(sim: Sim) -> None:
+def test_a_member_that_was_away_is_handed_what_it_missed(sim: Sim) -> None:
     sim.settle()
     away = sim.registries[2]
     away.kill()
@@ -156,7 +156,7 @@
     assert {f"claim/k-{n}" for n in range(10)} <= set(away.disk.cells)
 
 
-def test_gatewayManifestsBecomeLanes() -> None:
+def test_gateway_manifests_become_lanes() -> None:
     route = """
 apiVersion: gateway.networking.k8s.io/v1
 kind: Gateway
@@ -177,7 +177,7 @@
     base = configuration()
     got = lay(route, base)
     assert isinstance(got, dict)
-    assert isinstance(readDesired(json.dumps(got).encode(), ()), DesiredState)
+    assert isinstance(read_desired(json.dumps(got).encode(), ()), DesiredState)
     assert [x["path"] for x in got["lanes"]] == ["/readings", "/small/*"]
     assert got["lanes"][0]["methods"] == ["POST"] and got["lanes"][0]["repeatable"] is True
     bad = route.replace("method: POST", "headers: [{name: x, value: y}]")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,20 +11,20 @@
 from tools.log import Return
 
 
-def holderOf(sim: Sim) -> int:
+def holder_of(sim: Sim) -> int:
     """Which registry holds the placement role."""
     return next(i for i, r in enumerate(sim.registries) if r.alive and r.state("role").term)
 
 
 @EACH
 @pytest.mark.parametrize("away", [8_000])
-def test_workersGoWhileTwoRegistriesAreDown(sim: Sim, away: int) -> None:
+def test_workers_go_while_two_registries_are_down(sim: Sim, away: int) -> None:
     """Seen by the harsh random search: tries went to vanished instances for up to 6.7 s, until
     the role was taken anew after the core's majority was back."""
     sim.settle()
     sim.traffic(60, 30_000)
     sim.run(2_000)
-    first = holderOf(sim)
+    first = holder_of(sim)
     others = [sim.registries[(first + i) % 3] for i in (0, 1)]
     for node in others:
         node.kill()
@@ -34,14 +34,14 @@
     for node in others:
         node.start()
     sim.run(3_000)
-    sim.platform.downWorkers.clear()
+    sim.platform.down_workers.clear()
     sim.run(12_000)
     clean(sim)
     assert level(sim.log(), sim.env.now - 14_000, sim.env.now - 9_500) > 0.99
 
 
 @EACH
-def test_workersAreEmptied(sim: Sim) -> None:
+def test_workers_are_emptied(sim: Sim) -> None:
     """The platform drains two workers of three localities, one after the other, stops what is
     left there, and gives them back."""
     sim.settle()
@@ -59,12 +59,12 @@
 
 
 @EACH
-def test_emptiedWhileTheRoleIsVacant(sim: Sim) -> None:
+def test_emptied_while_the_role_is_vacant(sim: Sim) -> None:
     """The holder of the role is frozen as the platform begins to drain a busy worker."""
     sim.settle()
     sim.traffic(60, 20_000)
     sim.run(2_000)
-    holder = sim.registries[holderOf(sim)]
+    holder = sim.registries[holder_of(sim)]
     holder.freeze()
     busy = next(s.worker for s in sim.platform.servers.values() if s.service == "readings")
     sim.platform.emptied.add(busy)
@@ -76,7 +76,7 @@
 
 
 @EACH
-def test_workersFallInPairsAndComeBack(sim: Sim) -> None:
+def test_workers_fall_in_pairs_and_come_back(sim: Sim) -> None:
     """Two workers at once, then two others, each pair back after a while. LAAF, ROME and the
     scaler bring the level back and do not thrash."""
     sim.settle()
@@ -86,21 +86,21 @@
         for worker in pair:
             sim.platform.crash(worker)
         sim.run(6_000)
-        sim.platform.downWorkers.clear()
+        sim.platform.down_workers.clear()
         sim.run(8_000)
-    calmMs = sim.env.now + 10_000
+    calm_ms = sim.env.now + 10_000
     sim.run(32_000)
     clean(sim)
-    assert level(sim.log(), calmMs, calmMs + 20_000) > 0.995
-    shifts = [e for e in sim.entries("rome") if e["atMs"] > calmMs]
+    assert level(sim.log(), calm_ms, calm_ms + 20_000) > 0.995
+    shifts = [e for e in sim.entries("rome") if e["atMs"] > calm_ms]
     assert len(shifts) <= 2
-    moved = [c for c in sim.platform.calls if c[0] > calmMs + 5_000]
+    moved = [c for c in sim.platform.calls if c[0] > calm_ms + 5_000]
     assert len(moved) <= 6, moved
 
 
 @EACH
 @pytest.mark.parametrize("how", ["deaf", "mute", "both"])
-def test_aHolderThatIsDeafOrMute(sim: Sim, how: str) -> None:
+def test_a_holder_that_is_deaf_or_mute(sim: Sim, how: str) -> None:
     """Nothing gets to an exchange any more, though all hear it; the other way round; or its
     machine is simply gone, without a reset of any connection."""
     sim.settle()
@@ -113,16 +113,16 @@
         sim.net.cuts |= {(n.name, victim.name) for n in others}
     if how in ("mute", "both"):
         sim.net.cuts |= {(victim.name, n.name) for n in others}
-    cutMs = sim.env.now
+    cut_ms = sim.env.now
     sim.run(15_000)
     sim.net.cuts.clear()
-    sim.returns.append(Return(cutMs, sim.env.now))
+    sim.returns.append(Return(cut_ms, sim.env.now))
     sim.run(18_000)
     clean(sim)
     late = [
         a for a in sim.asked
-        if a.exchange != victim.name and cutMs + 5_000 < a.atMs < cutMs + 15_000
+        if a.exchange != victim.name and cut_ms + 5_000 < a.at_ms < cut_ms + 15_000
     ]  # fmt: skip
     assert sum(1 for a in late if a.status == 200) > 0.99 * len(late)
-    slow = [a for a in late if a.doneMs - a.atMs > 1_000]
+    slow = [a for a in late if a.done_ms - a.at_ms > 1_000]
     assert len(slow) < 0.02 * len(late), len(slow)
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -5,7 +5,7 @@
 from spokeroute.dial.effects import From, Send, Tell, Tick
 from spokeroute.dial.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
 from spokeroute.register import proposer
-from spokeroute.register.cells import Roster, digestOf
+from spokeroute.register.cells import Roster, digest_of
 from spokeroute.register.proposer import Ask, Settled, Swap
 from spokeroute.trunk.messages import Accept, Copy, Prepare, Promise
 from tests.sim.cluster import Sim, configuration
@@ -16,13 +16,13 @@
 
 def promise(member: str, ask: Prepare, version: int, value: bytes, counter: int) -> From:
     copy = Copy(
-        ask.name, version, digestOf(value) if value else "", counter, "m1" if counter else ""
+        ask.name, version, digest_of(value) if value else "", counter, "m1" if counter else ""
     )
     said = Promise(1, ask.name, ask.counter, ask.member, True, ask.counter, copy, value, -1)
     return From(NodeId(member), Incarnation(1), said)
 
 
-def test_anOfferThatWasOvertakenIsUnsureNotRefused() -> None:
+def test_an_offer_that_was_overtaken_is_unsure_not_refused() -> None:
     """Our offer may have been chosen and then changed by another: to say "conflict, nothing
     done" would be false, so the outcome is unsure."""
     state = proposer.State(MEMBERS[0], 1, ROSTER)
@@ -32,21 +32,23 @@
     for member in MEMBERS[:2]:
         state, effects = proposer.step(state, promise(member, prepare, 0, b"", 0), Ms(5))
     assert any(isinstance(e, Send) and isinstance(e.message, Accept) for e in effects)
-    nowMs = 0
+    now_ms = 0
     again: list[Prepare] = []
     while not again:  # no acceptance is heard of; the round begins anew
-        nowMs += 20
-        state, effects = proposer.step(state, Tick(0), Ms(nowMs))
+        now_ms += 20
+        state, effects = proposer.step(state, Tick(0), Ms(now_ms))
         again = [
             e.message for e in effects if isinstance(e, Send) and isinstance(e.message, Prepare)
         ]
     for member in MEMBERS[:2]:
-        state, effects = proposer.step(state, promise(member, again[0], 2, b"theirs", 9), Ms(nowMs))
+        state, effects = proposer.step(
+            state, promise(member, again[0], 2, b"theirs", 9), Ms(now_ms)
+        )
     told = [e.event for e in effects if isinstance(e, Tell) and isinstance(e.event, Settled)]
     assert [t.outcome for t in told] == ["unsure"]
 
 
-def test_aKeyOnARepeatableLaneIsOnceToo(sim: Sim) -> None:
+def test_a_key_on_a_repeatable_lane_is_once_too(sim: Sim) -> None:
     """Its caller named it; answers that are lost are not sent on to a successor."""
     sim.settle()
     sim.run(11_000)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -15,14 +15,14 @@
 EACH = pytest.mark.parametrize("sim", SEEDS, indirect=True)
 
 
-def clean(sim: Sim, drainMs: float = 9_000) -> None:
+def clean(sim: Sim, drain_ms: float = 9_000) -> None:
     """Let every wait run out, then ask the judges."""
-    sim.run(drainMs)
+    sim.run(drain_ms)
     assert judge(sim.log()) == []
 
 
 @EACH
-def test_ordinaryTrafficSucceeds(sim: Sim) -> None:
+def test_ordinary_traffic_succeeds(sim: Sim) -> None:
     sim.settle()
     sim.traffic(60, 6_000)
     sim.run(6_000)
@@ -32,38 +32,38 @@
 
 
 @EACH
-def test_workerCrash(sim: Sim) -> None:
+def test_worker_crash(sim: Sim) -> None:
     """Calls of the fallen worker's instances go to their successors; once-only ones that
     may have run are told so."""
     sim.settle()
     sim.traffic(60, 20_000)
     sim.run(5_000)
-    atMs = sim.env.now
+    at_ms = sim.env.now
     busy = next(s.worker for s in sim.platform.servers.values() if s.service == "readings")
     sim.platform.crash(busy)
     sim.run(15_000)
     clean(sim)
-    assert level(sim.log(), atMs, atMs + 2_000) > 0.8
-    assert level(sim.log(), atMs + 6_000, atMs + 15_000) > 0.99
+    assert level(sim.log(), at_ms, at_ms + 2_000) > 0.8
+    assert level(sim.log(), at_ms + 6_000, at_ms + 15_000) > 0.99
     assert {s.worker for s in sim.platform.servers.values()} & {busy} == set()
 
 
 @EACH
-def test_exchangeKilledWithCallsInFlight(sim: Sim) -> None:
+def test_exchange_killed_with_calls_in_flight(sim: Sim) -> None:
     sim.settle()
     sim.traffic(60, 25_000)
     sim.run(5_000)
     sim.exchanges[0].kill()
     sim.run(3_000)
     sim.exchanges[0].start()
-    backMs = sim.env.now
+    back_ms = sim.env.now
     sim.run(17_000)
     clean(sim)
-    assert level(sim.log(), backMs + 12_000, backMs + 17_000) > 0.99
+    assert level(sim.log(), back_ms + 12_000, back_ms + 17_000) > 0.99
 
 
 @EACH
-def test_placementHolderKilled(sim: Sim) -> None:
+def test_placement_holder_killed(sim: Sim) -> None:
     """The next holder takes a higher term and finishes what was begun."""
     sim.settle()
     sim.traffic(40, 25_000)
@@ -80,7 +80,7 @@
 
 
 @EACH
-def test_oneRegistryDownLeavesApplies(sim: Sim) -> None:
+def test_one_registry_down_leaves_applies(sim: Sim) -> None:
     sim.settle()
     sim.registries[2].kill()
     sim.traffic(30, 8_000)
@@ -94,7 +94,7 @@
 
 
 @EACH
-def test_evacuationUnderLoad(sim: Sim) -> None:
+def test_evacuation_under_load(sim: Sim) -> None:
     sim.settle()
     sim.traffic(60, 30_000)
     sim.run(3_000)
@@ -106,23 +106,23 @@
     sim.evacuate("centre", False, registry=1)
     sim.run(14_000)
     clean(sim)
-    assert level(sim.log(), told.atMs, told.atMs + 27_000) > 0.97
+    assert level(sim.log(), told.at_ms, told.at_ms + 27_000) > 0.97
 
 
 @EACH
-def test_crowdOnSleepers(sim: Sim) -> None:
+def test_crowd_on_sleepers(sim: Sim) -> None:
     """Rare services wake together, and a crowd comes to one of them."""
     sim.settle()
     for _ in range(40):
-        sim.call("/small/1", waitMs=8000)
-        sim.call("/small/2", waitMs=8000)
+        sim.call("/small/1", wait_ms=8000)
+        sim.call("/small/2", wait_ms=8000)
     sim.run(8_000)
     clean(sim)
     assert level(sim.log(), 0, 1e9) > 0.9
 
 
 @EACH
-def test_configurationChangeRulesEverywhere(sim: Sim) -> None:
+def test_configuration_change_rules_everywhere(sim: Sim) -> None:
     """A lane moves to another service; one exchange is cut from two of the three registries,
     another from all."""
     sim.settle()
@@ -140,12 +140,12 @@
     sim.net.cuts.clear()
     sim.run(5_000)
     clean(sim)
-    late = [a for a in sim.asked if a.exchange == "ex3" and a.atMs > told.doneMs + 3_000]
+    late = [a for a in sim.asked if a.exchange == "ex3" and a.at_ms > told.done_ms + 3_000]
     assert late and all(a.status == 200 for a in late)
 
 
 @EACH
-def test_twoAppliesAtOnceOneWins(sim: Sim) -> None:
+def test_two_applies_at_once_one_wins(sim: Sim) -> None:
     sim.settle()
     before = int(sim.told[0].doc["version"])
     told = [
@@ -162,7 +162,7 @@
 
 
 @EACH
-def test_stormOfApplies(sim: Sim) -> None:
+def test_storm_of_applies(sim: Sim) -> None:
     """Every acknowledgement is true, and the newest one rules."""
     sim.settle()
     sim.traffic(30, 10_000)
@@ -178,7 +178,7 @@
 
 
 @EACH
-def test_badAnswers(sim: Sim) -> None:
+def test_bad_answers(sim: Sim) -> None:
     """Instances that answer garbage, cut answers short, answer late, or die after the work."""
     sim.settle()
     for how in ("garbage", "short", "late", "dies", "lost"):
@@ -194,20 +194,20 @@
 
 
 @EACH
-def test_addressTakenOverByAnotherService(sim: Sim) -> None:
+def test_address_taken_over_by_another_service(sim: Sim) -> None:
     sim.settle()
     sim.traffic(60, 10_000)
     sim.run(2_000)
     for service in ("readings", "corrections"):
         old = next(s for s in sim.platform.servers.values() if s.service == service)
-        sim.platform.takeOver(old, "small-1")
+        sim.platform.take_over(old, "small-1")
     sim.run(10_000)
     clean(sim)
     assert level(sim.log(), sim.env.now - 15_000, sim.env.now) > 0.95
 
 
 @EACH
-def test_sameKeyAtSeveralExchanges(sim: Sim) -> None:
+def test_same_key_at_several_exchanges(sim: Sim) -> None:
     """At once, again later, with another body, and after the first one's exchange died."""
     sim.settle()
     first = [sim.call("/corrections", e, key="same") for e in sim.exchanges]
@@ -226,7 +226,7 @@
 
 
 @EACH
-def test_exchangeFreezesAndWakes(sim: Sim) -> None:
+def test_exchange_freezes_and_wakes(sim: Sim) -> None:
     """Frozen for longer than the lease and than every wait, with calls and ferries in it."""
     sim.settle()
     sim.traffic(60, 24_000)
@@ -239,7 +239,7 @@
 
 
 @EACH
-def test_placementHolderFreezesAndWakes(sim: Sim) -> None:
+def test_placement_holder_freezes_and_wakes(sim: Sim) -> None:
     """Woken after another took the role, it calls the platform for nothing."""
     sim.settle()
     sim.traffic(40, 20_000)
@@ -248,45 +248,45 @@
     holder.freeze()
     sim.run(9_000)
     calls = len(sim.platform.calls)
-    wokeMs = sim.env.now
+    woke_ms = sim.env.now
     sim.platform.crash("w2")
     holder.wake()
     sim.run(9_000)
-    mine = [c for c in sim.platform.calls[calls:] if c[1] == holder.name and c[0] >= wokeMs]
+    mine = [c for c in sim.platform.calls[calls:] if c[1] == holder.name and c[0] >= woke_ms]
     assert mine == []
     clean(sim)
 
 
 @EACH
-def test_listingFailsAndWorkersGo(sim: Sim) -> None:
+def test_listing_fails_and_workers_go(sim: Sim) -> None:
     sim.settle()
     sim.traffic(40, 24_000)
     sim.run(2_000)
-    sim.platform.listFails = True
+    sim.platform.list_fails = True
     sim.run(5_000)
     sim.platform.crash("w3")
     sim.run(5_000)
-    sim.platform.listFails = False
+    sim.platform.list_fails = False
     sim.run(12_000)
     clean(sim)
     assert level(sim.log(), sim.env.now - 14_000, sim.env.now - 9_500) > 0.99
 
 
 @EACH
-def test_platformRefusesAndStartsFail(sim: Sim) -> None:
+def test_platform_refuses_and_starts_fail(sim: Sim) -> None:
     """Over the cap, starts that come to nothing, and starts that come up twice."""
     sim.settle()
-    sim.platform.capPerS = 4
+    sim.platform.cap_per_s = 4
     services = configuration()["services"]
     for number in range(12):
         services.append({"name": f"rare-{number}", "memoryMb": 128, "limit": 1,
                          "minInstances": 1, "spares": 0})  # fmt: skip
-    sim.platform.failStarts = 6
+    sim.platform.fail_starts = 6
     sim.apply(configuration(name="many", services=services))
     sim.traffic(40, 20_000)
     sim.run(20_000)
     clean(sim)
-    assert sim.platform.refused > 0 and sim.platform.failStarts == 0
+    assert sim.platform.refused > 0 and sim.platform.fail_starts == 0
     up = {s.service for s in sim.platform.servers.values() if s.state == "running"}
     assert {f"rare-{n}" for n in range(12)} <= up
     started = [c[3] for c in sim.platform.calls if c[2] == "start"]
@@ -295,7 +295,7 @@
 
 
 @EACH
-def test_callersThatRepeatTooFast(sim: Sim) -> None:
+def test_callers_that_repeat_too_fast(sim: Sim) -> None:
     """One user agent storms a lane; it is told to slow down, and others are served."""
     lanes = configuration()["lanes"]
     lanes[0]["perAgentPerS"] = 10.0
@@ -310,12 +310,12 @@
     assert all(a.status == 200 for a in sim.asked[1::2])
 
 
-def test_sleepersWakeTogetherUnderTheCap() -> None:
+def test_sleepers_wake_together_under_the_cap() -> None:
     """75 rare services are called at once; the cap of starts a second holds."""
-    sim = Sim(4, startMs=900.0)
+    sim = Sim(4, start_ms=900.0)
     try:
         sim.start()
-        assert sim.upTo(lambda: all(r.state("keeper").syncedVotes for r in sim.registries), 8_000)
+        assert sim.up_to(lambda: all(r.state("keeper").synced_votes for r in sim.registries), 8_000)
         doc = configuration(name="sleepers")
         for number in range(75):
             doc["services"].append({"name": f"rare-{number}", "memoryMb": 128, "limit": 1,
@@ -326,7 +326,7 @@
         sim.lanes = {x["path"]: x for x in doc["lanes"]}
         sim.run(8_000)
         for number in range(75):
-            sim.call(f"/rare/{number}", waitMs=6_000)
+            sim.call(f"/rare/{number}", wait_ms=6_000)
         sim.run(7_000)
         clean(sim)
         assert {a.status for a in sim.asked} == {200}
@@ -336,15 +336,15 @@
 
 
 @EACH
-def test_bareListingsAndOrphans(sim: Sim) -> None:
+def test_bare_listings_and_orphans(sim: Sim) -> None:
     """A listing that lacks everything for a second drops nothing; an instance that is on no
     floor is stopped in time; a platform that numbers its listings anew is heard again."""
     sim.settle()
     sim.traffic(40, 20_000)
     before = {s.id for s in sim.platform.servers.values() if s.service == "readings"}
-    sim.platform.listBare = True
+    sim.platform.list_bare = True
     sim.run(1_200)
-    sim.platform.listBare = False
+    sim.platform.list_bare = False
     orphan = Server("nobodys-1", "readings", "w1", 4, "running", "10.9.9.9:1")
     sim.platform.servers[orphan.id] = orphan
     sim.platform.sequence = 0
@@ -356,7 +356,7 @@
 
 
 @EACH
-def test_anExchangeThatStopsHandsItsInstancesOver(sim: Sim) -> None:
+def test_an_exchange_that_stops_hands_its_instances_over(sim: Sim) -> None:
     """SIGTERM: others hold its instances within two seconds, not after the lease and the
     longest run, and no call but those in its own line is refused."""
     sim.settle()
@@ -367,16 +367,16 @@
     assert held
     leaving.report("holder", Stopping(), leaving.births)
     leaving.report("calls", Stopping(), leaving.births)
-    stoppedMs = sim.env.now
-    assert sim.upTo(lambda: not leaving.state("holder").seats, 2_000)
+    stopped_ms = sim.env.now
+    assert sim.up_to(lambda: not leaving.state("holder").seats, 2_000)
     others = sim.exchanges[1:]
 
     def taken() -> bool:
         now = {i for e in others for i in e.state("holder").seats}
         return held <= now
 
-    assert sim.upTo(taken, 2_000)
-    assert sim.env.now - stoppedMs < 3_000
+    assert sim.up_to(taken, 2_000)
+    assert sim.env.now - stopped_ms < 3_000
     leaving.kill()
     sim.run(10_000)
     clean(sim)
@@ -385,15 +385,15 @@
 
 
 @EACH
-def test_aColdInstanceThatIsSlowIsNotPushed(sim: Sim) -> None:
+def test_a_cold_instance_that_is_slow_is_not_pushed(sim: Sim) -> None:
     """A crowd comes to fresh instances that could run many at once and answer none of them in
     their first second: five each in any second, and no burst beyond it."""
-    sim.platform.workMs = 900.0
+    sim.platform.work_ms = 900.0
     services = configuration()["services"]
     services[2] = {**services[2], "limit": 20, "coldMs": 4_000}
     sim.settle(services=services)
     for _ in range(60):
-        sim.call("/small/1", waitMs=6_000)
+        sim.call("/small/1", wait_ms=6_000)
         sim.run(15)
     clean(sim)
     assert sum(1 for a in sim.asked if a.status == 200) > 20
--- a/tools/compare.py
+++ b/tools/compare.py
@@ -16,8 +16,8 @@
 
 def after(picture: Picture, ranks: tuple[Ranking, ...], lost: set[str]) -> dict[str, float]:
     """Workers' utilization once the lost ones' functions went to their first living successor."""
-    out = {w: cu for w, cu in picture.cuPct if w not in lost}
-    loads = {(f.service, f.worker): f.loadPct for f in picture.functions}
+    out = {w: cu for w, cu in picture.cu_pct if w not in lost}
+    loads = {(f.service, f.worker): f.load_pct for f in picture.functions}
     for rank in ranks:
         if rank.worker in lost:
             for worker in rank.workers:
@@ -29,18 +29,18 @@
 
 def literal(picture: Picture) -> tuple[Ranking, ...]:
     """LAAF with the paper's own reset: eu of a worker as the loop comes to it."""
-    eu = dict(picture.cuPct)
+    eu = dict(picture.cu_pct)
     out: list[Ranking] = []
-    for worker, cu in sorted(picture.cuPct):
+    for worker, cu in sorted(picture.cu_pct):
         eu[worker] = cu
         one = replace(
             picture,
-            cuPct=tuple(sorted(eu.items())),
+            cu_pct=tuple(sorted(eu.items())),
             functions=tuple(f for f in picture.functions if f.worker == worker),
         )
         for rank in laaf(one):
             out.append(rank)
-            load = next(f.loadPct for f in one.functions if f.service == rank.service)
+            load = next(f.load_pct for f in one.functions if f.service == rank.service)
             if rank.workers:
                 eu[rank.workers[0]] += load
     return tuple(out)
@@ -61,10 +61,10 @@
         sites.append((service, tuple(Site(w, (f"{service}-{w}",)) for w in here)))
 
     def picture(parts: list[Function]) -> Picture:
-        cu = {w: sum(f.loadPct for f in parts if f.worker == w) for w in workers}
+        cu = {w: sum(f.load_pct for f in parts if f.worker == w) for w in workers}
         return Picture(tuple(sorted(cu.items())), tuple(parts), tuple(sites))
 
-    moved = [replace(f, loadPct=f.loadPct * rng.choice((0.3, 1.0, 2.5))) for f in functions]
+    moved = [replace(f, load_pct=f.load_pct * rng.choice((0.3, 1.0, 2.5))) for f in functions]
     return picture(functions), picture(moved)
 
 
@@ -84,7 +84,7 @@
         ("ALPHA", 20.0),
         ("BETA", 10.0),
     )
-    static = laaf(replace(table1, cuPct=unloaded))
+    static = laaf(replace(table1, cu_pct=unloaded))
     for name, ranks in (("static", static), ("LAAF", laaf(table1))):
         most = max(after(table1, ranks, {"TANGO"}).values())
         print(f"Table 1, TANGO lost, {name}: most loaded {most:.0f} %")
@@ -98,8 +98,8 @@
                 worst.setdefault(f"{what} lost, {name}", []).append(
                     max(after(now, ranks, lost).values())
                 )
-        worst.setdefault("no loss, before ROME", []).append(max(c for _, c in now.cuPct))
-        worst.setdefault("no loss, after ROME", []).append(max(c for _, c in relieved.euPct))
+        worst.setdefault("no loss, before ROME", []).append(max(c for _, c in now.cu_pct))
+        worst.setdefault("no loss, after ROME", []).append(max(c for _, c in relieved.eu_pct))
     for name, values in worst.items():
         values.sort()
         mean = sum(values) / len(values)
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -15,8 +15,8 @@
 from functools import partial
 from typing import Any
 
-from tests.sim.acts import after, readBack, slow, swapRegistry
-from tests.sim.cluster import Sim, briefSim, configuration, deployment
+from tests.sim.acts import after, read_back, slow, swap_registry
+from tests.sim.cluster import Sim, brief_sim, configuration, deployment
 from tests.sim.world import Node
 from tools.judges import judge, level
 
@@ -33,13 +33,13 @@
     def __init__(self, seed: int, shape: str) -> None:
         self.rng = random.Random(seed)
         if shape:
-            self.sim = briefSim(shape, seed)
+            self.sim = brief_sim(shape, seed)
             self.doc = deployment(shape)
         else:
-            self.sim = Sim(seed, exchanges=4, syncMs=self.rng.choice((0.5, 5.0)))
+            self.sim = Sim(seed, exchanges=4, sync_ms=self.rng.choice((0.5, 5.0)))
             self.sim.settle()
             self.doc = configuration()
-        self.perS = 120.0 if shape else 40.0
+        self.per_s = 120.0 if shape else 40.0
 
     def apply(self) -> None:
         up = [i for i, r in enumerate(self.sim.registries) if r.alive and not r.frozen]
@@ -75,22 +75,22 @@
         node.freeze()
         after(self.sim, later, node.wake)
 
-    def _cutPairs(self, pairs: set[tuple[str, str]], later: float) -> None:
+    def _cut_pairs(self, pairs: set[tuple[str, str]], later: float) -> None:
         self.sim.net.cuts |= pairs
         after(self.sim, later, lambda: self.sim.net.cuts.difference_update(pairs))
 
     def _cut(self, later: float) -> None:
         a, b = self.rng.sample(self.sim.nodes, 2)
-        self._cutPairs({(a.name, b.name), (b.name, a.name)}, later)
+        self._cut_pairs({(a.name, b.name), (b.name, a.name)}, later)
 
     def _oneway(self, later: float) -> None:
         a, b = self.rng.sample(self.sim.nodes, 2)
-        self._cutPairs({(a.name, b.name)}, later)
+        self._cut_pairs({(a.name, b.name)}, later)
 
     def _crash(self, workers: list[str], later: float) -> None:
         for worker in workers:
             self.sim.platform.crash(worker)
-            after(self.sim, later, partial(self.sim.platform.downWorkers.discard, worker))
+            after(self.sim, later, partial(self.sim.platform.down_workers.discard, worker))
 
     def _worker(self, later: float) -> None:
         self._crash([f"w{self.rng.randint(1, 6)}"], later)
@@ -133,7 +133,7 @@
     def _stall(self, later: float) -> None:
         disk = self.rng.choice(self.sim.registries).disk
         if disk is not None:
-            disk.stalledUntilMs = self.sim.env.now + later
+            disk.stalled_until_ms = self.sim.env.now + later
 
     def _slow(self, later: float) -> None:
         some = self.rng.sample(self.sim.registries, self.rng.randint(1, 2))
@@ -142,7 +142,7 @@
     def _others(self, lost: Node) -> bool:
         """Whether this one may go for good: the others vote."""
         others = [r for r in self.sim.registries if r is not lost]
-        return lost.alive and all(r.alive and r.state("keeper").syncedVotes for r in others)
+        return lost.alive and all(r.alive and r.state("keeper").synced_votes for r in others)
 
     def _blank(self, later: float) -> None:
         lost = self.rng.choice(self.sim.registries)
@@ -153,17 +153,17 @@
     def _swap(self, later: float) -> None:
         index = self.rng.randrange(3)
         if self._others(self.sim.registries[index]):
-            swapRegistry(self.sim, index, f"reg{index + 1}-{self.sim.draw()}")
+            swap_registry(self.sim, index, f"reg{index + 1}-{self.sim.draw()}")
 
     def _crowd(self, later: float) -> None:
         small = list(self.sim.lanes)[self.sim.busy :]
         for _ in range(30):
-            self.sim.call(self.rng.choice(small[:3]), waitMs=6_000)
+            self.sim.call(self.rng.choice(small[:3]), wait_ms=6_000)
 
     def _jump(self, later: float) -> None:
         path = self.rng.choice(list(self.sim.lanes)[: self.sim.busy])
         if self.sim.lanes[path].get("repeatable"):
-            self.sim.traffic(5 * self.perS, min(later, 2_000), (path,))
+            self.sim.traffic(5 * self.per_s, min(later, 2_000), (path,))
 
     def _keys(self, later: float) -> None:
         """A caller sends one key again and again, wherever somebody answers."""
@@ -177,19 +177,19 @@
         there = [s for s in self.sim.platform.servers.values() if s.state == "running"]
         if there:
             names = [s["name"] for s in self.doc["services"][:4]]
-            self.sim.platform.takeOver(self.rng.choice(there), self.rng.choice(names))
+            self.sim.platform.take_over(self.rng.choice(there), self.rng.choice(names))
 
     def _listing(self, later: float) -> None:
-        self.sim.platform.listFails = True
+        self.sim.platform.list_fails = True
 
         def heal() -> None:
-            self.sim.platform.listFails = False
+            self.sim.platform.list_fails = False
 
         after(self.sim, later, heal)
 
 
 def revive(node: Node) -> None:
-    if not node.alive and node.machineUp:
+    if not node.alive and node.machine_up:
         node.start()
 
 
@@ -198,7 +198,7 @@
     search = Search(seed, shape)
     rng, sim = search.rng, search.sim
     caused: list[str] = []
-    sim.traffic(search.perS, 75_000)
+    sim.traffic(search.per_s, 75_000)
     for _ in range(rng.randint(12, 24) if harsh else rng.randint(4, 9)):
         caused.append(f"{sim.env.now:.0f} {search.cause()}")
         sim.run(rng.uniform(50, 1_500) if harsh else rng.uniform(300, 5_000))
@@ -207,13 +207,13 @@
     for server in sim.platform.servers.values():
         server.behave = "well"
     sim.run(16_000)
-    lastMs = sim.env.now
+    last_ms = sim.env.now
     sim.run(6_000)
-    shown = readBack(sim)
+    shown = read_back(sim)
     sim.run(4_500)
     found = judge(sim.log())
     found += [f"{t.what} at the end: {t.status} {t.doc}" for t in shown if t.status != 200]
-    good = level(sim.log(), lastMs - 3_000, lastMs + 5_000)
+    good = level(sim.log(), last_ms - 3_000, last_ms + 5_000)
     if good < 0.97:
         found.append(f"level at the end {good:.3f}")
     sim.close()
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -29,7 +29,7 @@
             fleet.start(name)
 
 
-def placementHolder(fleet: Fleet) -> str:
+def placement_holder(fleet: Fleet) -> str:
     """The registry that holds the placement role, or the first one."""
     for name in ("reg1", "reg2", "reg3"):
         status, body = get(fleet.http[name], "/status")
@@ -38,7 +38,7 @@
     return "reg1"
 
 
-def loseDisk(fleet: Fleet, apply: Callable[[], Any], name: str) -> None:
+def lose_disk(fleet: Fleet, apply: Callable[[], Any], name: str) -> None:
     """Kill a registry right after an acknowledgement, remove its data, start it blank."""
     apply()
     fleet.signal(name, signal.SIGKILL)
@@ -46,11 +46,11 @@
     fleet.start(name)
 
 
-def freezeHolder(fleet: Fleet, forS: float) -> None:
+def freeze_holder(fleet: Fleet, for_s: float) -> None:
     """Stop the placement holder for longer than its term's lease, and let it go on."""
-    name = placementHolder(fleet)
+    name = placement_holder(fleet)
     fleet.signal(name, signal.SIGSTOP)
-    time.sleep(forS)
+    time.sleep(for_s)
     fleet.signal(name, signal.SIGCONT)
 
 
@@ -74,7 +74,7 @@
         "freezes": [
             (0.20, partial(fleet.signal, "ex3", stop)),
             (0.32, partial(fleet.signal, "ex3", go)),
-            (0.52, partial(freezeHolder, fleet, 8.0)),
+            (0.52, partial(freeze_holder, fleet, 8.0)),
             (0.72, partial(fleet.signal, "ex5", stop)),
             (0.76, partial(fleet.signal, "ex5", go)),
         ],
@@ -103,8 +103,8 @@
             (0.80, partial(fleet.signal, "ex1", kill)),
         ],
         "disks": [
-            (0.20, partial(loseDisk, fleet, apply, "reg1")),
-            (0.50, partial(loseDisk, fleet, apply, "reg2")),
+            (0.20, partial(lose_disk, fleet, apply, "reg1")),
+            (0.50, partial(lose_disk, fleet, apply, "reg2")),
             (0.80, apply),
         ],
     }
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -21,7 +21,7 @@
 LOCALITIES = ("north", "centre", "south")
 
 
-def freePorts(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Ports that were free a moment ago."""
     held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
     ports = [int(s.getsockname()[1]) for s in held]
@@ -30,11 +30,11 @@
     return ports
 
 
-def get(address: str, path: str, waitS: float = 1.0) -> tuple[int, bytes]:
+def get(address: str, path: str, wait_s: float = 1.0) -> tuple[int, bytes]:
     """One plain GET; status 0 where nobody answers."""
     try:
         got = urllib3.PoolManager(retries=False).request(
-            "GET", f"http://{address}{path}", timeout=waitS
+            "GET", f"http://{address}{path}", timeout=wait_s
         )
     except urllib3.exceptions.HTTPError:
         return 0, b""
@@ -47,9 +47,9 @@
 
     folder: Path
     exchanges: int = 9
-    fixedPorts: bool = False
+    fixed_ports: bool = False
     organismo: bool = False
-    standinFlags: tuple[str, ...] = ()
+    standin_flags: tuple[str, ...] = ()
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     commands: dict[str, list[str]] = field(default_factory=dict)
     http: dict[str, str] = field(default_factory=dict)
@@ -59,14 +59,14 @@
     def plan(self) -> None:
         """Choose addresses and write each process's command."""
         names = [f"reg{i + 1}" for i in range(3)] + [f"ex{i + 1}" for i in range(self.exchanges)]
-        if self.fixedPorts:
+        if self.fixed_ports:
             trunks = {n: 7100 + i for i, n in enumerate(names)}
             https = {
                 n: (8100 if n.startswith("reg") else 8000) + int(n.lstrip("regx")) for n in names
             }
             platform = 8200
         else:
-            ports = freePorts(2 * len(names) + 1)
+            ports = free_ports(2 * len(names) + 1)
             trunks = dict(zip(names, ports[: len(names)], strict=True))
             https = dict(zip(names, ports[len(names) : -1], strict=True))
             platform = ports[-1]
@@ -79,7 +79,7 @@
         self.commands["platform"] = [
             python, "-m", "tools.standin", "--listen", self.platform,
             "--log", str(self.folder / "standin.log"),
-            "--start-busy-ms", starts[0], "--start-small-ms", starts[1], *self.standinFlags,
+            "--start-busy-ms", starts[0], "--start-small-ms", starts[1], *self.standin_flags,
         ]  # fmt: skip
         for i, name in enumerate(names):
             role = "registry" if name.startswith("reg") else "exchange"
@@ -106,10 +106,10 @@
         """End a registry for good and start another machine's in its place: other addresses, a
         blank disk, and seeds that are alive."""
         self.signal(old, signal.SIGKILL)
-        trunk, http = (f"127.0.0.1:{p}" for p in freePorts(2))
+        trunk, http = (f"127.0.0.1:{p}" for p in free_ports(2))
         living = [n for n in self.processes if n not in (old, "platform")]
         living.sort(key=lambda n: not n.startswith("reg"))
-        seeds = ",".join(self.trunkOf(n) for n in living[:3])
+        seeds = ",".join(self.trunk_of(n) for n in living[:3])
         command = list(self.commands[old])
         changes = {"--name": new, "--trunk": trunk, "--http": http, "--seeds": seeds,
                    "--data": str(self.folder / new)}  # fmt: skip
@@ -120,20 +120,20 @@
         del self.processes[old]
         self.start(new)
 
-    def trunkOf(self, name: str) -> str:
+    def trunk_of(self, name: str) -> str:
         """Where a process listens for colleagues."""
         command = self.commands[name]
         return command[command.index("--trunk") + 1]
 
-    def startAll(self) -> None:
+    def start_all(self) -> None:
         """Start every process and wait until the registries vote."""
         self.plan()
         for name in self.commands:
             self.start(name)
 
-    def waitReady(self, names: list[str], waitS: float) -> list[str]:
+    def wait_ready(self, names: list[str], wait_s: float) -> list[str]:
         """The names that are not ready when the wait is over."""
-        until = time.monotonic() + waitS
+        until = time.monotonic() + wait_s
         left = list(names)
         while left and time.monotonic() < until:
             left = [
@@ -163,8 +163,8 @@
 
     def _over(self, name: str) -> None:
         for down in self.downs:
-            if down.process == name and down.toMs < 0:
-                down.toMs = time.monotonic_ns() / 1e6
+            if down.process == name and down.to_ms < 0:
+                down.to_ms = time.monotonic_ns() / 1e6
 
     def stop(self) -> dict[str, int]:
         """End every process: SIGTERM, then SIGKILL; the exit codes."""
@@ -190,15 +190,15 @@
     parser.add_argument("--exchanges", type=int, default=9)
     parser.add_argument("--organismo", action="store_true", help="the Organismo's start times")
     args = parser.parse_args()
-    fleet = Fleet(Path(args.folder), args.exchanges, fixedPorts=True, organismo=args.organismo)
-    fleet.startAll()
+    fleet = Fleet(Path(args.folder), args.exchanges, fixed_ports=True, organismo=args.organismo)
+    fleet.start_all()
 
     def interrupted(number: int, frame: object) -> None:
         raise KeyboardInterrupt
 
     signal.signal(signal.SIGTERM, interrupted)
     try:
-        missing = fleet.waitReady([n for n in fleet.commands if n.startswith("reg")], 30)
+        missing = fleet.wait_ready([n for n in fleet.commands if n.startswith("reg")], 30)
         if missing:
             print(f"not ready: {', '.join(missing)}; see {args.folder}/*.out", file=sys.stderr)
             sys.exit(1)
--- a/tools/judges.py
+++ b/tools/judges.py
@@ -11,7 +11,7 @@
 from collections import Counter, defaultdict
 
 from tools.log import Asked, Log, Run
-from tools.readback import ackedReadsBack, refusedNeverRules
+from tools.readback import acked_reads_back, refused_never_rules
 from tools.ruling import Rulings, unsure
 
 SLACK_MS = 120.0
@@ -28,16 +28,16 @@
 LEVEL_CALLS = 50
 
 
-def onceNeverTwice(log: Log) -> list[str]:
+def once_never_twice(log: Log) -> list[str]:
     """A call that may run once never runs twice; nor does a key."""
     once = {a.call for a in log.asked if a.once}
-    byCall = Counter(r.call for r in log.runs if r.call in once)
-    byKey = Counter(r.key for r in log.runs if r.key)
-    found = [f"{c} ran {n} times" for c, n in byCall.items() if n > 1]
-    return found + [f"key {k} ran {n} times" for k, n in byKey.items() if n > 1]
+    by_call = Counter(r.call for r in log.runs if r.call in once)
+    by_key = Counter(r.key for r in log.runs if r.key)
+    found = [f"{c} ran {n} times" for c, n in by_call.items() if n > 1]
+    return found + [f"key {k} ran {n} times" for k, n in by_key.items() if n > 1]
 
 
-def notRunHolds(log: Log) -> list[str]:
+def not_run_holds(log: Log) -> list[str]:
     """A refusal that promises "not run" is never followed, or preceded, by a run."""
     ran = {r.call for r in log.runs}
     return [f"{a.call} was told not run, and ran" for a in log.asked if a.ran == "no" and (
@@ -47,43 +47,47 @@
 def excuse(log: Log, asked: Asked) -> float | None:
     """How much later a verdict may come because the call's own entry process lay frozen; None
     where that process was killed during the call's life."""
-    lateMs = 0.0
-    untilMs = asked.atMs + asked.waitMs + SLACK_MS
+    late_ms = 0.0
+    until_ms = asked.at_ms + asked.wait_ms + SLACK_MS
     for down in log.downs:
-        toMs = down.toMs if down.toMs >= 0 else log.endMs
-        if down.process != asked.exchange or toMs < asked.atMs or down.fromMs > untilMs + lateMs:
+        to_ms = down.to_ms if down.to_ms >= 0 else log.end_ms
+        if (
+            down.process != asked.exchange
+            or to_ms < asked.at_ms
+            or down.from_ms > until_ms + late_ms
+        ):
             continue
         if down.how == "killed":
             return None
-        lateMs += toMs - max(asked.atMs, down.fromMs)
-    return lateMs
+        late_ms += to_ms - max(asked.at_ms, down.from_ms)
+    return late_ms
 
 
-def oneVerdictInTime(log: Log) -> list[str]:
+def one_verdict_in_time(log: Log) -> list[str]:
     """Every fully read call gets one verdict within its wait, unless its process died; a freeze
     of that process adds the time that the call lay in it."""
     found: list[str] = []
     for a in log.asked:
         if a.status == 0 and a.kind == "refused":
             continue
-        lateMs = excuse(log, a)
-        if lateMs is None:
+        late_ms = excuse(log, a)
+        if late_ms is None:
             continue
-        mostMs = a.waitMs + SLACK_MS + lateMs
+        most_ms = a.wait_ms + SLACK_MS + late_ms
         if a.status <= 0 or a.verdicts != 1:
-            if log.endMs > a.atMs + mostMs or a.status == 0:
+            if log.end_ms > a.at_ms + most_ms or a.status == 0:
                 found.append(f"{a.call} at {a.exchange} got {a.verdicts} verdicts")
-        elif a.doneMs - a.atMs > mostMs:
-            found.append(f"{a.call} waited {a.doneMs - a.atMs:.0f} of {mostMs:.0f} ms")
+        elif a.done_ms - a.at_ms > most_ms:
+            found.append(f"{a.call} waited {a.done_ms - a.at_ms:.0f} of {most_ms:.0f} ms")
     return found
 
 
-def successIsWhole(log: Log) -> list[str]:
+def success_is_whole(log: Log) -> list[str]:
     """A body that is no refusal of ours is an instance's whole answer to that very call."""
     bodies: dict[str, set[bytes]] = defaultdict(set)
     for run in log.runs:
-        if run.tryId in log.answers:
-            bodies[run.call].add(log.answers[run.tryId])
+        if run.try_id in log.answers:
+            bodies[run.call].add(log.answers[run.try_id])
     return [
         f"{a.call} got a body that no instance gave it: {a.body[:40]!r}"
         for a in log.asked
@@ -91,7 +95,7 @@
     ]
 
 
-def rightService(log: Log) -> list[str]:
+def right_service(log: Log) -> list[str]:
     """A call never runs at another service's instance than a lane in force named for it."""
     asked = {a.call: a for a in log.asked}
     rulings = Rulings(log)
@@ -100,13 +104,13 @@
         a = asked.get(run.call)
         if a is None:
             continue
-        lanes = [r.lanes.get(a.path) for r in rulings.within(a.atMs, run.atMs)]
+        lanes = [r.lanes.get(a.path) for r in rulings.within(a.at_ms, run.at_ms)]
         if run.service not in {lane["service"] for lane in lanes if lane}:
             found.append(f"{run.call} for {a.path} ran at {run.service}")
     return found
 
 
-def newestRules(log: Log) -> list[str]:
+def newest_rules(log: Log) -> list[str]:
     """About 3 s after an acknowledgement only that configuration, or a newer one, rules: for
     what runs, and for what is refused."""
     asked = {a.call: a for a in log.asked}
@@ -116,12 +120,12 @@
         a = asked.get(run.call)
         if a is None:
             continue
-        lanes = [r.lanes.get(a.path) for r in rulings.within(run.atMs, run.atMs)]
+        lanes = [r.lanes.get(a.path) for r in rulings.within(run.at_ms, run.at_ms)]
         if all(lane is None or lane["service"] != run.service for lane in lanes):
             found.append(f"{run.call} for {a.path} ran at {run.service} by an old configuration")
     for a in log.asked:
         if a.ran == "no" and a.kind in ("no_lane", "method", "too_fast"):
-            lanes = [r.lanes.get(a.path) for r in rulings.within(a.atMs, a.doneMs)]
+            lanes = [r.lanes.get(a.path) for r in rulings.within(a.at_ms, a.done_ms)]
             if not any(_refuses(log, a, lane) for lane in lanes):
                 found.append(f"{a.call} for {a.path}: {a.kind} by an old configuration")
     return found
@@ -133,32 +137,32 @@
         return lane is None and a.kind == "no_lane"
     if a.kind == "method":
         return a.method not in tuple(lane.get("methods", ("GET",)))  # type: ignore[arg-type]
-    perS = float(lane.get("perAgentPerS", 20.0))  # type: ignore[arg-type]
+    per_s = float(lane.get("perAgentPerS", 20.0))  # type: ignore[arg-type]
     recent = sum(
         1
         for x in log.asked
         if (x.agent, x.path, x.exchange) == (a.agent, a.path, a.exchange)
-        and a.atMs - WINDOW_MS <= x.atMs <= a.doneMs
+        and a.at_ms - WINDOW_MS <= x.at_ms <= a.done_ms
     )
-    return recent > max(1.0, perS)
+    return recent > max(1.0, per_s)
 
 
-def evacuatedGetNothing(log: Log) -> list[str]:
+def evacuated_get_nothing(log: Log) -> list[str]:
     """About 5 s after its evacuation was acknowledged a locality's instances get nothing, and
     nothing is started there."""
     asks = [t for t in log.told if t.what in ("evacuate", "restore")]
-    acked = sorted((t for t in asks if t.status == 200), key=lambda t: t.doneMs)
-    events = [(r.atMs, r.locality, f"{r.call} ran") for r in log.runs]
-    events += [(atMs, locality, "an instance was started") for atMs, locality in log.starts]
+    acked = sorted((t for t in asks if t.status == 200), key=lambda t: t.done_ms)
+    events = [(r.at_ms, r.locality, f"{r.call} ran") for r in log.runs]
+    events += [(at_ms, locality, "an instance was started") for at_ms, locality in log.starts]
     found: list[str] = []
-    for atMs, locality, what in events:
+    for at_ms, locality, what in events:
         last = None
         for told in acked:
-            if told.detail == locality and told.atMs <= atMs:
+            if told.detail == locality and told.at_ms <= at_ms:
                 last = told
-        if last is None or last.what != "evacuate" or atMs <= last.doneMs + EVACUATE_MS:
+        if last is None or last.what != "evacuate" or at_ms <= last.done_ms + EVACUATE_MS:
             continue
-        if any(t.what == "restore" and t.detail == locality and unsure(t) and t.atMs <= atMs
+        if any(t.what == "restore" and t.detail == locality and unsure(t) and t.at_ms <= at_ms
                for t in asks):  # fmt: skip
             continue
         found.append(f"{what} in {locality}, evacuated before")
@@ -167,77 +171,77 @@
 
 def _sends(log: Log) -> list[tuple[float, str, str]]:
     """Whatever went to an instance: when, for which call, to which."""
-    events = [(r.atMs, r.call, r.instance) for r in log.runs]
-    return sorted([*events, *((d.atMs, d.call, d.instance) for d in log.dials)])
+    events = [(r.at_ms, r.call, r.instance) for r in log.runs]
+    return sorted([*events, *((d.at_ms, d.call, d.instance) for d in log.dials)])
 
 
-def drainedGetNothing(log: Log) -> list[str]:
+def drained_get_nothing(log: Log) -> list[str]:
     """About 3 s after the floor marked an instance as draining, or a listing showed it as such,
     it gets nothing; nor anything after its stop was asked for."""
     found: list[str] = []
     spans: dict[str, list[tuple[str, float, float]]] = defaultdict(list)
-    for name, atMs in log.drainedMs.items():
-        spans[name].append(("marked", atMs + DRAIN_MS, float("inf")))
-    for name, atMs in log.stopMs.items():
-        spans[name].append(("stopped", atMs, float("inf")))
+    for name, at_ms in log.drained_ms.items():
+        spans[name].append(("marked", at_ms + DRAIN_MS, float("inf")))
+    for name, at_ms in log.stop_ms.items():
+        spans[name].append(("stopped", at_ms, float("inf")))
     for each in log.emptied:  # the platform may take a drain back
-        spans[each.instance].append(("listed as draining", each.fromMs + DRAIN_MS, each.toMs))
-    for atMs, call, instance in _sends(log):
-        for what, fromMs, toMs in spans.get(instance, ()):
-            if fromMs < atMs <= toMs:
-                ago = atMs - fromMs
+        spans[each.instance].append(("listed as draining", each.from_ms + DRAIN_MS, each.to_ms))
+    for at_ms, call, instance in _sends(log):
+        for what, from_ms, to_ms in spans.get(instance, ()):
+            if from_ms < at_ms <= to_ms:
+                ago = at_ms - from_ms
                 found.append(f"{call} went to {instance}, {what}, {ago:.0f} ms too late")
     return found
 
 
-def vanishedGetNothing(log: Log) -> list[str]:
+def vanished_get_nothing(log: Log) -> list[str]:
     """About 3 s after the listing lost an instance nobody sends towards it."""
-    lost = log.goneMs
+    lost = log.gone_ms
     return [
-        f"a try went to {instance} {atMs - lost[instance]:.0f} ms after it vanished"
-        for atMs, instance in log.deadSends
-        if instance in lost and atMs > lost[instance] + DRAIN_MS
+        f"a try went to {instance} {at_ms - lost[instance]:.0f} ms after it vanished"
+        for at_ms, instance in log.dead_sends
+        if instance in lost and at_ms > lost[instance] + DRAIN_MS
     ]
 
 
-def secondsWithinShare(log: Log) -> list[str]:
+def seconds_within_share(log: Log) -> list[str]:
     """In the 10 s that end at each send to a second instance such sends stay within a fifth of
     the service's first sends in them and a few dozen."""
     seen: dict[str, set[str]] = defaultdict(set)
     firsts: dict[str, list[float]] = defaultdict(list)
     seconds: dict[str, list[float]] = defaultdict(list)
     service = {a.call: a.service for a in log.asked}
-    for atMs, call, instance in _sends(log):
+    for at_ms, call, instance in _sends(log):
         if call not in service or instance in seen[call]:
             continue
-        (seconds if seen[call] else firsts)[service[call]].append(atMs)
+        (seconds if seen[call] else firsts)[service[call]].append(at_ms)
         seen[call].add(instance)
     found: list[str] = []
     for name, times in seconds.items():
-        for i, atMs in enumerate(times):
-            many = i + 1 - bisect_right(times, atMs - WINDOW_MS)
+        for i, at_ms in enumerate(times):
+            many = i + 1 - bisect_right(times, at_ms - WINDOW_MS)
             first = firsts[name]
-            traffic = bisect_right(first, atMs) - bisect_right(first, atMs - WINDOW_MS)
+            traffic = bisect_right(first, at_ms) - bisect_right(first, at_ms - WINDOW_MS)
             if many > SHARE * traffic + SHARE_PLUS:
                 found.append(f"{name}: {many} second sends against {traffic} firsts")
                 break
     return found
 
 
-def coldWithinRate(log: Log) -> list[str]:
+def cold_within_rate(log: Log) -> list[str]:
     """A cold instance gets at most 1.5 times its rate, plus five, in any second. Its rate at a
     moment is what it answered whole in the 2 s before, a second (docs/decisions/holding.md);
     the highest rate within the second counts."""
     found: list[str] = []
-    byInstance: dict[str, list[Run]] = defaultdict(list)
+    by_instance: dict[str, list[Run]] = defaultdict(list)
     for run in log.runs:
-        byInstance[run.instance].append(run)
-    for name, runs in byInstance.items():
-        cold = sorted(r.atMs for r in runs if r.coldForMs < log.coldMs.get(r.service, 0.0))
-        done = sorted(r.doneMs for r in runs if r.doneMs >= 0)
-        for i, atMs in enumerate(cold):
-            got = i + 1 - bisect_right(cold, atMs - 1_000)
-            moments = [atMs, *(d for d in done if atMs - 1_000 <= d <= atMs)]
+        by_instance[run.instance].append(run)
+    for name, runs in by_instance.items():
+        cold = sorted(r.at_ms for r in runs if r.cold_for_ms < log.cold_ms.get(r.service, 0.0))
+        done = sorted(r.done_ms for r in runs if r.done_ms >= 0)
+        for i, at_ms in enumerate(cold):
+            got = i + 1 - bisect_right(cold, at_ms - 1_000)
+            moments = [at_ms, *(d for d in done if at_ms - 1_000 <= d <= at_ms)]
             rate = max(
                 (bisect_right(done, m) - bisect_left(done, m - RATE_MS)) * 1_000 / RATE_MS
                 for m in moments
@@ -248,7 +252,7 @@
     return found
 
 
-def withinLimit(log: Log) -> list[str]:
+def within_limit(log: Log) -> list[str]:
     """An instance never runs more at once than it may."""
     return [
         f"{r.instance} ran {r.running} at once, limit {r.limit}"
@@ -257,34 +261,34 @@
     ]
 
 
-def backWithin(log: Log) -> list[str]:
+def back_within(log: Log) -> list[str]:
     """12 s after what fell is back, as many calls succeed, and as fast, as before the fault."""
     found: list[str] = []
     for each in log.returns:
-        before = _level(log, each.faultMs - LEVEL_MS, each.faultMs)
-        after = _level(log, each.backMs + BACK_MS, each.backMs + BACK_MS + LEVEL_MS)
+        before = _level(log, each.fault_ms - LEVEL_MS, each.fault_ms)
+        after = _level(log, each.back_ms + BACK_MS, each.back_ms + BACK_MS + LEVEL_MS)
         if before is None or after is None:
-            found.append(f"too few calls to say whether the level of {each.faultMs:.0f} is back")
+            found.append(f"too few calls to say whether the level of {each.fault_ms:.0f} is back")
         elif after[0] < before[0] - 0.01 or after[1] > 1.5 * before[1] + 50:
             found.append(
-                f"back at {each.backMs:.0f}: {after[0]:.3f} succeed within {after[1]:.0f} ms, "
+                f"back at {each.back_ms:.0f}: {after[0]:.3f} succeed within {after[1]:.0f} ms, "
                 f"before the fault {before[0]:.3f} within {before[1]:.0f} ms"
             )
     return found
 
 
-def _level(log: Log, fromMs: float, toMs: float) -> tuple[float, float] | None:
-    asked = [a for a in log.asked if fromMs <= a.atMs < toMs]
+def _level(log: Log, from_ms: float, to_ms: float) -> tuple[float, float] | None:
+    asked = [a for a in log.asked if from_ms <= a.at_ms < to_ms]
     if len(asked) < LEVEL_CALLS:
         return None
-    good = sorted(a.doneMs - a.atMs for a in asked if 200 <= a.status < 300)
+    good = sorted(a.done_ms - a.at_ms for a in asked if 200 <= a.status < 300)
     return len(good) / len(asked), good[int(0.9 * len(good))] if good else float("inf")
 
 
 JUDGES = (
-    onceNeverTwice, notRunHolds, oneVerdictInTime, successIsWhole, rightService, newestRules,
-    evacuatedGetNothing, drainedGetNothing, vanishedGetNothing, secondsWithinShare,
-    coldWithinRate, withinLimit, ackedReadsBack, refusedNeverRules, backWithin,
+    once_never_twice, not_run_holds, one_verdict_in_time, success_is_whole, right_service,
+    newest_rules, evacuated_get_nothing, drained_get_nothing, vanished_get_nothing, seconds_within_share,
+    cold_within_rate, within_limit, acked_reads_back, refused_never_rules, back_within,
 )  # fmt: skip
 
 
@@ -293,8 +297,8 @@
     return [f"{j.__name__}: {text}" for j in JUDGES for text in j(log)[:5]]
 
 
-def level(log: Log, fromMs: float, toMs: float) -> float:
+def level(log: Log, from_ms: float, to_ms: float) -> float:
     """The share of calls asked in a span that succeeded."""
-    asked = [a for a in log.asked if fromMs <= a.atMs < toMs]
+    asked = [a for a in log.asked if from_ms <= a.at_ms < to_ms]
     good = sum(1 for a in asked if 200 <= a.status < 300)
     return good / len(asked) if asked else 0.0
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -15,10 +15,10 @@
 from pathlib import Path
 from typing import Any
 
-honestS, honestNs = time.time, time.time_ns
+honest_s, honest_ns = time.time, time.time_ns
 
 
-def jumpedBy(path: Path) -> float:
+def jumped_by(path: Path) -> float:
     """How far off the wall clock is now."""
     try:
         return float(path.read_text() or 0)
@@ -31,8 +31,8 @@
     options = dict(zip(sys.argv[1:at:2], sys.argv[2:at:2], strict=True))
     if "--clock" in options:
         path = Path(options["--clock"])
-        time.time = lambda: honestS() + jumpedBy(path)
-        time.time_ns = lambda: honestNs() + int(jumpedBy(path) * 1e9)
+        time.time = lambda: honest_s() + jumped_by(path)
+        time.time_ns = lambda: honest_ns() + int(jumped_by(path) * 1e9)
     if "--listen" in options:
         import spokeroute.daemon
         from spokeroute.dial.ids import Address
--- a/tools/load.py
+++ b/tools/load.py
@@ -34,7 +34,7 @@
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
-def nowMs() -> float:
+def now_ms() -> float:
     return time.monotonic_ns() / 1e6
 
 
@@ -65,7 +65,7 @@
         """Apply the configuration as an operator would."""
         self.applies += 1
         doc = {**self.doc, "name": f"{self.doc['name']} {self.applies}"}
-        told = Told("apply", nowMs(), detail=doc["name"], sent=doc)
+        told = Told("apply", now_ms(), detail=doc["name"], sent=doc)
         self.told.append(told)
         return self.ask(told, "PUT", "/desired-state", json.dumps(doc).encode())
 
@@ -77,13 +77,13 @@
             told.status, told.doc = got.status, json.loads(got.data)
         except (urllib3.exceptions.HTTPError, ValueError):
             told.status = 0
-        told.doneMs = nowMs()
+        told.done_ms = now_ms()
         return told
 
     def show(self) -> None:
         """Read the configuration back."""
         for what, path in (("show", "/desired-state"), ("evacuated", "/evacuation")):
-            told = Told(what, nowMs())
+            told = Told(what, now_ms())
             self.told.append(self.ask(told, "GET", path))
 
     def choose(self, number: int) -> Asked:
@@ -99,14 +99,14 @@
         key = f"key-{number}" if number % 12 == 0 else ""
         return Asked(
             f"call-{number}", key, lane["path"], lane["service"], not lane.get("repeatable"),
-            self.rng.choice(self.exchanges), nowMs(), self.rng.randrange(4000, 8000),
+            self.rng.choice(self.exchanges), now_ms(), self.rng.randrange(4000, 8000),
             method=lane["methods"][0], agent=f"agent-{number % 40}",
         )  # fmt: skip
 
     def send(self, asked: Asked, method: str) -> None:
         """Carry out one call and keep what its caller saw."""
         headers = {
-            "Spokeroute-Wait-Ms": str(asked.waitMs), "Standin-Call": asked.call,
+            "Spokeroute-Wait-Ms": str(asked.wait_ms), "Standin-Call": asked.call,
             "Spokeroute-Agent": asked.agent,
         }  # fmt: skip
         if asked.key:
@@ -116,33 +116,33 @@
         try:
             got = self.http.request(
                 method, f"http://{self.fleet.http[asked.exchange]}{path}", body=body,
-                headers=headers, timeout=asked.waitMs / 1000 + 3, redirect=False,
+                headers=headers, timeout=asked.wait_ms / 1000 + 3, redirect=False,
             )  # fmt: skip
             asked.status, asked.body = got.status, got.data
             asked.verdicts = 1
             if got.status >= 400:
                 doc = json.loads(got.data)
                 asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
-                asked.retryAfter = got.headers.get("Retry-After", "")
+                asked.retry_after = got.headers.get("Retry-After", "")
         except urllib3.exceptions.NewConnectionError:
             asked.status, asked.kind = 0, "refused"
         except (urllib3.exceptions.HTTPError, ValueError) as fault:
             asked.status, asked.kind = 0, f"broke: {type(fault).__name__}"
-        asked.doneMs = nowMs()
+        asked.done_ms = now_ms()
 
-    def run(self, perS: float, seconds: float, events: list[tuple[float, Any]]) -> None:
+    def run(self, per_s: float, seconds: float, events: list[tuple[float, Any]]) -> None:
         """Open-loop calls; each event is carried out at its second."""
         pool = ThreadPoolExecutor(400)
-        startMs = nowMs()
+        start_ms = now_ms()
         methods = {x["path"]: x["methods"][0] for x in self.doc["lanes"]}
-        dueMs, number = startMs, 0
-        while dueMs < startMs + seconds * 1000:
-            dueMs += self.rng.expovariate(perS) * 1000
-            waitS = (dueMs - nowMs()) / 1000
-            if waitS > 0:
-                time.sleep(waitS)
-            self.behind = max(self.behind, nowMs() - dueMs)
-            while events and nowMs() - startMs > events[0][0] * 1000:
+        due_ms, number = start_ms, 0
+        while due_ms < start_ms + seconds * 1000:
+            due_ms += self.rng.expovariate(per_s) * 1000
+            wait_s = (due_ms - now_ms()) / 1000
+            if wait_s > 0:
+                time.sleep(wait_s)
+            self.behind = max(self.behind, now_ms() - due_ms)
+            while events and now_ms() - start_ms > events[0][0] * 1000:
                 pool.submit(events.pop(0)[1])
             number += 1
             asked = self.choose(number)
@@ -151,17 +151,17 @@
         pool.shutdown(wait=True)
 
 
-def readLog(folder: Path, load: Load, localities: list[str]) -> Log:
+def read_log(folder: Path, load: Load, localities: list[str]) -> Log:
     """The stand-in's log and the callers' own, as the judges want them."""
     runs: list[Run] = []
     answers: dict[str, bytes] = {}
     up: dict[str, float] = {}
-    byTry: dict[str, Run] = {}
+    by_try: dict[str, Run] = {}
     stops: dict[str, float] = {}
     starts: list[tuple[float, str]] = []
     emptied: list[Emptied] = []
 
-    def localityOf(worker: str) -> str:
+    def locality_of(worker: str) -> str:
         return localities[(int(worker[1:]) - 1) % len(localities)]
 
     keys = {a.call: a.key for a in load.asked}
@@ -171,17 +171,17 @@
             up[e["instance"]] = e["atMs"]
         elif e["kind"] == "run":
             run = Run(
-                e["atMs"], e["instance"], e["service"], e["worker"], localityOf(e["worker"]),
+                e["atMs"], e["instance"], e["service"], e["worker"], locality_of(e["worker"]),
                 e["call"], keys.get(e["call"], ""), e["path"], e["tryId"], e["running"],
                 e["limit"], e["atMs"] - up.get(e["instance"], 0.0),
             )  # fmt: skip
             runs.append(run)
-            byTry[run.tryId] = run
+            by_try[run.try_id] = run
         elif e["kind"] == "answer":
             answers[e["tryId"]] = e["body"].encode()
-            byTry[e["tryId"]].doneMs = e["atMs"]
+            by_try[e["tryId"]].done_ms = e["atMs"]
         elif e["kind"] == "start":
-            starts.append((e["atMs"], localityOf(e["worker"])))
+            starts.append((e["atMs"], locality_of(e["worker"])))
         elif e["kind"] == "stop" and e["why"] == "asked":
             stops[e["instance"]] = e["atMs"]
         elif e["kind"] == "shown":
@@ -189,11 +189,11 @@
         elif e["kind"] == "unshown":
             for each in emptied:
                 if each.instance == e["instance"]:
-                    each.toMs = min(each.toMs, e["atMs"])
+                    each.to_ms = min(each.to_ms, e["atMs"])
     cold = {x["name"]: x["coldMs"] for x in load.doc["services"]}
     return Log(
-        nowMs(), load.asked, runs, answers, load.told, cold, downs=load.fleet.downs,
-        emptied=emptied, stopMs=stops, starts=starts, returns=load.returns,
+        now_ms(), load.asked, runs, answers, load.told, cold, downs=load.fleet.downs,
+        emptied=emptied, stop_ms=stops, starts=starts, returns=load.returns,
     )  # fmt: skip
 
 
@@ -208,17 +208,17 @@
     return rss / 2**20, (int(stat[11]) + int(stat[12])) / ticks
 
 
-def ninth(log: Log, fromMs: float) -> str:
+def ninth(log: Log, from_ms: float) -> str:
     """The 0.9 quantile of successes asked in 5 s."""
-    asked = [a for a in log.asked if fromMs <= a.atMs < fromMs + 5_000]
-    good = sorted(a.doneMs - a.atMs for a in asked if 200 <= a.status < 300)
+    asked = [a for a in log.asked if from_ms <= a.at_ms < from_ms + 5_000]
+    good = sorted(a.done_ms - a.at_ms for a in asked if 200 <= a.status < 300)
     return f"{good[int(0.9 * len(good))]:.0f}" if good else "-"
 
 
 def figures(load: Load, log: Log, seconds: float, fleet: Fleet) -> None:
     """Print what came of it."""
     asked = log.asked
-    good = sorted(a.doneMs - a.atMs for a in asked if 200 <= a.status < 300)
+    good = sorted(a.done_ms - a.at_ms for a in asked if 200 <= a.status < 300)
     counts: dict[str, int] = {}
     for a in asked:
         name = f"{a.status} {a.kind} {a.ran}".strip()
@@ -230,7 +230,7 @@
         print(f"  latency p{q * 100:g}: {good[min(len(good) - 1, int(q * len(good)))]:.0f} ms")
     for name, many in sorted(counts.items(), key=lambda c: -c[1]):
         print(f"  {many:6d}  {name}")
-    first = asked[0].atMs
+    first = asked[0].at_ms
     starts = [first + s * 1000 for s in range(0, int(seconds), 10)]
     row = [f"{100 * level(log, t, t + 10_000):.1f}" for t in starts]
     print("  success by 10 s:", " ".join(row))
@@ -262,30 +262,30 @@
     args = parser.parse_args()
     folder = Path(args.folder or tempfile.mkdtemp(prefix="spokeroute-load-"))
     fleet = Fleet(folder, args.exchanges, organismo=args.deployment == "organismo")
-    fleet.startAll()
+    fleet.start_all()
     doc = json.loads((EXAMPLES / f"{args.deployment}.json").read_text())
     load = Load(fleet, doc, args.seed)
     try:
-        missing = fleet.waitReady([n for n in fleet.commands if n.startswith("reg")], 30)
+        missing = fleet.wait_ready([n for n in fleet.commands if n.startswith("reg")], 30)
         if missing:
             sys.exit(f"not ready: {missing}")
         told = load.apply()
         if told.status != 200:
             sys.exit(f"apply: {told}")
-        missing = fleet.waitReady(load.exchanges, 30)
+        missing = fleet.wait_ready(load.exchanges, 30)
         if missing:
             sys.exit(f"not ready: {missing}")
         time.sleep(6)
 
         acts = [(args.seconds * at, act) for at, act in events(args.scenario, fleet, load.apply)]
-        beginMs = nowMs()
+        begin_ms = now_ms()
         load.returns = [
-            Return(*(beginMs + 1000 * args.seconds * share for share in span))
+            Return(*(begin_ms + 1000 * args.seconds * share for share in span))
             for span in RETURNS.get(args.scenario, ())
         ]
         load.run(args.per_s, args.seconds, acts)
         load.show()
-        log = readLog(folder, load, doc["localities"])
+        log = read_log(folder, load, doc["localities"])
         figures(load, log, args.seconds, fleet)
         found = judge(log)
         print("judges:", "clean" if not found else "")
--- a/tools/log.py
+++ b/tools/log.py
@@ -10,7 +10,7 @@
 class Run:
     """One run of a call at an instance."""
 
-    atMs: float
+    at_ms: float
     instance: str
     service: str
     worker: str
@@ -18,11 +18,11 @@
     call: str
     key: str
     path: str
-    tryId: str
+    try_id: str
     running: int
     limit: int
-    coldForMs: float  # how long ago it came up
-    doneMs: float = -1.0  # when its whole answer left the instance
+    cold_for_ms: float  # how long ago it came up
+    done_ms: float = -1.0  # when its whole answer left the instance
 
 
 @dataclass
@@ -36,9 +36,9 @@
     service: str
     once: bool
     exchange: str
-    atMs: float
-    waitMs: int
-    doneMs: float = -1.0
+    at_ms: float
+    wait_ms: int
+    done_ms: float = -1.0
     status: int = -1
     ran: str = ""
     kind: str = ""
@@ -46,7 +46,7 @@
     verdicts: int = 0
     method: str = ""
     agent: str = ""
-    retryAfter: str = ""  # when a refusal says to come back
+    retry_after: str = ""  # when a refusal says to come back
 
 
 @dataclass
@@ -54,8 +54,8 @@
     """One operator request and how it ended; ``sent`` is a whole configuration as sent."""
 
     what: str
-    atMs: float
-    doneMs: float = -1.0
+    at_ms: float
+    done_ms: float = -1.0
     status: int = -1
     doc: dict[str, Any] = field(default_factory=dict)
     detail: str = ""
@@ -64,11 +64,11 @@
 
 @dataclass
 class Down:
-    """A process was killed or frozen by whoever caused the failure; ``toMs`` -1: still is."""
+    """A process was killed or frozen by whoever caused the failure; ``to_ms`` -1: still is."""
 
     process: str
-    fromMs: float
-    toMs: float
+    from_ms: float
+    to_ms: float
     how: str
 
 
@@ -76,44 +76,44 @@
 class Dial:
     """A connection or a send towards an instance, whatever came of it."""
 
-    atMs: float
+    at_ms: float
     call: str
     instance: str
 
 
 @dataclass
 class Emptied:
-    """A listing showed an instance as draining; ``toMs``: when one first did not any more."""
+    """A listing showed an instance as draining; ``to_ms``: when one first did not any more."""
 
     instance: str
-    fromMs: float
-    toMs: float = float("inf")
+    from_ms: float
+    to_ms: float = float("inf")
 
 
 @dataclass
 class Return:
-    """What fell at ``faultMs`` was back at ``backMs``."""
+    """What fell at ``fault_ms`` was back at ``back_ms``."""
 
-    faultMs: float
-    backMs: float
+    fault_ms: float
+    back_ms: float
 
 
 @dataclass
 class Log:
     """A whole run's log. Times are of one clock."""
 
-    endMs: float
+    end_ms: float
     asked: list[Asked]
     runs: list[Run]
     answers: dict[str, bytes]  # try -> the whole answer that was sent
     told: list[Told]
-    coldMs: dict[str, float]  # service -> how long its instances are cold
-    drainedMs: dict[str, float] = field(default_factory=dict)  # instance -> marked as draining
-    goneMs: dict[str, float] = field(default_factory=dict)  # instance -> a listing came without it
-    deadSends: list[tuple[float, str]] = field(default_factory=list)  # tries towards the gone
+    cold_ms: dict[str, float]  # service -> how long its instances are cold
+    drained_ms: dict[str, float] = field(default_factory=dict)  # instance -> marked as draining
+    gone_ms: dict[str, float] = field(default_factory=dict)  # instance -> a listing came without it
+    dead_sends: list[tuple[float, str]] = field(default_factory=list)  # tries towards the gone
     downs: list[Down] = field(default_factory=list)
     dials: list[Dial] = field(default_factory=list)
     emptied: list[Emptied] = field(default_factory=list)
-    stopMs: dict[str, float] = field(default_factory=dict)  # instance -> its stop was asked for
+    stop_ms: dict[str, float] = field(default_factory=dict)  # instance -> its stop was asked for
     starts: list[tuple[float, str]] = field(default_factory=list)  # when, and in which locality
     returns: list[Return] = field(default_factory=list)
--- a/tools/makeExamples.py
+++ b/tools/make_examples.py
@@ -13,14 +13,14 @@
     name: str,
     busy: list[tuple[str, str, list[str], bool]],
     small: str,
-    startBusyMs: int,
-    startSmallMs: int,
+    start_busy_ms: int,
+    start_small_ms: int,
 ) -> dict[str, Any]:
     services: list[dict[str, Any]] = []
     lanes: list[dict[str, Any]] = []
     for service, path, methods, repeatable in busy:
         services.append({
-            "name": service, "memoryMb": 512, "limit": 4, "startMs": startBusyMs,
+            "name": service, "memoryMb": 512, "limit": 4, "startMs": start_busy_ms,
             "longestRunMs": 1500, "coldMs": 2000, "minInstances": 2, "spares": 1,
         })  # fmt: skip
         lanes.append({
@@ -30,7 +30,7 @@
     for number in range(1, 76):
         service = f"{small}-{number:02d}"
         services.append({
-            "name": service, "memoryMb": 128, "limit": 1, "startMs": startSmallMs,
+            "name": service, "memoryMb": 128, "limit": 1, "startMs": start_small_ms,
             "longestRunMs": 1500, "coldMs": 1000, "spares": 1,
         })  # fmt: skip
         lanes.append({
--- a/tools/readback.py
+++ b/tools/readback.py
@@ -6,13 +6,13 @@
 from tools.ruling import NOTHING_DONE, holds, unsure
 
 
-def ackedReadsBack(log: Log) -> list[str]:
+def acked_reads_back(log: Log) -> list[str]:
     """What was acknowledged reads back whole and newest, at each read, by whichever registry."""
     found: list[str] = []
     applies = [t for t in log.told if t.what == "apply"]
     acked = [t for t in applies if t.status == 200]
     for show in (t for t in log.told if t.what == "show" and t.status in (200, 404)):
-        before = [t.doc["version"] for t in acked if t.doneMs <= show.atMs]
+        before = [t.doc["version"] for t in acked if t.done_ms <= show.at_ms]
         version = show.doc.get("version", 0) if show.status == 200 else 0
         if version < max(before, default=0):
             found.append(f"read back {version}, acknowledged {max(before)}")
@@ -20,7 +20,7 @@
         if not version:
             continue
         there = [t for t in acked if t.doc["version"] == version]
-        maybe = [t for t in applies if unsure(t) and t.atMs <= show.doneMs]
+        maybe = [t for t in applies if unsure(t) and t.at_ms <= show.done_ms]
         if not any(holds(t.sent, show.doc["configuration"]) for t in there or maybe):
             found.append(f"version {version} reads back as another configuration")
     versions = [int(t.doc["version"]) for t in acked]
@@ -33,13 +33,13 @@
     found: list[str] = []
     marks = [t for t in log.told if t.what in ("evacuate", "restore")]
     for show in (t for t in log.told if t.what == "evacuated" and t.status == 200):
-        settled = [t for t in marks if t.status == 200 and t.doneMs <= show.atMs]
+        settled = [t for t in marks if t.status == 200 and t.done_ms <= show.at_ms]
         newest = max((t.doc["version"] for t in settled), default=0)
         if show.doc["version"] < newest:
             found.append(f"evacuations read back {show.doc['version']}, acknowledged {newest}")
         for locality in {t.detail for t in settled}:
             mine = [t for t in settled if t.detail == locality]
-            last = max(mine, key=lambda t: t.doneMs)
+            last = max(mine, key=lambda t: t.done_ms)
             if _contested(marks, last, show):
                 continue
             if (locality in show.doc["evacuated"]) != (last.what == "evacuate"):
@@ -52,13 +52,13 @@
     for told in marks:
         if told is last or told.detail != last.detail or told.status in NOTHING_DONE:
             continue
-        over = told.status == 200 and told.doneMs <= last.atMs
-        if told.atMs <= show.doneMs and not over:
+        over = told.status == 200 and told.done_ms <= last.at_ms
+        if told.at_ms <= show.done_ms and not over:
             return True
     return False
 
 
-def refusedNeverRules(log: Log) -> list[str]:
+def refused_never_rules(log: Log) -> list[str]:
     """An apply that was refused as having done nothing never reads back."""
     refused = [
         t for t in log.told if t.what == "apply" and t.status in NOTHING_DONE and t.sent.get("name")
--- a/tools/ruling.py
+++ b/tools/ruling.py
@@ -21,8 +21,8 @@
     """One configuration: from when it may rule, and until when at most."""
 
     told: Told
-    fromMs: float
-    toMs: float
+    from_ms: float
+    to_ms: float
     lanes: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
@@ -33,19 +33,19 @@
         applies = [t for t in log.told if t.what == "apply"]
         acked = sorted((t for t in applies if t.status == 200), key=lambda t: t.doc["version"])
         self.all: list[Ruling] = []
-        overMs = float("inf")
+        over_ms = float("inf")
         for told in reversed(acked):
-            self.all.append(Ruling(told, told.atMs, overMs))
-            overMs = min(overMs, told.doneMs + RULES_MS)
+            self.all.append(Ruling(told, told.at_ms, over_ms))
+            over_ms = min(over_ms, told.done_ms + RULES_MS)
         for told in applies:
             if unsure(told):
-                self.all.append(Ruling(told, told.atMs, float("inf")))
+                self.all.append(Ruling(told, told.at_ms, float("inf")))
         for each in self.all:
             each.lanes = {lane["path"]: lane for lane in each.told.sent.get("lanes", ())}
 
-    def within(self, fromMs: float, toMs: float) -> list[Ruling]:
+    def within(self, from_ms: float, to_ms: float) -> list[Ruling]:
         """Those that may rule at some moment of a span."""
-        return [r for r in self.all if r.fromMs <= toMs and r.toMs >= fromMs]
+        return [r for r in self.all if r.from_ms <= to_ms and r.to_ms >= from_ms]
 
 
 def holds(sent: Any, shown: Any) -> bool:
--- a/tools/standin.py
+++ b/tools/standin.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 
-def nowMs() -> int:
+def now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
 
 
@@ -39,7 +39,7 @@
     state: str = "starting"
     address: str = ""
     server: QuietServer | None = None
-    upAtMs: int = 0
+    up_at_ms: int = 0
     running: int = 0
     most: int = 0
     sockets: list[socket.socket] = field(default_factory=list)
@@ -61,7 +61,7 @@
         self.snapshots: list[tuple[int, dict[str, Any]]] = []
 
     def write(self, kind: str, **fields: Any) -> None:
-        line = json.dumps({"atMs": nowMs(), "kind": kind, **fields})
+        line = json.dumps({"atMs": now_ms(), "kind": kind, **fields})
         with self.lock:
             self.log.write(line + "\n")
 
@@ -90,8 +90,8 @@
                         for i in self.instances.values()
                     ],
                 }  # fmt: skip
-            self.snapshots.append((nowMs(), doc))
-            edge = nowMs() - self.args.list_delay_ms
+            self.snapshots.append((now_ms(), doc))
+            edge = now_ms() - self.args.list_delay_ms
             while len(self.snapshots) > 1 and self.snapshots[1][0] <= edge:
                 self.snapshots.pop(0)
             self.sequence += 1
@@ -101,11 +101,11 @@
 
     def capped(self) -> bool:
         with self.lock:
-            edge = nowMs() - 1000
+            edge = now_ms() - 1000
             self.calls = [t for t in self.calls if t > edge]
             if len(self.calls) >= self.args.cap:
                 return True
-            self.calls.append(nowMs())
+            self.calls.append(now_ms())
             return False
 
     def start(self, raw: dict[str, Any]) -> int:
@@ -125,7 +125,7 @@
     def boot(self, instance: Instance) -> None:
         base = self.args.start_busy_ms if instance.limit > 1 else self.args.start_small_ms
         time.sleep(base / 1000 * self.rng.uniform(0.9, 1.2))
-        server = QuietServer(("127.0.0.1", 0), handlerOf(self, instance))
+        server = QuietServer(("127.0.0.1", 0), handler_of(self, instance))
         with self.lock:
             if instance.state != "starting":
                 server.server_close()
@@ -133,7 +133,7 @@
             instance.server = server
             instance.address = f"127.0.0.1:{server.server_address[1]}"
             instance.state = "running"
-            instance.upAtMs = nowMs()
+            instance.up_at_ms = now_ms()
         self.write("up", instance=instance.id, service=instance.service, address=instance.address)
         server.serve_forever(poll_interval=0.2)
 
@@ -170,7 +170,7 @@
         self.write("empty" if out else "fill", worker=worker)
         return 200
 
-    def serveListing(self) -> bytes:
+    def serve_listing(self) -> bytes:
         """The newest listing; the log says what it shows as draining for the first time."""
         doc = json.loads(self.listing)
         out = {w["id"] for w in doc["workers"] if w["draining"]}
@@ -189,7 +189,7 @@
         return 200
 
 
-def handlerOf(standin: Standin, instance: Instance) -> type[BaseHTTPRequestHandler]:
+def handler_of(standin: Standin, instance: Instance) -> type[BaseHTTPRequestHandler]:
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
@@ -221,31 +221,31 @@
                 return
             length = int(self.headers.get("Content-Length") or 0)
             body = self.rfile.read(length)
-            tryId = self.headers.get("Spokeroute-Try", "")
+            try_id = self.headers.get("Spokeroute-Try", "")
             call = self.headers.get("Standin-Call", "")
             with standin.lock:
                 instance.running += 1
                 running = instance.running
             standin.write("run", instance=instance.id, service=instance.service, call=call,
-                          tryId=tryId, running=running, limit=instance.limit,
+                          try_id=try_id, running=running, limit=instance.limit,
                           path=self.path, worker=instance.worker)  # fmt: skip
-            cold = nowMs() - instance.upAtMs < standin.args.cold_ms
-            workMs = standin.rng.uniform(0.6, 1.4) * standin.args.work_ms * (2 if cold else 1)
-            time.sleep(workMs / 1000)
+            cold = now_ms() - instance.up_at_ms < standin.args.cold_ms
+            work_ms = standin.rng.uniform(0.6, 1.4) * standin.args.work_ms * (2 if cold else 1)
+            time.sleep(work_ms / 1000)
             with standin.lock:
                 instance.running -= 1
             doc = {"call": call, "instance": instance.id, "echo": body.decode("utf-8", "replace")}
             standin.write(
-                "answer", instance=instance.id, call=call, tryId=tryId, body=json.dumps(doc)
+                "answer", instance=instance.id, call=call, try_id=try_id, body=json.dumps(doc)
             )
-            self.answer(200, doc, {"Spokeroute-Try": tryId})
+            self.answer(200, doc, {"Spokeroute-Try": try_id})
 
         do_GET = do_POST = do_PUT = do_DELETE = serve
 
     return Handler
 
 
-def platformHandler(standin: Standin) -> type[BaseHTTPRequestHandler]:
+def platform_handler(standin: Standin) -> type[BaseHTTPRequestHandler]:
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
@@ -259,7 +259,7 @@
             self.wfile.write(body)
 
         def do_GET(self) -> None:
-            self.answer(200, standin.serveListing()) if standin.listing else self.answer(503)
+            self.answer(200, standin.serve_listing()) if standin.listing else self.answer(503)
 
         def do_POST(self) -> None:
             body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
@@ -297,7 +297,7 @@
     standin = Standin(parser.parse_args())
     threading.Thread(target=standin.snap, daemon=True).start()
     host, _, port = standin.args.listen.rpartition(":")
-    server = QuietServer((host, int(port)), platformHandler(standin))
+    server = QuietServer((host, int(port)), platform_handler(standin))
     server.serve_forever(poll_interval=0.2)
 
 
