--- a/tests/sim/acts.py
+++ b/tests/sim/acts.py
@@ -57,7 +57,7 @@
     old = sim.registries[index]
     old.kill()
     old.machine_up = False
-    new = Node(sim, name, "registry", old.locality, f"10.0.7.{sim.draw()}:1", False)
+    new = Node(sim, name, "registry", old.zone, f"10.0.7.{sim.draw()}:1", False)
     living = [n for n in sim.nodes if n.alive]
     new.seeds = [n.address for n in sorted(living, key=lambda n: n.role != "registry")[:3]]
     sim.registries[index] = new
@@ -80,6 +80,6 @@
     for number in range(times):
         up = [e for e in sim.exchanges if e.alive]
         if up:
-            path = next(p for p, x in sim.lanes.items() if not x.get("repeatable"))
+            path = next(p for p, x in sim.routes.items() if not x.get("repeatable"))
             sim.call(path, up[number % len(up)], key=key, wait_ms=4_000)
         sim.run(every_ms)
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -10,9 +10,9 @@
 
 import simpy
 
+from spokeroute.dial.answers import Answer
 from spokeroute.dial.ids import CallId
-from spokeroute.dial.verdict import Verdict
-from spokeroute.dispatch.desired import DesiredState, pack_desired, read_desired
+from spokeroute.dispatch.configuration import Configuration, pack_configuration, read_configuration
 from spokeroute.exchange.types import CallIn
 from spokeroute.register.cells import digest_of
 from spokeroute.registry.operator import Apply, Evacuate, Show, ShowEvacuated
@@ -21,14 +21,14 @@
 from tools.log import Asked, Down, Log, Return, Told
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
-LOCALITIES = ("north", "centre", "south")
+ZONES = ("north", "centre", "south")
 
 
 def configuration(**changes: Any) -> dict[str, Any]:
     """A small deployment: a busy service, a once-only one, two small ones."""
     doc: dict[str, Any] = {
         "name": "simulated",
-        "localities": list(LOCALITIES),
+        "zones": list(ZONES),
         "services": [
             {"name": "readings", "memoryMb": 512, "limit": 4, "coldMs": 1000,
              "longestRunMs": 1000, "minInstances": 2, "spares": 1},
@@ -39,11 +39,11 @@
             {"name": "small-2", "memoryMb": 128, "limit": 1, "coldMs": 500,
              "longestRunMs": 1000},
         ],
-        "lanes": [
+        "routes": [
             {"path": "/readings", "service": "readings", "methods": ["POST"],
-             "repeatable": True, "perAgentPerS": 1000.0},
+             "repeatable": True, "perClientPerS": 1000.0},
             {"path": "/corrections", "service": "corrections", "methods": ["POST"],
-             "perAgentPerS": 1000.0},
+             "perClientPerS": 1000.0},
             {"path": "/small/1", "service": "small-1", "repeatable": True},
             {"path": "/small/2", "service": "small-2", "repeatable": True},
         ],
@@ -82,21 +82,20 @@
         self.net = Net(self.env, self.rng)
         self.notes: list[tuple[float, str, str]] = []
         self.skip_who = self.skip_proof = self.skip_whole = False
-        self.platform = Platform(self.env, self.rng, LOCALITIES, 6, start_ms, work_ms)
+        self.platform = Platform(self.env, self.rng, ZONES, 6, start_ms, work_ms)
         self.seeds = [f"10.0.0.{i + 1}:1" for i in range(3)]
         self.draws = 0
         self.registries = [
-            Node(self, f"reg{i + 1}", "registry", LOCALITIES[i], self.seeds[i], True)
-            for i in range(3)
+            Node(self, f"reg{i + 1}", "registry", ZONES[i], self.seeds[i], True) for i in range(3)
         ]
         self.exchanges = [
-            Node(self, f"ex{i + 1}", "exchange", LOCALITIES[i % 3], f"10.1.0.{i + 1}:1", False)
+            Node(self, f"ex{i + 1}", "exchange", ZONES[i % 3], f"10.1.0.{i + 1}:1", False)
             for i in range(exchanges)
         ]
-        self.busy = 2  # the first lanes are the busy ones
+        self.busy = 2  # the first routes are the busy ones
         self.asked: list[Asked] = []
         self.told: list[Told] = []
-        self.lanes: dict[str, dict[str, Any]] = {x["path"]: x for x in configuration()["lanes"]}
+        self.routes: dict[str, dict[str, Any]] = {x["path"]: x for x in configuration()["routes"]}
         self.floors: list[tuple[float, int, Any]] = []  # when each floor was first chosen
         self.downs: list[Down] = []
         self.returns: list[Return] = []
@@ -166,13 +165,13 @@
         busy = [s["name"] for s in doc["services"] if s.get("minInstances", 0) >= 2]
         ready = self.up_to(lambda: all(self.serving(s) for s in busy), 25_000)
         assert ready, "the cluster did not come up"
-        self.lanes = {x["path"]: x for x in doc["lanes"]}
+        self.routes = {x["path"]: x for x in doc["routes"]}
 
     def apply(self, doc: dict[str, Any], registry: int = 0, expect: int = -1) -> Told:
         """An operator's apply."""
-        got = read_desired(json.dumps(doc).encode(), LOCALITIES)
-        assert isinstance(got, DesiredState), got
-        value = pack_desired(got, f"a{self.draw()}")
+        got = read_configuration(json.dumps(doc).encode(), ZONES)
+        assert isinstance(got, Configuration), got
+        value = pack_configuration(got, f"a{self.draw()}")
         told = Told("apply", self.env.now)
         told.detail, told.sent = str(doc.get("name", "")), doc
         self.cold_ms.update({x["name"]: x.get("coldMs", 2000) for x in doc["services"]})
@@ -183,13 +182,13 @@
         )
         return told
 
-    def evacuate(self, locality: str, out: bool, registry: int = 0) -> Told:
+    def evacuate(self, zone: str, out: bool, registry: int = 0) -> Told:
         """An operator's evacuation or restore."""
         told = Told("evacuate" if out else "restore", self.env.now)
-        told.detail = locality
+        told.detail = zone
         self.told.append(told)
         node = self.registries[registry]
-        node.ask("operator", lambda s: Evacuate(s, locality, out, LOCALITIES), self._teller(told))
+        node.ask("operator", lambda s: Evacuate(s, zone, out, ZONES), self._teller(told))
         return told
 
     def show(self, registry: int = 0) -> Told:
@@ -200,7 +199,7 @@
         return told
 
     def evacuated(self, registry: int = 0) -> Told:
-        """An operator's read of the evacuated localities."""
+        """An operator's read of the evacuated zones."""
         told = Told("evacuated", self.env.now)
         self.told.append(told)
         self.registries[registry].ask("operator", ShowEvacuated, self._teller(told))
@@ -214,39 +213,39 @@
         docs = [{**json.loads(text), "atMs": self.entered[key]} for key, text in texts.items()]
         return sorted((d for d in docs if d["kind"] == kind), key=lambda d: d["key"])
 
-    def _teller(self, told: Told) -> Callable[[Verdict], None]:
-        def tell(verdict: Verdict) -> None:
-            told.done_ms, told.status = self.env.now, verdict.status
-            told.doc = json.loads(verdict.body) if verdict.body else {}
+    def _teller(self, told: Told) -> Callable[[Answer], None]:
+        def tell(answer: Answer) -> None:
+            told.done_ms, told.status = self.env.now, answer.status
+            told.doc = json.loads(answer.body) if answer.body else {}
 
         return tell
 
     def call(
         self, path: str, exchange: Node | None = None, key: str = "", wait_ms: int = 5000,
-        agent: str = "", body: bytes = b"{}",
+        client: str = "", body: bytes = b"{}",
     ) -> Asked:  # fmt: skip
         """One caller's call."""
         if exchange is None:
             up = [e for e in self.exchanges if e.alive]
             exchange = self.rng.choice(up or self.exchanges)
         name = f"c{self.draw()}"
-        lane = self.lanes.get(path, {"service": "", "repeatable": True})
+        route = self.routes.get(path, {"service": "", "repeatable": True})
         asked = Asked(
-            name, key, path, lane["service"], not lane.get("repeatable"), exchange.name,
-            self.env.now, wait_ms, method=lane.get("methods", ["GET"])[0], agent=agent or name,
+            name, key, path, route["service"], not route.get("repeatable"), exchange.name,
+            self.env.now, wait_ms, method=route.get("methods", ["GET"])[0], client=client or name,
         )  # fmt: skip
         self.asked.append(asked)
         if not exchange.alive:
             asked.status, asked.kind, asked.done_ms = 0, "refused", self.env.now
             return asked
 
-        def tell(verdict: Verdict) -> None:
-            asked.verdicts += 1 if verdict.status else 0
-            asked.done_ms, asked.status, asked.body = self.env.now, verdict.status, verdict.body
-            if verdict.status >= 400:
-                doc = json.loads(verdict.body)
+        def tell(answer: Answer) -> None:
+            asked.answers += 1 if answer.status else 0
+            asked.done_ms, asked.status, asked.body = self.env.now, answer.status, answer.body
+            if answer.status >= 400:
+                doc = json.loads(answer.body)
                 asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
-                asked.retry_after = dict(verdict.headers).get("Retry-After", "")
+                asked.retry_after = dict(answer.headers).get("Retry-After", "")
 
         headers = (("Standin-Call", name), *((("Idempotency-Key", key),) if key else ()))
         exchange.ask(
@@ -254,7 +253,7 @@
             lambda slot: CallIn(
                 slot,
                 CallId(name),
-                asked.agent,
+                asked.client,
                 asked.method,
                 path.replace("*", "x"),
                 "",
@@ -279,20 +278,20 @@
         while self.env.now < until_ms:
             count += 1
             path = self.rng.choice(paths) if paths else self._choose(count)
-            once = not self.lanes[path].get("repeatable")
+            once = not self.routes[path].get("repeatable")
             key = f"k{self.draw()}" if once and count % 12 == 0 else ""
             self.call(path, key=key, wait_ms=self.rng.randrange(4000, 8000))
             yield self.env.timeout(self.rng.expovariate(per_s) * 1000)
 
     def _choose(self, count: int) -> str:
         """A sixth of the calls are once-only, a tenth of the others go to small services."""
-        busy = list(self.lanes)[: self.busy]
-        once = [p for p in busy if not self.lanes[p].get("repeatable")]
-        free = [p for p in busy if self.lanes[p].get("repeatable")]
+        busy = list(self.routes)[: self.busy]
+        once = [p for p in busy if not self.routes[p].get("repeatable")]
+        free = [p for p in busy if self.routes[p].get("repeatable")]
         if count % 6 == 0:
             return self.rng.choice(once)
         if self.busy > 2 and count % 10 == 1:
-            return self.rng.choice(list(self.lanes)[self.busy :])
+            return self.rng.choice(list(self.routes)[self.busy :])
         return self.rng.choice(free)
 
     def log(self) -> Log:
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -13,11 +13,11 @@
 
 import simpy
 
-from spokeroute.dial.ids import Address, InstanceId, LocalityName, ServiceName, WorkerId
+from spokeroute.dial.ids import Address, InstanceId, ServiceName, WorkerId, ZoneName
 from spokeroute.dispatch.plan import Listed
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
 from spokeroute.dispatch.scaler import WorkerSeat
-from spokeroute.exchange.types import SendTry, TryDone
+from spokeroute.exchange.types import AttemptDone, SendAttempt
 from tools.log import Dial, Emptied, Run
 
 Steps = Generator[Any, Any, None]
@@ -43,13 +43,13 @@
     """The platform, its workers, and the edge that calls its instances."""
 
     def __init__(
-        self, env: simpy.Environment, rng: random.Random, localities: tuple[str, ...],
+        self, env: simpy.Environment, rng: random.Random, zones: tuple[str, ...],
         workers: int, start_ms: float, work_ms: float, cap_per_s: int = 110,
     ) -> None:  # fmt: skip
         self.env = env
         self.rng = rng
         self.seats = [
-            WorkerSeat(WorkerId(f"w{i + 1}"), LocalityName(localities[i % len(localities)]), 7680)
+            WorkerSeat(WorkerId(f"w{i + 1}"), ZoneName(zones[i % len(zones)]), 7680)
             for i in range(workers)
         ]
         self.down_workers: set[str] = set()
@@ -66,7 +66,7 @@
         self.runs: list[Run] = []
         self.answers: dict[str, bytes] = {}  # try -> the whole answer that was sent
         self.shown_gone_ms: dict[str, float] = {}  # when a listing first came without it
-        self.dead_sends: list[tuple[float, str]] = []  # tries towards what is gone
+        self.dead_sends: list[tuple[float, str]] = []  # attempts towards what is gone
         self.dials: list[Dial] = []
         self.emptied: set[str] = set()  # workers that the platform empties
         self.shown_empty: list[Emptied] = []
@@ -147,7 +147,7 @@
         self.calls.append((self.env.now, node.name, job.op, job.instance))
         outcome = "ok"
         if job.op == "start":
-            self.starts.append((self.env.now, self.seat(job.worker).locality))
+            self.starts.append((self.env.now, self.seat(job.worker).zone))
             if job.worker in self.down_workers or self.fail_starts > 0:
                 self.fail_starts = max(0, self.fail_starts - 1)
                 outcome = "failed"
@@ -194,13 +194,15 @@
         self.by_address[server.address] = server
         return server
 
-    def send_try(self, node: Any, job: SendTry, token: Any, born: int) -> Steps:
+    def send_attempt(self, node: Any, job: SendAttempt, token: Any, born: int) -> Steps:
         """The sender's edge: dial, ask who, take the token, send, wait for the answer."""
 
         def tell(ran: str, why: str, body: bytes = b"", status: int = 0) -> None:
-            node.tokens.pop(job.try_id, None)
+            node.tokens.pop(job.attempt_id, None)
             headers = (("Content-Type", "application/json"),) if ran == "yes" else ()
-            node.report("holder", TryDone(job.try_id, ran, why, status, headers, body), born)
+            node.report(
+                "holder", AttemptDone(job.attempt_id, ran, why, status, headers, body), born
+            )
 
         yield self.env.timeout(1.5)
         yield from node.awake()
@@ -246,7 +248,7 @@
         else:
             tell("maybe", f"bad answer: {kind}")
 
-    def _run(self, server: Server, job: SendTry, answered: simpy.Event) -> Steps:
+    def _run(self, server: Server, job: SendAttempt, answered: simpy.Event) -> Steps:
         yield self.env.timeout(0.7)
         if server.state != "running":
             answered.succeed(("lost", b""))
@@ -256,8 +258,8 @@
         call = heads.get("standin-call", "")
         run = Run(
             self.env.now, server.id, server.service, server.worker,
-            self.seat(server.worker).locality, call, heads.get("idempotency-key", ""),
-            job.path, job.try_id, server.running, server.limit,
+            self.seat(server.worker).zone, call, heads.get("idempotency-key", ""),
+            job.path, job.attempt_id, server.running, server.limit,
             self.env.now - server.up_at_ms,
         )  # fmt: skip
         self.runs.append(run)
@@ -270,13 +272,13 @@
             return
         body = f'{{"call":"{call}","instance":"{server.id}"}}'.encode()
         if server.behave == "well":
-            self.answers[job.try_id] = body
+            self.answers[job.attempt_id] = body
             run.done_ms = self.env.now
             answered.succeed(("whole", body))
         elif server.behave == "short":
             answered.succeed(("cut short", body[:10]))
         elif server.behave == "garbage":
-            answered.succeed(("it does not echo the try", b"\x00garbage"))
+            answered.succeed(("it does not echo the attempt", b"\x00garbage"))
         elif server.behave == "late":
             yield self.env.timeout(20_000)
         else:
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -1,4 +1,4 @@
-"""The simulated world: one clock, a network with localities and cuts, processes that can be
+"""The simulated world: one clock, a network with zones and cuts, processes that can be
 frozen and killed, disks that stall and lose their unsynced tail. The nodes are the product's
 own, built by ``spokeroute.nodes``."""
 
@@ -12,13 +12,13 @@
 import simpy
 from immutables import Map
 
+from spokeroute.dial.answers import Answer
 from spokeroute.dial.effects import SlotId
 from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
-from spokeroute.dial.verdict import Verdict
-from spokeroute.dispatch.desired import build_table
+from spokeroute.dispatch.configuration import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
 from spokeroute.exchange.sender import Token
-from spokeroute.exchange.types import LinkDown, Revoke, SendTry, TryDone
+from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
 from spokeroute.nodes import Start, build_exchange, build_registry
 from spokeroute.register.cells import Cell, Roster
@@ -54,13 +54,13 @@
         self.env = env
         self.rng = rng
         self.nodes: dict[Address, Node] = {}
-        self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "locality:x"
+        self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "zone:x"
         self.last_ms: dict[tuple[str, str], float] = {}
 
     def cut_between(self, a: Node, b: Node) -> bool:
         """Whether nothing gets from a to b."""
-        froms = (a.name, f"locality:{a.locality}")
-        tos = (b.name, f"locality:{b.locality}")
+        froms = (a.name, f"zone:{a.zone}")
+        tos = (b.name, f"zone:{b.zone}")
         return any((f, t) in self.cuts for f in froms for t in tos)
 
     def delay_ms(self, a: str, b: str) -> float:
@@ -72,7 +72,7 @@
     def _carry(self, sender: Node, address: Address, frame: bytes) -> Steps:
         born = sender.births
         there = self.nodes.get(address)
-        delay = self.delay_ms(sender.locality, there.locality if there else "")
+        delay = self.delay_ms(sender.zone, there.zone if there else "")
         key = (sender.name, address)
         at = max(self.env.now + delay, self.last_ms.get(key, 0.0))
         self.last_ms[key] = at
@@ -91,13 +91,13 @@
     """One process on its machine: the product's actors over simulated edges."""
 
     def __init__(
-        self, sim: Any, name: str, role: str, locality: str, address: str, found: bool
+        self, sim: Any, name: str, role: str, zone: str, address: str, found: bool
     ) -> None:
         self.sim = sim
         self.env: simpy.Environment = sim.env
         self.name = name
         self.role = role
-        self.locality = locality
+        self.zone = zone
         self.address = Address(address)
         self.found = found
         self.seeds: list[str] = []  # its own, where they differ from the cluster's
@@ -110,7 +110,7 @@
         self.disk: SimDisk | None = None
         self.backlog: list[Callable[[], None]] = []
         self.woken = self.env.event()
-        self.slots: dict[int, Callable[[Verdict], None]] = {}
+        self.slots: dict[int, Callable[[Answer], None]] = {}
         self.next_slot = 0
         self.tokens: dict[str, Token] = {}
 
@@ -122,10 +122,10 @@
     def send(self, address: Address, frame: bytes) -> None:
         self.sim.net.send(self, address, frame)
 
-    def reply(self, slot: SlotId, verdict: Verdict) -> None:
+    def reply(self, slot: SlotId, answer: Answer) -> None:
         told = self.slots.pop(slot.index, None)
         if told is not None:
-            told(verdict)
+            told(answer)
 
     def note(self, text: str, alarm: bool) -> None:
         self.sim.notes.append((self.env.now, self.name, text))
@@ -142,14 +142,14 @@
                 self.env.process(self._ledger(actor, job, born))
             case Compile():
                 self.env.process(self._compile(actor, job, born))
-            case SendTry():
+            case SendAttempt():
                 token = Token()
-                self.tokens[job.try_id] = token
-                self.env.process(self.sim.platform.send_try(self, job, token, born))
-            case Revoke(try_id):
-                held = self.tokens.get(try_id)
+                self.tokens[job.attempt_id] = token
+                self.env.process(self.sim.platform.send_attempt(self, job, token, born))
+            case Revoke(attempt_id):
+                held = self.tokens.get(attempt_id)
                 if held is not None and held.revoke():
-                    self.report("holder", TryDone(try_id, "no", "dropped"), born)
+                    self.report("holder", AttemptDone(attempt_id, "no", "dropped"), born)
             case ListPlatform():
                 self.env.process(self.sim.platform.list(self, actor, born))
             case PlatformCall():
@@ -239,12 +239,12 @@
                 self.disk = SimDisk(member, sync_ms=self.sim.sync_ms)
             disk = self.disk
             loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
-            me = Me(disk.member, incarnation, self.address, self.role, self.locality)
+            me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
             start = Start(seeds, rng.randrange(10**9), self.found, rank)
             self.process = build_registry(me, self, start, loaded)
         else:
-            me = Me(NodeId(self.name), incarnation, self.address, self.role, self.locality)
+            me = Me(NodeId(self.name), incarnation, self.address, self.role, self.zone)
             self.process = build_exchange(me, self, Start(seeds, rng.randrange(10**9)))
         self.sim.net.nodes[self.address] = self
         self.env.process(self._beat(self.births))
@@ -261,7 +261,7 @@
         if self.process is not None:
             self.process.close()
         for told in list(self.slots.values()):
-            told(Verdict(0, (), b""))  # the caller's connection breaks
+            told(Answer(0, (), b""))  # the caller's connection breaks
         self.slots = {}
         if self.frozen:
             self.frozen = False
@@ -314,7 +314,7 @@
     # what tests ask of it
 
     def ask(
-        self, actor: str, make: Callable[[SlotId], object], told: Callable[[Verdict], None]
+        self, actor: str, make: Callable[[SlotId], object], told: Callable[[Answer], None]
     ) -> None:
         """A request on a slot of its own."""
         self.next_slot += 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -43,7 +43,7 @@
     for i, node in enumerate(old):
         node.kill()
         node.machine_up = False
-        new = Node(sim, f"new{i + 1}", "registry", node.locality, f"10.0.7.{i + 1}:1", False)
+        new = Node(sim, f"new{i + 1}", "registry", node.zone, f"10.0.7.{i + 1}:1", False)
         # Seeds must name processes that are there: the next core nodes and an exchange.
         new.seeds = [old[(i + 1) % 3].address, sim.registries[0].address, "10.1.0.1:1"]
         sim.registries[i] = new
@@ -122,16 +122,16 @@
 
 
 @EACH
-def test_locality_lost_and_back(sim: Sim) -> None:
+def test_zone_lost_and_back(sim: Sim) -> None:
     """A registry, an exchange and two workers go at once, and come back."""
     sim.settle()
     sim.traffic(50, 40_000)
     sim.run(3_000)
-    gone = [n for n in sim.nodes if n.locality == "south"]
+    gone = [n for n in sim.nodes if n.zone == "south"]
     for node in gone:
         node.kill()
         node.machine_up = False
-    workers = [s.id for s in sim.platform.seats if s.locality == "south"]
+    workers = [s.id for s in sim.platform.seats if s.zone == "south"]
     for worker in workers:
         sim.platform.crash(worker)
     lost_ms = sim.env.now
@@ -153,8 +153,8 @@
     sim.settle()
     sim.traffic(40, 20_000)
     sim.run(2_000)
-    for other in ("locality:centre", "locality:south"):
-        sim.net.cuts |= {("locality:north", other), (other, "locality:north")}
+    for other in ("zone:centre", "zone:south"):
+        sim.net.cuts |= {("zone:north", other), (other, "zone:north")}
     told = sim.apply(configuration(name="majority-side"), registry=1)
     lone = sim.apply(configuration(name="lone-side"), registry=0)
     sim.run(9_000)
@@ -187,7 +187,7 @@
 
 
 @EACH
-@pytest.mark.parametrize("syncMs", [250.0, 600.0])
+@pytest.mark.parametrize("sync_ms", [250.0, 600.0])
 def test_two_slow_disks_still_acknowledge(sim: Sim, sync_ms: float) -> None:
     """Seen by the random search: where a majority needs a slow disk, each round was begun anew
     before its answers could come, and nothing was ever written."""
@@ -204,7 +204,7 @@
 
 @EACH
 def test_a_herd_after_an_evacuation_starts_nothing_there(sim: Sim) -> None:
-    """Seen by the random search: starts that the floor still had in an evacuated locality were
+    """Seen by the random search: starts that the floor still had in an evacuated zone were
     asked for again when everything was back."""
     sim.settle()
     sim.platform.cap_per_s = 0  # what is asked for stays on the floor as starting
@@ -228,7 +228,7 @@
 
 
 @EACH
-def test_the_last_locality_stays(sim: Sim) -> None:
+def test_the_last_zone_stays(sim: Sim) -> None:
     """All three are asked for at once, at three registries: two are emptied, one asker is told
     clearly why not, and calls are served."""
     sim.settle()
@@ -237,7 +237,7 @@
     sim.run(8_000)
     assert sorted(t.status for t in told) == [200, 200, 409]
     refused = next(t for t in told if t.status == 409)
-    assert refused.doc["kind"] == "last_locality" and "restore" in refused.doc["remedy"]
+    assert refused.doc["kind"] == "last_zone" and "restore" in refused.doc["remedy"]
     shown = sim.evacuated(1)
     sim.run(9_000)
     assert refused.detail not in shown.doc["evacuated"] and len(shown.doc["evacuated"]) == 2
@@ -301,7 +301,7 @@
 
 @EACH
 def test_evacuations_and_applies_at_once(sim: Sim) -> None:
-    """A locality is emptied and restored again and again, through any registry, beside applies
+    """A zone is emptied and restored again and again, through any registry, beside applies
     and beside the fall of a worker elsewhere."""
     sim.settle()
     sim.traffic(40, 40_000)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -21,7 +21,7 @@
 
 
 @EACH
-@pytest.mark.parametrize("afterMs", [9, 16, 25])
+@pytest.mark.parametrize("after_ms", [9, 16, 25])
 def test_a_keyed_call_whose_exchange_dies(sim: Sim, after_ms: int) -> None:
     """Between claim and send, or right after it; the caller repeats at the others, quickly and
     often, beyond the first call's wait."""
@@ -106,7 +106,7 @@
     served, what can't be is told so at once and when to come back, others are not harmed."""
     day.traffic(150, 18_000)
     day.run(3_000)
-    path = next(iter(p for p, x in day.lanes.items() if x.get("repeatable")))
+    path = next(iter(p for p, x in day.routes.items() if x.get("repeatable")))
     from_ms = day.env.now
     day.traffic(30 * times, 8_000, (path,))
     day.run(15_000)
@@ -127,7 +127,7 @@
     together could do. Refusals come at once, not at the end of the wait."""
     day.platform.work_ms = 500.0
     day.platform.seats = [replace(s, memory_mb=2_560) for s in day.platform.seats]
-    path = list(day.lanes)[-1]
+    path = list(day.routes)[-1]
     from_ms = day.env.now
     day.traffic(400, 7_000, (path,))
     day.run(8_000)
@@ -146,7 +146,7 @@
 @pytest.mark.parametrize("day", [("tooluur", 3)], indirect=True)
 def test_busy_services_jump(day: Sim) -> None:
     """The load of one service falls to nothing while another's rises five times over."""
-    one, two = [p for p in list(day.lanes)[:4] if day.lanes[p].get("repeatable")][:2]
+    one, two = [p for p in list(day.routes)[:4] if day.routes[p].get("repeatable")][:2]
     for path, other in ((one, two), (two, one), (one, two)):
         day.traffic(200, 4_000, (path,))
         day.traffic(10, 4_000, (other,))
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -57,7 +57,7 @@
 
 
 @pytest.mark.parametrize(
-    ("day", "syncMs", "count"),
+    ("day", "sync_ms", "count"),
     [(TOOLUUR, 200.0, 2), (ORGANISMO, 1_000.0, 2), (TOOLUUR, 5_000.0, 1)],
     indirect=["day"],
 )
@@ -103,12 +103,12 @@
 
 
 @BOTH
-def test_a_locality_falls_and_comes_back(day: Sim) -> None:
-    """A registry, three exchanges and two workers of one locality go at once."""
-    gone = [n for n in day.nodes if n.locality == "centre"]
+def test_a_zone_falls_and_comes_back(day: Sim) -> None:
+    """A registry, three exchanges and two workers of one zone go at once."""
+    gone = [n for n in day.nodes if n.zone == "centre"]
     for node in gone:
         node.machine_up = False
-    workers = [s.id for s in day.platform.seats if s.locality == "centre"]
+    workers = [s.id for s in day.platform.seats if s.zone == "centre"]
     for worker in workers:
         day.platform.crash(worker)
     after(day, 9_900, day.platform.down_workers.clear)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -16,7 +16,7 @@
 
 from spokeroute.dial.ids import Address, Ballot, Epoch, MemberId
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.disk import Disk, DiskFault, Loaded
+from spokeroute.register.disk import Disk, DiskError, Loaded
 from spokeroute.register.keeper import DiskWrite
 
 PAGE = 4096
@@ -75,7 +75,7 @@
             value = rng.randbytes(rng.choice((20, 900, 9_000, 60_000)))
             ballot = Ballot(number, MemberId(member))
             cell = Cell(ballot, ballot, number, digest_of(value), value)
-            name = rng.choice(("floor", "desired-state", f"claim/{number}"))
+            name = rng.choice(("floor", "configuration", f"claim/{number}"))
             disk.write(DiskWrite(number, ((name, cell),), (), roster, True))
             acked[name] = cell
         after = path.read_bytes()
@@ -109,7 +109,7 @@
     disk.close()
     lost = next(i for i, page in enumerate(pages(after)) if page == b"v" * PAGE)
     there = {i for i in changed(before, after) if i != lost}
-    with pytest.raises(DiskFault):
+    with pytest.raises(DiskError):
         reopened(tmp_path / "crashed", mixed(before, after, there))
 
 
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -48,13 +48,13 @@
     sim.run(7_000)
     found = kinds(sim)
     assert {"registry-unreachable", "member-silent", "exchange-unreachable"} <= found
-    assert "colleague-quiet" in found and "no-majority" not in found
+    assert "peer-quiet" in found and "no-majority" not in found
 
 
 def test_no_majority_and_staleness(sim: Sim) -> None:
     sim.settle()
-    for other in ("locality:centre", "locality:south"):
-        sim.net.cuts |= {("locality:north", other), (other, "locality:north")}
+    for other in ("zone:centre", "zone:south"):
+        sim.net.cuts |= {("zone:north", other), (other, "zone:north")}
     sim.run(4_000)
     assert {"stale", "member-silent", "exchange-not-fresh"} <= kinds(sim)
     sim.registries[1].kill()
@@ -97,8 +97,8 @@
 
 def test_versions_and_epochs_differ(sim: Sim) -> None:
     sim.settle()
-    for other in ("locality:centre", "locality:south"):
-        sim.net.cuts |= {("locality:north", other), (other, "locality:north")}
+    for other in ("zone:centre", "zone:south"):
+        sim.net.cuts |= {("zone:north", other), (other, "zone:north")}
     sim.apply(configuration(name="x"), registry=1)
     blank = Node(sim, "new", "registry", "centre", "10.0.9.1:1", False)
     blank.start()
@@ -126,9 +126,9 @@
         doc["services"].append({"name": f"big-{number}", "memoryMb": 7000, "limit": 1,
                                 "minInstances": 1})  # fmt: skip
     doc["services"].append({"name": "late", "memoryMb": 7000, "limit": 1})
-    doc["lanes"].append({"path": "/late", "service": "late"})
+    doc["routes"].append({"path": "/late", "service": "late"})
     sim.apply(doc)
-    sim.lanes["/late"] = doc["lanes"][-1]
+    sim.routes["/late"] = doc["routes"][-1]
     sim.run(4_000)
     sim.call("/late")
     sim.run(1_500)
@@ -144,7 +144,7 @@
 def test_worker_overloaded_and_old_lists() -> None:
     doc = {
         "diskFailed": False, "epoch": 1, "votes": True, "syncMs": 1, "provedAgoMs": 10,
-        "roster": [], "colleagues": [], "holdsPlacement": True, "listsPushedAgoMs": 9_000,
+        "roster": [], "peers": [], "holdsPlacement": True, "listsPushedAgoMs": 9_000,
         "platform": {"listedAgoMs": 5, "startTokens": 9.0}, "noRoomFor": [],
         "workersPct": {"w1": 91.0}, "versions": {},
     }  # fmt: skip
@@ -152,19 +152,19 @@
     assert found == {"worker-overloaded", "lists-old"}
 
 
-def test_props_file_and_seeds(tmp_path: Path) -> None:
+def test_settings_file_and_seeds(tmp_path: Path) -> None:
     path = tmp_path / "ex.toml"
     path.write_text(
-        'name = "ex1"\nlocality = "north"\ntrunk = "127.0.0.1:1"\nhttp = "127.0.0.1:2"\n'
+        'name = "ex1"\nzone = "north"\ntrunk = "127.0.0.1:1"\nhttp = "127.0.0.1:2"\n'
         'seeds = ["127.0.0.1:9"]\n'
     )
     command = [sys.executable, "-m", "spokeroute", "doctor", "--role", "exchange", "--json"]
     got = subprocess.run(
-        [*command, "--daemon-props", str(path)], capture_output=True, timeout=60, check=False
+        [*command, "--daemon-settings", str(path)], capture_output=True, timeout=60, check=False
     )
     assert got.returncode == 1 and b"seed-unreachable" in got.stdout
     path.write_text("colour = 1\n")
     got = subprocess.run(
-        [*command, "--daemon-props", str(path)], capture_output=True, timeout=60, check=False
+        [*command, "--daemon-settings", str(path)], capture_output=True, timeout=60, check=False
     )
-    assert got.returncode == 1 and b"unknown prop" in got.stdout
+    assert got.returncode == 1 and b"unknown setting" in got.stdout
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -1,5 +1,5 @@
 """The edges, over real sockets on loopback: the sender against instances that misbehave,
-frames against garbage, props and configurations against bad input."""
+frames against garbage, settings and configurations against bad input."""
 
 from __future__ import annotations
 
@@ -16,21 +16,23 @@
 import pytest
 
 from spokeroute.dial.ids import Ms
-from spokeroute.dial.props import PropsFault, check_props, read_props
-from spokeroute.dispatch.desired import DesiredState, read_desired
+from spokeroute.dial.settings import SettingsError, check_settings, read_settings
+from spokeroute.dispatch.configuration import Configuration, read_configuration
 from spokeroute.exchange.sender import Sender
-from spokeroute.exchange.types import SendTry, TryDone
+from spokeroute.exchange.types import AttemptDone, SendAttempt
 from spokeroute.register.cells import Cell
-from spokeroute.register.disk import Disk, DiskFault
+from spokeroute.register.disk import Disk, DiskError
 from spokeroute.register.keeper import DiskWrite
-from spokeroute.trunk.frames import MAX_FRAME_BYTES, Envelope, FrameFault, cut, decode, encode
+from spokeroute.trunk.frames import MAX_FRAME_BYTES, Envelope, FrameError, cut, decode, encode
 from spokeroute.trunk.messages import Finish
 from spokeroute.trunk.net import monotonic_ms
 
 WHO = b'{"service":"readings","instance":"r-1"}'
 
 
-def answer(body: bytes, head: str = "Spokeroute-Try: t1\r\n", length: int | None = None) -> bytes:
+def answer(
+    body: bytes, head: str = "Spokeroute-Attempt: t1\r\n", length: int | None = None
+) -> bytes:
     size = len(body) if length is None else length
     return f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n{head}\r\n".encode() + body
 
@@ -60,18 +62,18 @@
         self.server.close()
 
 
-def send_try(address: str, *rest: Any) -> SendTry:
+def send_attempt(address: str, *rest: Any) -> SendAttempt:
     """The try t1 towards the instance r-1 of readings."""
     row: list[Any] = ["t1", "r-1", "readings", address, *rest]
-    return SendTry(*row)
+    return SendAttempt(*row)
 
 
-def tried(replies: list[bytes], good_for_ms: int = 5_000, wait_ms: int = 1_500) -> TryDone:
+def tried(replies: list[bytes], good_for_ms: int = 5_000, wait_ms: int = 1_500) -> AttemptDone:
     server = Scripted(replies)
-    done: queue.Queue[TryDone] = queue.Queue()
+    done: queue.Queue[AttemptDone] = queue.Queue()
     now = monotonic_ms()
     Sender(done.put).launch(
-        send_try(server.address, "POST", "/readings", (), b"{}",
+        send_attempt(server.address, "POST", "/readings", (), b"{}",
                 Ms(now + wait_ms), Ms(now + good_for_ms))
     )  # fmt: skip
     return done.get(timeout=10)
@@ -80,7 +82,7 @@
 def test_a_whole_echoed_answer_counts() -> None:
     done = tried([answer(WHO, ""), answer(b"done")])
     assert (done.ran, done.status, done.body) == ("yes", 200, b"done")
-    chunked = b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunked = b"HTTP/1.1 200 OK\r\nSpokeroute-Attempt: t1\r\nTransfer-Encoding: chunked\r\n\r\n"
     done = tried([answer(WHO, ""), chunked + b"4\r\ndone\r\n0\r\n\r\n"])
     assert (done.ran, done.body) == ("yes", b"done")
 
@@ -88,11 +90,11 @@
 @pytest.mark.parametrize(
     "reply",
     [
-        answer(b"done", "Spokeroute-Try: t2\r\n"),
+        answer(b"done", "Spokeroute-Attempt: t2\r\n"),
         answer(b"done", ""),
         answer(b"do", length=4),
-        b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\n\r\ndone",
-        b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndo",
+        b"HTTP/1.1 200 OK\r\nSpokeroute-Attempt: t1\r\n\r\ndone",
+        b"HTTP/1.1 200 OK\r\nSpokeroute-Attempt: t1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndo",
         b"\x00\xff garbage\r\n\r\n",
         answer(b"", length=10**9),
         b"",
@@ -104,11 +106,13 @@
 
 def test_no_answer_is_unknown() -> None:
     stalled = Scripted([answer(WHO, "")])
-    stalled.replies.append(b"HTTP/1.1 200 OK\r\nSpokeroute-Try: t1\r\nContent-Length: 9\r\n\r\nx")
-    done: queue.Queue[TryDone] = queue.Queue()
+    stalled.replies.append(
+        b"HTTP/1.1 200 OK\r\nSpokeroute-Attempt: t1\r\nContent-Length: 9\r\n\r\nx"
+    )
+    done: queue.Queue[AttemptDone] = queue.Queue()
     now = monotonic_ms()
     Sender(done.put).launch(
-        send_try(stalled.address, "GET", "/", (), b"",
+        send_attempt(stalled.address, "GET", "/", (), b"",
                 Ms(now + 400), Ms(now + 5_000))
     )  # fmt: skip
     assert done.get(timeout=10).ran == "maybe"
@@ -117,10 +121,10 @@
 def test_another_instance_gets_nothing() -> None:
     other = answer(b'{"service":"readings","instance":"r-2"}', "")
     server = Scripted([other, answer(b"done")])
-    done: queue.Queue[TryDone] = queue.Queue()
+    done: queue.Queue[AttemptDone] = queue.Queue()
     now = monotonic_ms()
     Sender(done.put).launch(
-        send_try(server.address, "POST", "/", (), b"{}",
+        send_attempt(server.address, "POST", "/", (), b"{}",
                 Ms(now + 1_500), Ms(now + 5_000))
     )  # fmt: skip
     got = done.get(timeout=10)
@@ -136,10 +140,10 @@
 def test_nobody_there_is_not_run() -> None:
     with socket.create_server(("127.0.0.1", 0)) as held:
         port = held.getsockname()[1]
-    done: queue.Queue[TryDone] = queue.Queue()
+    done: queue.Queue[AttemptDone] = queue.Queue()
     now = monotonic_ms()
     Sender(done.put).launch(
-        send_try(f"127.0.0.1:{port}", "GET", "/", (), b"",
+        send_attempt(f"127.0.0.1:{port}", "GET", "/", (), b"",
                 Ms(now + 1_000), Ms(now + 1_000))
     )  # fmt: skip
     assert done.get(timeout=10).ran == "no"
@@ -150,27 +154,27 @@
     assert decode(frame).message == Finish("floor")
     assert cut(frame + frame[:7]) == ([frame], frame[:7])
     for bad in (frame[:-1], frame[:3], frame[:5] + b"\xff" * (len(frame) - 5)):
-        with pytest.raises(FrameFault):
+        with pytest.raises(FrameError):
             decode(bad)
-    with pytest.raises(FrameFault, match="schema version"):
+    with pytest.raises(FrameError, match="schema version"):
         cut(frame[:4] + b"\x63" + frame[5:])
-    with pytest.raises(FrameFault, match="over"):
+    with pytest.raises(FrameError, match="over"):
         cut((MAX_FRAME_BYTES + 1).to_bytes(4, "big") + b"\x01")
 
 
 def test_bad_configurations_list_every_fault() -> None:
     doc = {
-        "localities": ["north", "nowhere"],
+        "zones": ["north", "nowhere"],
         "services": [
             {"name": "a", "memoryMb": 99_999, "limit": 1},
             {"name": "a", "memoryMb": 128, "limit": "four"},
             {"name": "b", "memoryMb": 128, "limit": 1, "colour": "red"},
             {"name": "c", "limit": 1},
         ],
-        "lanes": [{"path": "/x", "service": "none"}],
+        "routes": [{"path": "/x", "service": "none"}],
         "extra": 1,
     }
-    got = read_desired(json.dumps(doc).encode(), ("north", "south"))
+    got = read_configuration(json.dumps(doc).encode(), ("north", "south"))
     assert isinstance(got, tuple)
     paths = {f.path for f in got}
     assert {"extra", "services[1].limit", "services[2].colour", "services[3].memoryMb"} <= paths
@@ -179,28 +183,28 @@
                        {"name": "a", "memoryMb": 128, "limit": 1}]  # fmt: skip
     del doc["extra"]
     doc["programs"] = {"rank": "cu +", "shift": "nothing + 1.0"}
-    got = read_desired(json.dumps(doc).encode(), ("north", "south"))
+    got = read_configuration(json.dumps(doc).encode(), ("north", "south"))
     assert isinstance(got, tuple)
     assert {f.path for f in got} == {
-        "localities[1]", "services[0].memoryMb", "services[1].name", "lanes[0].service",
+        "zones[1]", "services[0].memoryMb", "services[1].name", "routes[0].service",
         "programs.rank", "programs.shift",
     }  # fmt: skip
-    for bad in (b"", b"[]", b"\xff", b"{}", b'{"localities":1,"services":{},"lanes":3}'):
-        assert isinstance(read_desired(bad, ()), tuple)
+    for bad in (b"", b"[]", b"\xff", b"{}", b'{"zones":1,"services":{},"routes":3}'):
+        assert isinstance(read_configuration(bad, ()), tuple)
 
 
 def test_examples_are_taken() -> None:
     for name in ("tooluur", "organismo"):
         body = (Path(__file__).parent.parent / "examples" / f"{name}.json").read_bytes()
-        got = read_desired(body, ("north", "centre", "south"))
-        assert isinstance(got, DesiredState), got
+        got = read_configuration(body, ("north", "centre", "south"))
+        assert isinstance(got, Configuration), got
         assert len(got.services) == 79
 
 
-def test_bad_props_name_the_remedy(tmp_path: Path) -> None:
-    good = {"name": "ex1", "locality": "north", "trunk": "127.0.0.1:7001",
+def test_bad_settings_name_the_remedy(tmp_path: Path) -> None:
+    good = {"name": "ex1", "zone": "north", "trunk": "127.0.0.1:7001",
             "http": "127.0.0.1:8001", "seeds": ("127.0.0.1:7002",)}  # fmt: skip
-    check_props(read_props("", good), "exchange")
+    check_settings(read_settings("", good), "exchange")
     cases: list[tuple[dict[str, object], str]] = [
         ({"trunk": "localhost:1"}, "IP number"),
         ({"http": "127.0.0.1:7001"}, "a port of its own"),
@@ -208,19 +212,19 @@
         ({"name": ""}, "--name"),
     ]
     for change, said in cases:
-        with pytest.raises(PropsFault, match=said):
-            check_props(read_props("", {**good, **change}), "exchange")
+        with pytest.raises(SettingsError, match=said):
+            check_settings(read_settings("", {**good, **change}), "exchange")
     path = tmp_path / "p.toml"
     path.write_text("colour = 1\n")
-    with pytest.raises(PropsFault, match="unknown prop"):
-        read_props(str(path), {})
+    with pytest.raises(SettingsError, match="unknown setting"):
+        read_settings(str(path), {})
 
 
-def test_bad_props_end_the_process_in_one_line() -> None:
+def test_bad_settings_end_the_process_in_one_line() -> None:
     command = [sys.executable, "-m", "spokeroute", "exchange", "--name", "x"]
     got = subprocess.run(command, capture_output=True, timeout=60, check=False)
     assert got.returncode == 2
-    assert got.stderr.decode().count("\n") == 1 and b"locality" in got.stderr
+    assert got.stderr.decode().count("\n") == 1 and b"zone" in got.stderr
 
 
 def test_a_disk_is_the_member(tmp_path: Path) -> None:
@@ -229,10 +233,10 @@
     first.close()
     again = Disk(tmp_path / "a", 16)
     assert again.load().member == member
-    with pytest.raises(DiskFault, match="of its own"):
+    with pytest.raises(DiskError, match="of its own"):
         Disk(tmp_path / "a", 16)
     (tmp_path / "file").write_text("")
-    with pytest.raises(DiskFault, match="can't be used"):
+    with pytest.raises(DiskError, match="can't be used"):
         Disk(tmp_path / "file", 16)
     again.close()
     blank = Disk(tmp_path / "b", 16)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,11 +35,11 @@
 
 
 def post(
-    fleet: Fleet, name: str, path: str, key: str = "", wait: str = "8000", agent: str = ""
+    fleet: Fleet, name: str, path: str, key: str = "", wait: str = "8000", client: str = ""
 ) -> tuple[int, bytes]:
     headers = {"Spokeroute-Wait-Ms": wait}
     headers.update({"Idempotency-Key": key} if key else {})
-    headers.update({"Spokeroute-Agent": agent} if agent else {})
+    headers.update({"Spokeroute-Client": client} if client else {})
     url = f"http://{fleet.http[name]}{path}"
     try:
         got = urllib3.PoolManager(retries=False).request(
@@ -90,8 +90,8 @@
         time.sleep(0.05)
     assert post(fleet, "ex1", "/port-ins")[0] == 503  # nothing rules yet
     doc = json.loads(EXAMPLE.read_text())
-    slow = {"path": "/slow", "service": "port-ins", "methods": ["POST"], "perAgentPerS": 0.01}
-    doc["lanes"].append(slow)  # one call in 100 s
+    slow = {"path": "/slow", "service": "port-ins", "methods": ["POST"], "perClientPerS": 0.01}
+    doc["routes"].append(slow)  # one call in 100 s
     wanted = tmp_path / "wanted.json"
     wanted.write_text(json.dumps(doc))
     applied = desk(fleet, "apply", str(wanted))
@@ -100,12 +100,12 @@
     stale = desk(fleet, "apply", str(EXAMPLE), "--if-version", "0")
     assert stale.returncode == 1 and "--if-version 1" in stale.stderr
     bad = tmp_path / "bad.json"
-    bad.write_text('{"lanes": [], "services": [], "localities": ["moon"], "colour": 1}')
+    bad.write_text('{"routes": [], "services": [], "zones": ["moon"], "colour": 1}')
     refused = desk(fleet, "apply", str(bad))
     assert refused.returncode == 1 and "colour: unknown field" in refused.stderr
     checked = desk(fleet, "apply", str(bad), "--check")
     assert checked.returncode == 1 and "colour: unknown field" in checked.stderr
-    del doc["lanes"][-1]
+    del doc["routes"][-1]
     doc["services"][0]["limit"] = 5
     other = tmp_path / "other.json"
     other.write_text(json.dumps(doc))
@@ -113,7 +113,7 @@
     assert checked.returncode == 0, checked.stderr
     assert checked.stdout.splitlines() == [
         "no faults; against version 1: 2 changes, nothing applied",
-        "- lanes /slow",
+        "- routes /slow",
         "~ services port-ins limit: 4 -> 5",
     ]
     assert json.loads(desk(fleet, "show").stdout)["version"] == 1
@@ -137,7 +137,7 @@
     head = b"POST /port-ins HTTP/1.1\r\nHost: x\r\nSpokeroute-Wait-Ms: 900\r\n"
     big = head + b"Content-Length: 300000\r\n\r\n" + b"x" * 300000
     assert b" 413 " in raw(fleet, "ex1", big).split(b"\r\n")[0]
-    statuses = [post(fleet, "ex3", "/slow", agent="greedy")[0] for _ in range(3)]
+    statuses = [post(fleet, "ex3", "/slow", client="greedy")[0] for _ in range(3)]
     assert statuses[1:] == [429, 429]
     garbage(fleet, "ex1")
 
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -7,11 +7,11 @@
 
 import pytest
 
+from spokeroute.dial.answers import Answer
 from spokeroute.dial.effects import SlotId
-from spokeroute.dial.verdict import Verdict
 from spokeroute.dispatch import placement, plan, scaler, upkeep
 from spokeroute.exchange import budget, holder, types
-from spokeroute.exchange.types import TryDone
+from spokeroute.exchange.types import AttemptDone
 from spokeroute.register import copies
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
@@ -43,10 +43,10 @@
 
 
 def test_once_never_twice_speaks(sim: Sim) -> None:
-    lanes = configuration()["lanes"]
-    lanes[1]["repeatable"] = True  # the rule is not told to the product
-    sim.settle(lanes=lanes)
-    sim.lanes["/corrections"]["repeatable"] = False
+    routes = configuration()["routes"]
+    routes[1]["repeatable"] = True  # the rule is not told to the product
+    sim.settle(routes=routes)
+    sim.routes["/corrections"]["repeatable"] = False
     sim.run(11_000)  # past the first window, so that there is a share of second sends
     behave(sim, "lost", "corrections")
     for _ in range(5):
@@ -57,33 +57,33 @@
 
 def test_not_run_holds_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     def change(event: object) -> object:
-        if isinstance(event, TryDone) and event.ran == "maybe":
+        if isinstance(event, AttemptDone) and event.ran == "maybe":
             return replace(event, ran="no")
         return event
 
     sim.settle()
     behave(sim, "lost", "corrections")
     lie(monkeypatch, change)
-    for _ in range(30):  # some are between two tries when their wait ends
+    for _ in range(30):  # some are between two attempts when their wait ends
         sim.call("/corrections")
     sim.run(7_000)
     assert judges.not_run_holds(sim.log())
 
 
 @pytest.mark.parametrize("how", ["dropped", "broken"])
-def test_one_verdict_in_time_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
-    """A verdict that is never given, and a connection that ends without one."""
+def test_one_answer_in_time_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    """An answer that is never given, and a connection that ends without one."""
     sim.settle()
 
-    def reply(self: Node, slot: SlotId, verdict: Verdict) -> None:
+    def reply(self: Node, slot: SlotId, answer: Answer) -> None:
         told = self.slots.pop(slot.index, None)
         if told is not None and how == "broken":
-            told(Verdict(0, (), b""))
+            told(Answer(0, (), b""))
 
     monkeypatch.setattr(Node, "reply", reply)
     sim.call("/readings", sim.exchanges[0], wait_ms=500)
     sim.run(1_000)
-    assert judges.one_verdict_in_time(sim.log())
+    assert judges.one_answer_in_time(sim.log())
 
 
 def test_a_freeze_excuses_only_calls_that_lay_in_it(sim: Sim) -> None:
@@ -96,9 +96,9 @@
     sim.run(3_000)
     later = sim.call("/readings", frozen, wait_ms=500)
     sim.run(1_000)
-    assert judges.one_verdict_in_time(sim.log()) == []
+    assert judges.one_answer_in_time(sim.log()) == []
     in_it.done_ms, later.done_ms = in_it.at_ms + 2_400, later.at_ms + 700
-    found = judges.one_verdict_in_time(sim.log())
+    found = judges.one_answer_in_time(sim.log())
     assert len(found) == 1 and later.call in found[0]
 
 
@@ -122,14 +122,14 @@
 
 
 def moved_behind_a_cut(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Exchanges that never stop believing their copies, cut off while a lane moves to another
-    service and another lane is added."""
+    """Exchanges that never stop believing their copies, cut off while a route moves to another
+    service and another route is added."""
     never_stale(monkeypatch)
     cut_off_with_calls(sim)
     sim.net.cuts |= {("ex3", "ex1"), ("ex3", "ex2")}
     moved = configuration(name="moved")
-    moved["lanes"][0]["service"] = "corrections"
-    moved["lanes"].append({"path": "/new", "service": "readings", "repeatable": True})
+    moved["routes"][0]["service"] = "corrections"
+    moved["routes"].append({"path": "/new", "service": "readings", "repeatable": True})
     told = sim.apply(moved)
     sim.run(5_000)
     assert told.status == 200
@@ -176,8 +176,8 @@
     sim.settle()
     never_stale(monkeypatch)
     cut_off_with_calls(sim)
-    for locality in ("north", "centre", "south"):
-        sim.evacuate(locality, True)
+    for zone in ("north", "centre", "south"):
+        sim.evacuate(zone, True)
     sim.run(5_600)
     for _ in range(30):
         sim.call("/readings", sim.exchanges[0])
@@ -190,9 +190,9 @@
     sim.evacuate("north", True)
     sim.run(6_000)
     assert judges.evacuated_get_nothing(sim.log()) == []
-    monkeypatch.setattr(plan, "roomOf", lambda seats, now, services, evacuated: scaler.room_of(
+    monkeypatch.setattr(plan, "room_of", lambda seats, now, services, evacuated: scaler.room_of(
         seats, now, services, frozenset()))  # fmt: skip
-    monkeypatch.setattr(placement, "platformCalls", lambda floor, table, marks, out, *rest:
+    monkeypatch.setattr(placement, "platform_calls", lambda floor, table, marks, out, *rest:
                         upkeep.platform_calls(floor, table, marks, frozenset(), *rest))  # fmt: skip
     for _ in range(60):
         sim.call("/small/1")
@@ -221,13 +221,13 @@
 ) -> None:
     """Instances are stopped before their drain could be known everywhere."""
     sim.settle()
-    monkeypatch.setattr(upkeep, "quietMs", lambda *_: 0)
+    monkeypatch.setattr(upkeep, "quiet_ms", lambda *_: 0)
     never_stale(monkeypatch)
     cut_off_with_calls(sim)
     sim.traffic(60, 3_000, ("/readings",))
     fewer = configuration(name="fewer")
     fewer["services"] = fewer["services"][1:]
-    fewer["lanes"] = fewer["lanes"][1:]
+    fewer["routes"] = fewer["routes"][1:]
     sim.apply(fewer)
     sim.run(2_500)
     assert any("stopped" in x for x in judges.drained_get_nothing(sim.log()))
@@ -239,7 +239,7 @@
     cut_off_with_calls(sim)
     fewer = configuration(name="fewer")
     fewer["services"] = fewer["services"][1:]
-    fewer["lanes"] = fewer["lanes"][1:]
+    fewer["routes"] = fewer["routes"][1:]
     sim.apply(fewer)
     assert sim.up_to(lambda: any(
         p.state == "draining" for _, _, f in sim.floors for p in f.instances), 3_000)  # fmt: skip
@@ -288,15 +288,15 @@
     sim.settle()
     honest = holder._cold_room
     if plus == 99:
-        monkeypatch.setattr(holder, "_coldRoom", lambda seat, now_ms: True)
+        monkeypatch.setattr(holder, "_cold_room", lambda seat, now_ms: True)
     else:
         monkeypatch.setattr(holder, "COLD_PLUS_PER_S", holder.COLD_PLUS_PER_S + plus)
         assert holder._cold_room is honest
     services = configuration()["services"]
     services[0] = {**services[0], "name": "fresh", "coldMs": 8_000}
-    lanes = [{"path": "/readings", "service": "fresh", "methods": ["POST"], "repeatable": True,
-              "perAgentPerS": 1000.0}]  # fmt: skip
-    sim.apply(configuration(name="fresh", services=services, lanes=lanes))
+    routes = [{"path": "/readings", "service": "fresh", "methods": ["POST"], "repeatable": True,
+              "perClientPerS": 1000.0}]  # fmt: skip
+    sim.apply(configuration(name="fresh", services=services, routes=routes))
     sim.run(3_000)
     for _ in range(300):
         sim.call("/readings")
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -1,4 +1,4 @@
-"""Real processes on machines that go wrong: wall clocks that jump by hours, colleagues that
+"""Real processes on machines that go wrong: wall clocks that jump by hours, peers that
 vanish without a reset. Everything is waited for; nothing is timed."""
 
 from __future__ import annotations
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,13 +13,13 @@
 from spokeroute.desk.gateway import lay
 from spokeroute.dial.effects import From, SlotId
 from spokeroute.dial.ids import CallId, Incarnation, Ms, NodeId
-from spokeroute.dispatch.desired import DesiredState, Lane, Service, read_desired
+from spokeroute.dispatch.configuration import Configuration, Route, Service, read_configuration
 from spokeroute.dispatch.flare import Function, Picture, Site
 from spokeroute.dispatch.floor import UP, Placed
 from spokeroute.exchange import calls, entry
 from spokeroute.exchange.budget import FLOOR_SHARE, WINDOW_MS, Budget
 from spokeroute.exchange.pick import pick
-from spokeroute.exchange.types import LISTS_AGE_MS, Call, CallIn, Tables, Try
+from spokeroute.exchange.types import LISTS_AGE_MS, Attempt, Call, CallIn, Tables
 from spokeroute.logbook.entries import Record, entry_text, picture_doc
 from spokeroute.logbook.replay import replay
 from spokeroute.trunk.messages import Lists, Successors
@@ -34,10 +34,10 @@
 
 
 def failed_on(worker: str, instance: str) -> Call:
-    lane, service = Lane("/x", "s"), Service("s", 128, 4)
+    route, service = Route("/x", "s"), Service("s", 128, 4)
     row: list[Any] = [instance, worker, "ex1", 1, Ms(0)]
-    each = Try(*row)
-    call = Call(ASK, lane, service, Ms(0), Ms(5_000), "holding", Ms(0), once=False)
+    each = Attempt(*row)
+    call = Call(ASK, route, service, Ms(0), Ms(5_000), "waiting", Ms(0), once=False)
     return replace(call, failed=(each,), touched=frozenset((instance,)), maybe=True)
 
 
@@ -59,7 +59,7 @@
     assert head(tables(*here), {"d": 99}) == ("c", "successor")
     assert head(tables(*here[:3], placed("d", "w4", state="draining")), {}) == ("c", "successor")
     assert head(tables(*here[:3], placed("d", "w4", warm=False)), {}) == ("c", "successor")
-    out = tables(*here[:3], placed("d", "w4", locality="south"), evacuated=frozenset(("south",)))
+    out = tables(*here[:3], placed("d", "w4", zone="south"), evacuated=frozenset(("south",)))
     assert head(out, {}) == ("c", "successor")
     assert head(tables(*here), {}, LISTS_AGE_MS + 1) == ("b", "floor order")
 
@@ -115,7 +115,7 @@
     assert {"term", "laaf", "start", "up", "holder", "route", "vanished", "successor"} <= kinds
     taken = [json.loads(x) for x in lines if '"kind":"successor"' in x]
     names = [d["inputs"]["try"] for d in taken]
-    seconds = {r.call for r in sim.platform.runs if not r.try_id.endswith(".0")}
+    seconds = {r.call for r in sim.platform.runs if not r.attempt_id.endswith(".0")}
     assert len(names) == len(set(names)) and len(names) >= len(seconds) > 0
     assert {d["inputs"]["rule"] for d in taken} == {"successor"}
     got = replay(lines)
@@ -156,7 +156,7 @@
     assert {f"claim/k-{n}" for n in range(10)} <= set(away.disk.cells)
 
 
-def test_gateway_manifests_become_lanes() -> None:
+def test_gateway_manifests_become_routes() -> None:
     route = """
 apiVersion: gateway.networking.k8s.io/v1
 kind: Gateway
@@ -177,9 +177,9 @@
     base = configuration()
     got = lay(route, base)
     assert isinstance(got, dict)
-    assert isinstance(read_desired(json.dumps(got).encode(), ()), DesiredState)
-    assert [x["path"] for x in got["lanes"]] == ["/readings", "/small/*"]
-    assert got["lanes"][0]["methods"] == ["POST"] and got["lanes"][0]["repeatable"] is True
+    assert isinstance(read_configuration(json.dumps(got).encode(), ()), Configuration)
+    assert [x["path"] for x in got["routes"]] == ["/readings", "/small/*"]
+    assert got["routes"][0]["methods"] == ["POST"] and got["routes"][0]["repeatable"] is True
     bad = route.replace("method: POST", "headers: [{name: x, value: y}]")
     bad = bad.replace("name: small-1", "name: nobody").replace("protocol: HTTP", "protocol: TLS")
     faults = lay(bad, base)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,7 +19,7 @@
 @EACH
 @pytest.mark.parametrize("away", [8_000])
 def test_workers_go_while_two_registries_are_down(sim: Sim, away: int) -> None:
-    """Seen by the harsh random search: tries went to vanished instances for up to 6.7 s, until
+    """Seen by the harsh random search: attempts went to vanished instances for up to 6.7 s, until
     the role was taken anew after the core's majority was back."""
     sim.settle()
     sim.traffic(60, 30_000)
@@ -42,7 +42,7 @@
 
 @EACH
 def test_workers_are_emptied(sim: Sim) -> None:
-    """The platform drains two workers of three localities, one after the other, stops what is
+    """The platform drains two workers of three zones, one after the other, stops what is
     left there, and gives them back."""
     sim.settle()
     sim.traffic(60, 45_000)
--- a/tests/test_readback.py
+++ b/tests/test_readback.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from spokeroute.dispatch import desired
+from spokeroute.dispatch import configuration as configurations
 from spokeroute.registry import operator
 from tests.sim.cluster import Sim, configuration
 from tools import judges, readback
@@ -34,7 +34,7 @@
 ) -> None:
     """The right name and version, and one number of one service is another."""
     sim.settle()
-    honest = desired.unpack_desired
+    honest = configurations.unpack_configuration
 
     def changed(value: bytes) -> tuple[dict[str, Any], str]:
         doc, apply_id = honest(value)
@@ -44,7 +44,7 @@
     sim.show()
     sim.run(500)
     assert readback.acked_reads_back(sim.log()) == []
-    monkeypatch.setattr(operator, "unpackDesired", changed)
+    monkeypatch.setattr(operator, "unpack_configuration", changed)
     sim.show()
     sim.run(500)
     assert readback.acked_reads_back(sim.log())
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -26,7 +26,7 @@
     """Our offer may have been chosen and then changed by another: to say "conflict, nothing
     done" would be false, so the outcome is unsure."""
     state = proposer.State(MEMBERS[0], 1, ROSTER)
-    state, effects = proposer.step(state, Ask("op", "desired-state", Swap(0, b"ours"), "op"), Ms(0))
+    state, effects = proposer.step(state, Ask("op", "configuration", Swap(0, b"ours"), "op"), Ms(0))
     prepare = next(e.message for e in effects if isinstance(e, Send))
     assert isinstance(prepare, Prepare)
     for member in MEMBERS[:2]:
@@ -48,7 +48,7 @@
     assert [t.outcome for t in told] == ["unsure"]
 
 
-def test_a_key_on_a_repeatable_lane_is_once_too(sim: Sim) -> None:
+def test_a_key_on_a_repeatable_route_is_once_too(sim: Sim) -> None:
     """Its caller named it; answers that are lost are not sent on to a successor."""
     sim.settle()
     sim.run(11_000)
@@ -59,4 +59,4 @@
     sim.run(6_000)
     runs = [r.key for r in sim.platform.runs if r.key]
     assert len(runs) == len(set(runs)) == 10
-    assert configuration()["lanes"][0]["repeatable"]
+    assert configuration()["routes"][0]["repeatable"]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -101,7 +101,7 @@
     told = sim.evacuate("centre", True)
     sim.run(13_000)
     assert told.status == 200
-    assert not [s for s in sim.platform.servers.values() if sim.platform.seat(s.worker).locality
+    assert not [s for s in sim.platform.servers.values() if sim.platform.seat(s.worker).zone
                 == "centre"]  # fmt: skip
     sim.evacuate("centre", False, registry=1)
     sim.run(14_000)
@@ -123,7 +123,7 @@
 
 @EACH
 def test_configuration_change_rules_everywhere(sim: Sim) -> None:
-    """A lane moves to another service; one exchange is cut from two of the three registries,
+    """A route moves to another service; one exchange is cut from two of the three registries,
     another from all."""
     sim.settle()
     sim.traffic(60, 16_000)
@@ -133,7 +133,7 @@
     for registry in sim.registries:
         sim.net.cuts |= {(registry.name, "ex2"), ("ex2", registry.name)}
     moved = configuration(name="moved")
-    moved["lanes"][0]["service"] = "corrections"
+    moved["routes"][0]["service"] = "corrections"
     told = sim.apply(moved, registry=2)
     sim.run(9_000)
     assert told.status == 200
@@ -227,7 +227,7 @@
 
 @EACH
 def test_exchange_freezes_and_wakes(sim: Sim) -> None:
-    """Frozen for longer than the lease and than every wait, with calls and ferries in it."""
+    """Frozen for longer than the lease and than every wait, with calls and forwards in it."""
     sim.settle()
     sim.traffic(60, 24_000)
     sim.run(3_000)
@@ -296,12 +296,12 @@
 
 @EACH
 def test_callers_that_repeat_too_fast(sim: Sim) -> None:
-    """One user agent storms a lane; it is told to slow down, and others are served."""
-    lanes = configuration()["lanes"]
-    lanes[0]["perAgentPerS"] = 10.0
-    sim.settle(lanes=lanes)
+    """One client storms a route; it is told to slow down, and others are served."""
+    routes = configuration()["routes"]
+    routes[0]["perClientPerS"] = 10.0
+    sim.settle(routes=routes)
     for _ in range(100):
-        sim.call("/readings", sim.exchanges[0], agent="greedy")
+        sim.call("/readings", sim.exchanges[0], client="greedy")
         sim.call("/readings", sim.exchanges[0])
         sim.run(20)
     clean(sim)
@@ -320,10 +320,10 @@
         for number in range(75):
             doc["services"].append({"name": f"rare-{number}", "memoryMb": 128, "limit": 1,
                                     "coldMs": 500, "longestRunMs": 1000})  # fmt: skip
-            doc["lanes"].append({"path": f"/rare/{number}", "service": f"rare-{number}",
+            doc["routes"].append({"path": f"/rare/{number}", "service": f"rare-{number}",
                                  "repeatable": True})  # fmt: skip
         sim.apply(doc)
-        sim.lanes = {x["path"]: x for x in doc["lanes"]}
+        sim.routes = {x["path"]: x for x in doc["routes"]}
         sim.run(8_000)
         for number in range(75):
             sim.call(f"/rare/{number}", wait_ms=6_000)
--- a/tools/compare.py
+++ b/tools/compare.py
@@ -3,7 +3,7 @@
     python -m tools.compare
 
 Utilizations come from the pure functions alone: what each worker would carry after the failure
-of one worker, and of one locality, if every function's calls went to the head of its list.
+of one worker, and of one zone, if every function's calls went to the head of its list.
 """
 
 from __future__ import annotations
@@ -93,7 +93,7 @@
         before, now = deployment(seed)
         lists = {"static": laaf(before), "LAAF": laaf(now), "LAAF, the paper's reset": literal(now)}
         relieved = rome(now, Limits())
-        for what, lost in (("worker", {"w1"}), ("locality", {"w1", "w4"})):
+        for what, lost in (("worker", {"w1"}), ("zone", {"w1", "w4"})):
             for name, ranks in lists.items():
                 worst.setdefault(f"{what} lost, {name}", []).append(
                     max(after(now, ranks, lost).values())
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -117,16 +117,16 @@
             after(self.sim, number * later / 20, self.apply)
 
     def _evacuate(self, later: float) -> None:
-        locality = self.rng.choice(("north", "centre", "south"))
+        zone = self.rng.choice(("north", "centre", "south"))
         up = [i for i, r in enumerate(self.sim.registries) if r.alive and not r.frozen]
         if not up:
             return
         first = self.rng.choice(up)
-        self.sim.evacuate(locality, True, first)
+        self.sim.evacuate(zone, True, first)
 
         def restore() -> None:
             if self.sim.registries[first].alive:
-                self.sim.evacuate(locality, False, first)
+                self.sim.evacuate(zone, False, first)
 
         after(self.sim, later, restore)
 
@@ -156,18 +156,18 @@
             swap_registry(self.sim, index, f"reg{index + 1}-{self.sim.draw()}")
 
     def _crowd(self, later: float) -> None:
-        small = list(self.sim.lanes)[self.sim.busy :]
+        small = list(self.sim.routes)[self.sim.busy :]
         for _ in range(30):
             self.sim.call(self.rng.choice(small[:3]), wait_ms=6_000)
 
     def _jump(self, later: float) -> None:
-        path = self.rng.choice(list(self.sim.lanes)[: self.sim.busy])
-        if self.sim.lanes[path].get("repeatable"):
+        path = self.rng.choice(list(self.sim.routes)[: self.sim.busy])
+        if self.sim.routes[path].get("repeatable"):
             self.sim.traffic(5 * self.per_s, min(later, 2_000), (path,))
 
     def _keys(self, later: float) -> None:
         """A caller sends one key again and again, wherever somebody answers."""
-        path = next(p for p, x in self.sim.lanes.items() if not x.get("repeatable"))
+        path = next(p for p, x in self.sim.routes.items() if not x.get("repeatable"))
         key = f"again-{self.sim.draw()}"
         for number in range(12):
             call = partial(self.sim.call, path, key=key)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -18,7 +18,7 @@
 
 from tools.log import Down
 
-LOCALITIES = ("north", "centre", "south")
+ZONES = ("north", "centre", "south")
 
 
 def free_ports(count: int) -> list[int]:
@@ -85,7 +85,7 @@
             role = "registry" if name.startswith("reg") else "exchange"
             command = [
                 python, "-m", "spokeroute", role, "--name", name,
-                "--locality", LOCALITIES[i % 3], "--trunk", f"127.0.0.1:{trunks[name]}",
+                "--zone", ZONES[i % 3], "--trunk", f"127.0.0.1:{trunks[name]}",
                 "--http", self.http[name], "--seeds", seeds,
             ]  # fmt: skip
             if role == "registry":
@@ -121,7 +121,7 @@
         self.start(new)
 
     def trunk_of(self, name: str) -> str:
-        """Where a process listens for colleagues."""
+        """Where a process listens for peers."""
         command = self.commands[name]
         return command[command.index("--trunk") + 1]
 
--- a/tools/judges.py
+++ b/tools/judges.py
@@ -45,7 +45,7 @@
 
 
 def excuse(log: Log, asked: Asked) -> float | None:
-    """How much later a verdict may come because the call's own entry process lay frozen; None
+    """How much later an answer may come because the call's own entry process lay frozen; None
     where that process was killed during the call's life."""
     late_ms = 0.0
     until_ms = asked.at_ms + asked.wait_ms + SLACK_MS
@@ -63,8 +63,8 @@
     return late_ms
 
 
-def one_verdict_in_time(log: Log) -> list[str]:
-    """Every fully read call gets one verdict within its wait, unless its process died; a freeze
+def one_answer_in_time(log: Log) -> list[str]:
+    """Every fully read call gets one answer within its wait, unless its process died; a freeze
     of that process adds the time that the call lay in it."""
     found: list[str] = []
     for a in log.asked:
@@ -74,9 +74,9 @@
         if late_ms is None:
             continue
         most_ms = a.wait_ms + SLACK_MS + late_ms
-        if a.status <= 0 or a.verdicts != 1:
+        if a.status <= 0 or a.answers != 1:
             if log.end_ms > a.at_ms + most_ms or a.status == 0:
-                found.append(f"{a.call} at {a.exchange} got {a.verdicts} verdicts")
+                found.append(f"{a.call} at {a.exchange} got {a.answers} answers")
         elif a.done_ms - a.at_ms > most_ms:
             found.append(f"{a.call} waited {a.done_ms - a.at_ms:.0f} of {most_ms:.0f} ms")
     return found
@@ -86,8 +86,8 @@
     """A body that is no refusal of ours is an instance's whole answer to that very call."""
     bodies: dict[str, set[bytes]] = defaultdict(set)
     for run in log.runs:
-        if run.try_id in log.answers:
-            bodies[run.call].add(log.answers[run.try_id])
+        if run.attempt_id in log.answers:
+            bodies[run.call].add(log.answers[run.attempt_id])
     return [
         f"{a.call} got a body that no instance gave it: {a.body[:40]!r}"
         for a in log.asked
@@ -96,7 +96,7 @@
 
 
 def right_service(log: Log) -> list[str]:
-    """A call never runs at another service's instance than a lane in force named for it."""
+    """A call never runs at another service's instance than a route in force named for it."""
     asked = {a.call: a for a in log.asked}
     rulings = Rulings(log)
     found: list[str] = []
@@ -104,8 +104,8 @@
         a = asked.get(run.call)
         if a is None:
             continue
-        lanes = [r.lanes.get(a.path) for r in rulings.within(a.at_ms, run.at_ms)]
-        if run.service not in {lane["service"] for lane in lanes if lane}:
+        routes = [r.routes.get(a.path) for r in rulings.within(a.at_ms, run.at_ms)]
+        if run.service not in {route["service"] for route in routes if route}:
             found.append(f"{run.call} for {a.path} ran at {run.service}")
     return found
 
@@ -120,52 +120,52 @@
         a = asked.get(run.call)
         if a is None:
             continue
-        lanes = [r.lanes.get(a.path) for r in rulings.within(run.at_ms, run.at_ms)]
-        if all(lane is None or lane["service"] != run.service for lane in lanes):
+        routes = [r.routes.get(a.path) for r in rulings.within(run.at_ms, run.at_ms)]
+        if all(route is None or route["service"] != run.service for route in routes):
             found.append(f"{run.call} for {a.path} ran at {run.service} by an old configuration")
     for a in log.asked:
-        if a.ran == "no" and a.kind in ("no_lane", "method", "too_fast"):
-            lanes = [r.lanes.get(a.path) for r in rulings.within(a.at_ms, a.done_ms)]
-            if not any(_refuses(log, a, lane) for lane in lanes):
+        if a.ran == "no" and a.kind in ("no_route", "method", "too_fast"):
+            routes = [r.routes.get(a.path) for r in rulings.within(a.at_ms, a.done_ms)]
+            if not any(_refuses(log, a, route) for route in routes):
                 found.append(f"{a.call} for {a.path}: {a.kind} by an old configuration")
     return found
 
 
-def _refuses(log: Log, a: Asked, lane: dict[str, object] | None) -> bool:
-    """Whether a lane, or its lack, gives this call its refusal."""
-    if a.kind == "no_lane" or lane is None:
-        return lane is None and a.kind == "no_lane"
+def _refuses(log: Log, a: Asked, route: dict[str, object] | None) -> bool:
+    """Whether a route, or its lack, gives this call its refusal."""
+    if a.kind == "no_route" or route is None:
+        return route is None and a.kind == "no_route"
     if a.kind == "method":
-        return a.method not in tuple(lane.get("methods", ("GET",)))  # type: ignore[arg-type]
-    per_s = float(lane.get("perAgentPerS", 20.0))  # type: ignore[arg-type]
+        return a.method not in tuple(route.get("methods", ("GET",)))  # type: ignore[arg-type]
+    per_s = float(route.get("perClientPerS", 20.0))  # type: ignore[arg-type]
     recent = sum(
         1
         for x in log.asked
-        if (x.agent, x.path, x.exchange) == (a.agent, a.path, a.exchange)
+        if (x.client, x.path, x.exchange) == (a.client, a.path, a.exchange)
         and a.at_ms - WINDOW_MS <= x.at_ms <= a.done_ms
     )
     return recent > max(1.0, per_s)
 
 
 def evacuated_get_nothing(log: Log) -> list[str]:
-    """About 5 s after its evacuation was acknowledged a locality's instances get nothing, and
+    """About 5 s after its evacuation was acknowledged a zone's instances get nothing, and
     nothing is started there."""
     asks = [t for t in log.told if t.what in ("evacuate", "restore")]
     acked = sorted((t for t in asks if t.status == 200), key=lambda t: t.done_ms)
-    events = [(r.at_ms, r.locality, f"{r.call} ran") for r in log.runs]
-    events += [(at_ms, locality, "an instance was started") for at_ms, locality in log.starts]
+    events = [(r.at_ms, r.zone, f"{r.call} ran") for r in log.runs]
+    events += [(at_ms, zone, "an instance was started") for at_ms, zone in log.starts]
     found: list[str] = []
-    for at_ms, locality, what in events:
+    for at_ms, zone, what in events:
         last = None
         for told in acked:
-            if told.detail == locality and told.at_ms <= at_ms:
+            if told.detail == zone and told.at_ms <= at_ms:
                 last = told
         if last is None or last.what != "evacuate" or at_ms <= last.done_ms + EVACUATE_MS:
             continue
-        if any(t.what == "restore" and t.detail == locality and unsure(t) and t.at_ms <= at_ms
+        if any(t.what == "restore" and t.detail == zone and unsure(t) and t.at_ms <= at_ms
                for t in asks):  # fmt: skip
             continue
-        found.append(f"{what} in {locality}, evacuated before")
+        found.append(f"{what} in {zone}, evacuated before")
     return found
 
 
@@ -198,7 +198,7 @@
     """About 3 s after the listing lost an instance nobody sends towards it."""
     lost = log.gone_ms
     return [
-        f"a try went to {instance} {at_ms - lost[instance]:.0f} ms after it vanished"
+        f"an attempt went to {instance} {at_ms - lost[instance]:.0f} ms after it vanished"
         for at_ms, instance in log.dead_sends
         if instance in lost and at_ms > lost[instance] + DRAIN_MS
     ]
@@ -230,7 +230,7 @@
 
 def cold_within_rate(log: Log) -> list[str]:
     """A cold instance gets at most 1.5 times its rate, plus five, in any second. Its rate at a
-    moment is what it answered whole in the 2 s before, a second (docs/decisions/holding.md);
+    moment is what it answered whole in the 2 s before, a second (docs/decisions/holder.md);
     the highest rate within the second counts."""
     found: list[str] = []
     by_instance: dict[str, list[Run]] = defaultdict(list)
@@ -286,8 +286,9 @@
 
 
 JUDGES = (
-    once_never_twice, not_run_holds, one_verdict_in_time, success_is_whole, right_service,
-    newest_rules, evacuated_get_nothing, drained_get_nothing, vanished_get_nothing, seconds_within_share,
+    once_never_twice, not_run_holds, one_answer_in_time, success_is_whole, right_service,
+    newest_rules, evacuated_get_nothing, drained_get_nothing, vanished_get_nothing,
+    seconds_within_share,
     cold_within_rate, within_limit, acked_reads_back, refused_never_rules, back_within,
 )  # fmt: skip
 
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -3,8 +3,8 @@
     python -m tools.launch --clock FILE --listen 127.0.0.1:7001 -- exchange --name ex1 ...
 
 ``--clock``: the wall clock that every library reads is off by the seconds that stand in FILE,
-read anew at each look. ``--listen``: the trunk listens there, while colleagues are told of the
-address in the props, so that a relay can stand between.
+read anew at each look. ``--listen``: the trunk listens there, while peers are told of the
+address in the settings, so that a relay can stand between.
 """
 
 from __future__ import annotations
--- a/tools/load.py
+++ b/tools/load.py
@@ -50,8 +50,8 @@
         self.told: list[Told] = []
         self.exchanges = [n for n in fleet.http if n.startswith("ex")]
         self.lock = threading.Lock()
-        self.busy = doc["lanes"][:4]
-        self.small = doc["lanes"][4:]
+        self.busy = doc["routes"][:4]
+        self.small = doc["routes"][4:]
         self.behind = 0.0
         self.returns: list[Return] = []
         self.applies = 0
@@ -67,7 +67,7 @@
         doc = {**self.doc, "name": f"{self.doc['name']} {self.applies}"}
         told = Told("apply", now_ms(), detail=doc["name"], sent=doc)
         self.told.append(told)
-        return self.ask(told, "PUT", "/desired-state", json.dumps(doc).encode())
+        return self.ask(told, "PUT", "/configuration", json.dumps(doc).encode())
 
     def ask(self, told: Told, method: str, path: str, body: bytes | None = None) -> Told:
         """One operator request at some registry; a broken connection leaves it unsure."""
@@ -82,7 +82,7 @@
 
     def show(self) -> None:
         """Read the configuration back."""
-        for what, path in (("show", "/desired-state"), ("evacuated", "/evacuation")):
+        for what, path in (("show", "/configuration"), ("evacuated", "/evacuation")):
             told = Told(what, now_ms())
             self.told.append(self.ask(told, "GET", path))
 
@@ -91,23 +91,23 @@
         once = [x for x in self.busy if not x.get("repeatable")]
         free = [x for x in self.busy if x.get("repeatable")]
         if number % 6 == 0:
-            lane = self.rng.choice(once)
+            route = self.rng.choice(once)
         elif number % 10 == 1:
-            lane = self.rng.choice(self.small)
+            route = self.rng.choice(self.small)
         else:
-            lane = self.rng.choice(free)
+            route = self.rng.choice(free)
         key = f"key-{number}" if number % 12 == 0 else ""
         return Asked(
-            f"call-{number}", key, lane["path"], lane["service"], not lane.get("repeatable"),
+            f"call-{number}", key, route["path"], route["service"], not route.get("repeatable"),
             self.rng.choice(self.exchanges), now_ms(), self.rng.randrange(4000, 8000),
-            method=lane["methods"][0], agent=f"agent-{number % 40}",
+            method=route["methods"][0], client=f"client-{number % 40}",
         )  # fmt: skip
 
     def send(self, asked: Asked, method: str) -> None:
         """Carry out one call and keep what its caller saw."""
         headers = {
             "Spokeroute-Wait-Ms": str(asked.wait_ms), "Standin-Call": asked.call,
-            "Spokeroute-Agent": asked.agent,
+            "Spokeroute-Client": asked.client,
         }  # fmt: skip
         if asked.key:
             headers["Idempotency-Key"] = asked.key
@@ -119,7 +119,7 @@
                 headers=headers, timeout=asked.wait_ms / 1000 + 3, redirect=False,
             )  # fmt: skip
             asked.status, asked.body = got.status, got.data
-            asked.verdicts = 1
+            asked.answers = 1
             if got.status >= 400:
                 doc = json.loads(got.data)
                 asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
@@ -134,7 +134,7 @@
         """Open-loop calls; each event is carried out at its second."""
         pool = ThreadPoolExecutor(400)
         start_ms = now_ms()
-        methods = {x["path"]: x["methods"][0] for x in self.doc["lanes"]}
+        methods = {x["path"]: x["methods"][0] for x in self.doc["routes"]}
         due_ms, number = start_ms, 0
         while due_ms < start_ms + seconds * 1000:
             due_ms += self.rng.expovariate(per_s) * 1000
@@ -151,7 +151,7 @@
         pool.shutdown(wait=True)
 
 
-def read_log(folder: Path, load: Load, localities: list[str]) -> Log:
+def read_log(folder: Path, load: Load, zones: list[str]) -> Log:
     """The stand-in's log and the callers' own, as the judges want them."""
     runs: list[Run] = []
     answers: dict[str, bytes] = {}
@@ -161,8 +161,8 @@
     starts: list[tuple[float, str]] = []
     emptied: list[Emptied] = []
 
-    def locality_of(worker: str) -> str:
-        return localities[(int(worker[1:]) - 1) % len(localities)]
+    def zone_of(worker: str) -> str:
+        return zones[(int(worker[1:]) - 1) % len(zones)]
 
     keys = {a.call: a.key for a in load.asked}
     for line in (folder / "standin.log").read_text().splitlines():
@@ -171,17 +171,17 @@
             up[e["instance"]] = e["atMs"]
         elif e["kind"] == "run":
             run = Run(
-                e["atMs"], e["instance"], e["service"], e["worker"], locality_of(e["worker"]),
-                e["call"], keys.get(e["call"], ""), e["path"], e["tryId"], e["running"],
+                e["atMs"], e["instance"], e["service"], e["worker"], zone_of(e["worker"]),
+                e["call"], keys.get(e["call"], ""), e["path"], e["attemptId"], e["running"],
                 e["limit"], e["atMs"] - up.get(e["instance"], 0.0),
             )  # fmt: skip
             runs.append(run)
-            by_try[run.try_id] = run
+            by_try[run.attempt_id] = run
         elif e["kind"] == "answer":
-            answers[e["tryId"]] = e["body"].encode()
-            by_try[e["tryId"]].done_ms = e["atMs"]
+            answers[e["attemptId"]] = e["body"].encode()
+            by_try[e["attemptId"]].done_ms = e["atMs"]
         elif e["kind"] == "start":
-            starts.append((e["atMs"], locality_of(e["worker"])))
+            starts.append((e["atMs"], zone_of(e["worker"])))
         elif e["kind"] == "stop" and e["why"] == "asked":
             stops[e["instance"]] = e["atMs"]
         elif e["kind"] == "shown":
@@ -238,11 +238,11 @@
         "  p90 ms by 5 s:",
         " ".join(ninth(log, first + s * 1000) for s in range(0, int(seconds), 5)),
     )
-    tries: dict[str, set[str]] = {}
+    attempts: dict[str, set[str]] = {}
     for r in log.runs:
-        tries.setdefault(r.call, set()).add(r.instance)
-    seconds_ = sum(len(t) - 1 for t in tries.values())
-    print(f"second sends that reached an instance: {seconds_} of {len(tries)} calls that ran")
+        attempts.setdefault(r.call, set()).add(r.instance)
+    seconds_ = sum(len(t) - 1 for t in attempts.values())
+    print(f"second sends that reached an instance: {seconds_} of {len(attempts)} calls that ran")
     for role in ("ex", "reg"):
         found = [usage(p.pid) for n, p in fleet.processes.items() if n.startswith(role)]
         most = max(rss for rss, _ in found)
@@ -285,7 +285,7 @@
         ]
         load.run(args.per_s, args.seconds, acts)
         load.show()
-        log = read_log(folder, load, doc["localities"])
+        log = read_log(folder, load, doc["zones"])
         figures(load, log, args.seconds, fleet)
         found = judge(log)
         print("judges:", "clean" if not found else "")
--- a/tools/log.py
+++ b/tools/log.py
@@ -14,11 +14,11 @@
     instance: str
     service: str
     worker: str
-    locality: str
+    zone: str
     call: str
     key: str
     path: str
-    try_id: str
+    attempt_id: str
     running: int
     limit: int
     cold_for_ms: float  # how long ago it came up
@@ -43,9 +43,9 @@
     ran: str = ""
     kind: str = ""
     body: bytes = b""
-    verdicts: int = 0
+    answers: int = 0
     method: str = ""
-    agent: str = ""
+    client: str = ""
     retry_after: str = ""  # when a refusal says to come back
 
 
@@ -110,10 +110,10 @@
     cold_ms: dict[str, float]  # service -> how long its instances are cold
     drained_ms: dict[str, float] = field(default_factory=dict)  # instance -> marked as draining
     gone_ms: dict[str, float] = field(default_factory=dict)  # instance -> a listing came without it
-    dead_sends: list[tuple[float, str]] = field(default_factory=list)  # tries towards the gone
+    dead_sends: list[tuple[float, str]] = field(default_factory=list)  # attempts towards the gone
     downs: list[Down] = field(default_factory=list)
     dials: list[Dial] = field(default_factory=list)
     emptied: list[Emptied] = field(default_factory=list)
     stop_ms: dict[str, float] = field(default_factory=dict)  # instance -> its stop was asked for
-    starts: list[tuple[float, str]] = field(default_factory=list)  # when, and in which locality
+    starts: list[tuple[float, str]] = field(default_factory=list)  # when, and in which zone
     returns: list[Return] = field(default_factory=list)
--- a/tools/make_examples.py
+++ b/tools/make_examples.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-LOCALITIES = ["north", "centre", "south"]
+ZONES = ["north", "centre", "south"]
 
 
 def configuration(
@@ -17,15 +17,15 @@
     start_small_ms: int,
 ) -> dict[str, Any]:
     services: list[dict[str, Any]] = []
-    lanes: list[dict[str, Any]] = []
+    routes: list[dict[str, Any]] = []
     for service, path, methods, repeatable in busy:
         services.append({
             "name": service, "memoryMb": 512, "limit": 4, "startMs": start_busy_ms,
             "longestRunMs": 1500, "coldMs": 2000, "minInstances": 2, "spares": 1,
         })  # fmt: skip
-        lanes.append({
+        routes.append({
             "path": path, "service": service, "methods": methods, "repeatable": repeatable,
-            "perAgentPerS": 100.0,
+            "perClientPerS": 100.0,
         })  # fmt: skip
     for number in range(1, 76):
         service = f"{small}-{number:02d}"
@@ -33,11 +33,11 @@
             "name": service, "memoryMb": 128, "limit": 1, "startMs": start_small_ms,
             "longestRunMs": 1500, "coldMs": 1000, "spares": 1,
         })  # fmt: skip
-        lanes.append({
+        routes.append({
             "path": f"/{small}/{number:02d}/*", "service": service, "methods": ["GET", "POST"],
-            "repeatable": True, "perAgentPerS": 50.0,
+            "repeatable": True, "perClientPerS": 50.0,
         })  # fmt: skip
-    return {"name": name, "localities": LOCALITIES, "services": services, "lanes": lanes}
+    return {"name": name, "zones": ZONES, "services": services, "routes": routes}
 
 
 def main() -> None:
--- a/tools/readback.py
+++ b/tools/readback.py
@@ -37,18 +37,18 @@
         newest = max((t.doc["version"] for t in settled), default=0)
         if show.doc["version"] < newest:
             found.append(f"evacuations read back {show.doc['version']}, acknowledged {newest}")
-        for locality in {t.detail for t in settled}:
-            mine = [t for t in settled if t.detail == locality]
+        for zone in {t.detail for t in settled}:
+            mine = [t for t in settled if t.detail == zone]
             last = max(mine, key=lambda t: t.done_ms)
             if _contested(marks, last, show):
                 continue
-            if (locality in show.doc["evacuated"]) != (last.what == "evacuate"):
-                found.append(f"{last.what} of {locality} was acknowledged and is not read back")
+            if (zone in show.doc["evacuated"]) != (last.what == "evacuate"):
+                found.append(f"{last.what} of {zone} was acknowledged and is not read back")
     return found
 
 
 def _contested(marks: list[Told], last: Told, show: Told) -> bool:
-    """Whether another mark on the locality may stand after this one."""
+    """Whether another mark on the zone may stand after this one."""
     for told in marks:
         if told is last or told.detail != last.detail or told.status in NOTHING_DONE:
             continue
--- a/tools/ruling.py
+++ b/tools/ruling.py
@@ -23,7 +23,7 @@
     told: Told
     from_ms: float
     to_ms: float
-    lanes: dict[str, dict[str, Any]] = field(default_factory=dict)
+    routes: dict[str, dict[str, Any]] = field(default_factory=dict)
 
 
 class Rulings:
@@ -41,7 +41,7 @@
             if unsure(told):
                 self.all.append(Ruling(told, told.at_ms, float("inf")))
         for each in self.all:
-            each.lanes = {lane["path"]: lane for lane in each.told.sent.get("lanes", ())}
+            each.routes = {route["path"]: route for route in each.told.sent.get("routes", ())}
 
     def within(self, from_ms: float, to_ms: float) -> list[Ruling]:
         """Those that may rule at some moment of a span."""
--- a/tools/standin.py
+++ b/tools/standin.py
@@ -66,11 +66,11 @@
             self.log.write(line + "\n")
 
     def workers(self) -> list[dict[str, Any]]:
-        names = self.args.localities.split(",")
+        names = self.args.zones.split(",")
         return [
             {
                 "id": f"w{i + 1}",
-                "locality": names[i % len(names)],
+                "zone": names[i % len(names)],
                 "memoryMb": self.args.worker_mb,
                 "draining": f"w{i + 1}" in self.emptied,
             }
@@ -221,13 +221,13 @@
                 return
             length = int(self.headers.get("Content-Length") or 0)
             body = self.rfile.read(length)
-            try_id = self.headers.get("Spokeroute-Try", "")
+            attempt_id = self.headers.get("Spokeroute-Attempt", "")
             call = self.headers.get("Standin-Call", "")
             with standin.lock:
                 instance.running += 1
                 running = instance.running
             standin.write("run", instance=instance.id, service=instance.service, call=call,
-                          try_id=try_id, running=running, limit=instance.limit,
+                          attempt_id=attempt_id, running=running, limit=instance.limit,
                           path=self.path, worker=instance.worker)  # fmt: skip
             cold = now_ms() - instance.up_at_ms < standin.args.cold_ms
             work_ms = standin.rng.uniform(0.6, 1.4) * standin.args.work_ms * (2 if cold else 1)
@@ -236,11 +236,15 @@
                 instance.running -= 1
             doc = {"call": call, "instance": instance.id, "echo": body.decode("utf-8", "replace")}
             standin.write(
-                "answer", instance=instance.id, call=call, try_id=try_id, body=json.dumps(doc)
+                "answer",
+                instance=instance.id,
+                call=call,
+                attempt_id=attempt_id,
+                body=json.dumps(doc),
             )
-            self.answer(200, doc, {"Spokeroute-Try": try_id})
+            self.answer(200, doc, {"Spokeroute-Attempt": attempt_id})
 
-        do_GET = do_POST = do_PUT = do_DELETE = serve
+        do_GET = do_POST = do_PUT = do_DELETE = serve  # noqa: N815
 
     return Handler
 
@@ -284,7 +288,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--listen", required=True)
     parser.add_argument("--log", required=True)
-    parser.add_argument("--localities", default="north,centre,south")
+    parser.add_argument("--zones", default="north,centre,south")
     parser.add_argument("--workers", type=int, default=6)
     parser.add_argument("--worker-mb", type=int, default=7680)
     parser.add_argument("--start-busy-ms", type=float, default=1400)
