--- /dev/null
+++ b/spokeroute/dial/bounds.py
@@ -0,0 +1,44 @@
+"""Bounds: the times, shares and sizes that a deployment may set, each with the product's own
+value. They reach the cores with a process's start, and never change while it runs.
+
+Example:
+    >>> Bounds().lease_ms
+    2000
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a deployment promises and what it allows; times in milliseconds."""
+
+    lease_ms: int = 2_000
+    """How long a proof rules while a majority of the core can be reached."""
+    stale_ms: int = 2_000
+    """How long an exchange goes on by its last proof while it reaches no majority."""
+    rejection_safe: bool = False
+    """Whether an instance itself refuses what is over its limit, as not run: a lost holder is
+    then replaced at once."""
+    budget_ratio: float = 0.2
+    budget_window_ms: int = 10_000
+    budget_extra: int = 36
+    """Second sends in a window, over all exchanges, on top of the ratio."""
+    starts_per_s: float = 80.0
+    starts_burst: float = 15.0
+    list_ms: int = 400
+    """How often the placement role reads the platform's listing."""
+    listing_lag_ms: int = 500
+    """How late the platform's listing may be."""
+    catch_up_ms: int = 6_000
+    """How long a silent core member is waited for before a blank one takes its place."""
+    grace_ms: int = 9_000
+    """How long a process that is asked to stop may take."""
+    announce_ms: int = 0
+    """How long it still takes calls after it said that it is not ready any more."""
+    call_threads: int = 160
+    memory_mb: int = 0
+    last_zone_stays: bool = True
+    """Whether the evacuation of the last zone is refused."""
--- a/spokeroute/dial/settings.py
+++ b/spokeroute/dial/settings.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+from spokeroute.dial.bounds import Bounds
+
 
 class SettingsError(Exception):
     """The settings can't be used; the message names the remedy."""
@@ -28,6 +30,9 @@
     disk_mb: int = 1024
     platform: str = ""
     found: bool = False
+    ready: str = ""
+    """IP:port that answers readiness alone; empty: only ``http`` does."""
+    bounds: Bounds = Bounds()
 
 
 def _read_toml(path: str) -> dict[str, Any]:
@@ -43,6 +48,20 @@
         raise SettingsError(f"settings file {path} is no TOML ({fault}): mend it") from fault
 
 
+def _read_bounds(path: str, raw: dict[str, Any]) -> Bounds:
+    known: dict[str, Any] = {f.name: type(f.default) for f in fields(Bounds)}
+    for key, value in raw.items():
+        kind = known.get(key)
+        if kind is None:
+            names = ", ".join(known)
+            raise SettingsError(f"unknown bound {key!r} in {path}: remove it; known: {names}")
+        if isinstance(value, bool) != (kind is bool) or not isinstance(value, int | float):
+            raise SettingsError(f"bound {key!r} in {path} must be a {kind.__name__}: mend it")
+        if kind is not bool and value < 0:
+            raise SettingsError(f"bound {key!r} in {path} is {value}: choose 0 or more")
+    return Bounds(**{key: known[key](value) for key, value in raw.items()})
+
+
 def read_settings(path: str, flags: dict[str, Any]) -> Settings:
     """The file's settings, with the flags that were given over them.
 
@@ -51,7 +70,7 @@
     """
     raw = _read_toml(path)
     known = {f.name: f for f in fields(Settings)}
-    kinds = {"seeds": list, "disk_mb": int, "found": bool}
+    kinds = {"seeds": list, "disk_mb": int, "found": bool, "bounds": dict}
     for key, value in raw.items():
         if key not in known:
             names = ", ".join(known)
@@ -59,6 +78,8 @@
         kind = kinds.get(key, str)
         if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
             raise SettingsError(f"setting {key!r} in {path} must be a {kind.__name__}: mend it")
+    if "bounds" in raw:
+        raw["bounds"] = _read_bounds(path, raw["bounds"])
     if "seeds" in raw:
         raw["seeds"] = tuple(str(s) for s in raw["seeds"])
     settings = Settings(**raw)
