--- a/spokeroute/dial/bounds.py
+++ b/spokeroute/dial/bounds.py
@@ -40,5 +40,7 @@
     """How long it still takes calls after it said that it is not ready any more."""
     call_threads: int = 160
     memory_mb: int = 0
+    wait_optional: bool = False
+    """Whether a missing or absurd wait falls back on the route's timeout."""
     last_zone_stays: bool = True
     """Whether the evacuation of the last zone is refused."""
--- a/spokeroute/dial/dialect.py
+++ b/spokeroute/dial/dialect.py
@@ -51,3 +51,7 @@
 
     caller: CallerDialect = field(default_factory=CallerDialect)
     instance: InstanceDialect = field(default_factory=InstanceDialect)
+
+
+OWN = Dialect()
+"""The product's own."""
