The platform's contract behind a client: PlatformClient, HttpPlatform, PlatformEdge

Cause: the edge spoke the product's own HTTP contract and nothing else, so another platform's could not be put in its place. Now PlatformEdge carries jobs to a PlatformClient on its threads and holds the lease check; HttpPlatform is the product's contract; run_registry takes another. A done call names the identity and address the platform gave; a stop carries the identity. Ruled out: a base class with hooks, since the two methods are all that a platform needs. A client that raises was a lost job before (the pool swallowed it); it is a failed call now.

--- /dev/null
+++ b/tests/test_platform_edge.py
@@ -0,0 +1,66 @@
+"""The edge towards the platform, and the product's own contract, over real sockets."""
+
+from __future__ import annotations
+
+import queue
+from typing import Any
+
+import pytest
+
+from spokeroute.dial.ids import Ms
+from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformDone, PlatformListed
+from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
+from spokeroute.trunk.net import monotonic_ms
+from tests.test_edge import Scripted
+
+
+def job(op: str, identity: str = "", good_for_ms: int = 5_000) -> PlatformCall:
+    good_until_ms = Ms(monotonic_ms() + good_for_ms)
+    return PlatformCall(op, "readings-1-2-1", "readings", "w1", 512, 4, good_until_ms, identity)
+
+
+class Faulty:
+    """A client that breaks its promise not to raise."""
+
+    def list(self) -> PlatformListed:
+        raise ValueError("no such page")
+
+    def call(self, job: PlatformCall) -> PlatformDone:
+        raise OSError("no route")
+
+
+def reported(client: Any, ask: object) -> Any:
+    got: queue.Queue[object] = queue.Queue()
+    edge = PlatformEdge(client, lambda actor, event: got.put(event))
+    if isinstance(ask, PlatformCall):
+        edge.call("placement", ask)
+    else:
+        edge.list("placement", ListPlatform())
+    return got.get(timeout=10)
+
+
+def test_a_client_that_raises_is_a_failed_call_and_no_listing() -> None:
+    assert reported(Faulty(), job("start")).outcome == "failed"
+    listing = reported(Faulty(), ListPlatform())
+    assert not listing.ok and "no such page" in listing.reason
+
+
+def test_no_call_after_the_lease() -> None:
+    assert reported(Faulty(), job("start", good_for_ms=0)).outcome == "late"
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"), [(202, "ok"), (429, "refused"), (409, "failed"), (500, "failed")]
+)
+def test_the_products_own_contract_names_instances_by_our_id(status: int, outcome: str) -> None:
+    server = Scripted([f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode()])
+    done = HttpPlatform(server.address).call(job("start"))
+    assert done.outcome == outcome
+    assert done.identity == ("readings-1-2-1" if outcome == "ok" else "")
+
+
+def test_a_stop_goes_by_identity_and_falls_back_to_our_id() -> None:
+    for identity, path in (("i-7", b"/instances/i-7 "), ("", b"/instances/readings-1-2-1 ")):
+        server = Scripted([b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"])
+        assert HttpPlatform(server.address).call(job("stop", identity)).outcome == "ok"
+        assert path in server.requests[0]
