Capacity: hollow fleets on a simulated clock, counted by role, actor and message

Cause: nothing says what a role spends at 930 nodes and 220,000 instances. Ruled out: real processes at that size (no machine here holds them) and figures from the code alone. Before: none.

--- /dev/null
+++ b/tools/capacity_aim.py
@@ -0,0 +1,137 @@
+"""The size of the aim, what may be spent there, and the sizes that costs grow with."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+NODES, INSTANCES, FUNCTIONS, CALLS_PER_S = 930, 220_000, 36_000, 120_000
+REGISTRIES = 5
+REGIONS, ZONES_COUNT = 2, 5
+CHANGES_A_DAY = 1_400
+CHANGE_S = 10.0
+COLD_MS = 990.0
+CORES_A_NODE, MB_A_NODE, BYTES_A_NODE = 0.014, 32.0, 10_000.0
+RESTARTS_A_DAY = 310
+RACK_NODES = 30
+LINK_BYTES_PER_S = 2e6 / 8
+DAY_S = 86_400.0
+EACH = INSTANCES / FUNCTIONS  # instances of a function, were all awake
+FLOORS_PER_S = 2.5
+"""Floor changes that a node sees: one a proof, as soon as anything changes that often."""
+
+AIM: dict[str, float] = {
+    "nodes": NODES,
+    "nodes^2": NODES**2,
+    "instances": INSTANCES,
+    "functions": FUNCTIONS,
+    "functions x instances": float(FUNCTIONS) * INSTANCES,
+    "held": INSTANCES / NODES,
+    "calls a node": CALLS_PER_S / NODES,
+    "registries": REGISTRIES,
+    "names in lists": FUNCTIONS * EACH * (EACH - 1),
+    "pairs x sites": INSTANCES * (NODES + FUNCTIONS / 2),
+    "applies": CHANGES_A_DAY / DAY_S,
+    "keyed": 100.0,
+    "wakes": 1.0,
+}
+"""Each size at the aim. Neither keyed calls nor cold starts a second are in the aim: their rows
+are for 100 and for one a second."""
+
+RATES: dict[str, float] = {
+    "": 1.0,
+    "floor changes": FLOORS_PER_S,
+    "configurations": CHANGES_A_DAY / DAY_S,
+    "listings": 2.5,
+    "passes": 10.0,
+    "pushes": 1.0,
+    "pushes to every node": float(NODES),
+    "probes of every node": 2.5 * (NODES + REGISTRIES - 1),
+    "floors to its share of nodes": FLOORS_PER_S * NODES / REGISTRIES,
+    "configurations to its share of nodes": CHANGES_A_DAY / DAY_S * NODES / REGISTRIES,
+}
+"""How often something happens a second at the aim, where a row is measured by the event."""
+
+
+def sizes_of(size: Mapping[str, Any]) -> dict[str, float]:
+    """The same sizes of a measured fleet.
+
+    Example:
+        sizes_of(asdict(Size()))["nodes"] == 8
+    """
+    nodes, instances = float(size["nodes"]), float(size["instances"])
+    functions = float(size["functions"])
+    awake = max(1.0, min(functions, -(-instances // size["each"])))
+    each = instances / awake
+    pairs = awake * min(each, nodes)
+    held = float(size["held"]) if size["held"] >= 0 else instances / nodes
+    return {
+        "nodes": nodes,
+        "nodes^2": nodes**2,
+        "instances": instances,
+        "functions": functions,
+        "functions x instances": functions * instances,
+        "held": held,
+        "calls a node": (size["calls_per_s"] + size["keyed_per_s"]) / nodes,
+        "registries": float(size["registries"]),
+        "names in lists": pairs * (each - each / min(each, nodes)),
+        "pairs x sites": pairs * (nodes + awake / 2),
+        "applies": size["applies"] / size["seconds"],
+        "keyed": float(size["keyed_per_s"]),
+        "wakes": float(size["wakes_per_s"]),
+    }
+
+
+MECHANISMS: dict[str, tuple[str, ...]] = {
+    "views and gossip": (
+        "peers *", "* ViewNow", "* GossipHeard", "encode Shuffle", "decode Shuffle",
+    ),
+    "freshness proofs": (
+        "copies Tick", "copies ProbeAck", "copies RosterNews", "calls Fresh", "holder Fresh",
+        "placement Fresh", "keeper Probe", "steward Probe", "role ProbeAck", "encode ProbeAck",
+        "decode ProbeAck", "encode Probe", "decode Probe", "keeper AbsentNow",
+    ),
+    "reports": (
+        "placement Probe", "calls HeldNow", "copies Reports", "holder Tick",
+        "placement.means_of", "placement.suspects_of", "placement.live_holders",
+        "placement.demand_now",
+    ),
+    "configuration": (
+        "edge build_table", "edge read_configuration", "edge pack_configuration", "operator *",
+        "copies Compiled", "copies Compile",
+    ),
+    "floor and holds": (
+        "types.unpack_floor", "floor.unpack_floor", "placement.unpack_floor",
+        "placement.pack_floor", "calls Fresh changed", "holder Fresh changed",
+        "placement Fresh changed", "copies Chosen", "* FetchGot", "* FetchAsk", "placement Settled",
+        "placement.remark", "proposer *", "proposer.digest_of", "keeper Accept", "keeper Prepare",
+        "keeper DiskDone", "keeper HandOver", "keeper HandTo", "encode Accept", "decode Accept",
+        "encode Accepted", "decode Accepted", "encode Prepare", "decode Prepare", "encode Promise",
+        "decode Promise", "encode HandOver", "decode HandOver", "role *", "placement TermIs",
+    ),
+    "scaler": (
+        "placement.plan", "plan.room_of", "plan.best_worker", "plan.sleepers_mb",
+        "placement Tick",
+    ),
+    "LAAF lists": (
+        "placement.picture", "placement.laaf", "placement.rome", "placement.picture_doc",
+        "placement.ranking_doc", "encode Lists", "decode Lists", "calls Lists",
+    ),
+    "platform lists and starts": (
+        "edge read_listing", "placement PlatformListed", "placement.take_listing",
+        "placement.absent_from", "placement.orphan_stops", "placement.platform_calls",
+        "placement PlatformDone",
+    ),
+    "ledger": ("ledger *", "ledger.entry_text", "encode Ledger*", "decode Ledger*"),
+    "claims": ("claims *", "calls ClaimGot", "encode Claim*", "decode Claim*"),
+    "calls": (
+        "calls CallIn", "calls Forwarded", "calls Tick", "holder Forward", "holder AttemptDone",
+        "encode Forward*", "decode Forward*", "holder ForwardDrop",
+    ),
+    "budget shares": ("budget.*",),
+    "loop and beats": (
+        "loop", "keeper Tick", "steward *", "claims Tick", "operator Tick", "ledger Tick",
+        "encode Alive", "decode Alive", "encode RosterNews", "decode RosterNews",
+    ),
+}  # fmt: skip
+"""Which parts of the counts are whose. A part that nobody names is 'other'."""
--- /dev/null
+++ b/tools/capacity_meter.py
@@ -0,0 +1,170 @@
+"""Counts of a hollow fleet: processor time by actor and event, messages and bytes by kind.
+
+Times nest: what a part spends inside another part is the other's alone. The clock's own cost
+is measured and taken off.
+"""
+
+from __future__ import annotations
+
+import importlib
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from spokeroute.dial.effects import From
+from spokeroute.register.copies import Fresh
+
+Clock = Callable[[], float]
+
+FUNCTIONS = (
+    ("spokeroute.dispatch.placement", (
+        "plan", "picture", "laaf", "rome", "pack_floor", "unpack_floor", "platform_calls",
+        "orphan_stops", "remark", "demand_now", "take_listing", "absent_from", "picture_doc",
+        "ranking_doc", "live_holders", "suspects_of", "means_of",
+    )),
+    ("spokeroute.dispatch.plan", ("room_of", "best_worker", "sleepers_mb")),
+    ("spokeroute.dispatch.floor", ("unpack_floor",)),
+    ("spokeroute.exchange.types", ("unpack_floor",)),
+    ("spokeroute.logbook.ledger", ("entry_text",)),
+    ("spokeroute.register.proposer", ("digest_of",)),
+    ("spokeroute.exchange.budget", ("Budget.allows", "Budget.first", "Budget.second")),
+)  # fmt: skip
+"""Parts of a step that get a line of their own; those that a version lacks are passed over."""
+
+
+@dataclass
+class Tally:
+    """What one node did while the meter was on."""
+
+    cpu: dict[str, list[float]] = field(default_factory=dict)  # part -> seconds, times
+    wire: dict[str, list[float]] = field(default_factory=dict)  # "out Probe zone" -> count, bytes
+
+
+def kind_of(event: object) -> str:
+    """How an event is named in the counts.
+
+    Example:
+        >>> from spokeroute.dial.effects import Tick
+        >>> kind_of(Tick())
+        'Tick'
+    """
+    if isinstance(event, From):
+        return type(event.message).__name__
+    if isinstance(event, Fresh):
+        return "Fresh changed" if event.changed else "Fresh"
+    return type(event).__name__
+
+
+class Meter:
+    """The one counter of a fleet.
+
+    Example:
+        meter = Meter()
+        meter.enter()
+        meter.leave("calls Tick")
+    """
+
+    def __init__(self, clock: Clock = time.process_time) -> None:
+        self.clock = clock
+        self.on = False
+        self.tallies: dict[str, Tally] = {}
+        self.node = ""
+        self.stack: list[list[float]] = []
+        self.notes: dict[str, float] = {}
+        self.cost_s = self._calibrated()
+
+    def _calibrated(self) -> float:
+        """What one pair of readings adds to a part."""
+        most = 2_000
+        start = self.clock()
+        for _ in range(most):
+            self.clock()
+        return (self.clock() - start) / most
+
+    def tally(self, node: str) -> Tally:
+        """A node's counts."""
+        found = self.tallies.get(node)
+        if found is None:
+            found = self.tallies[node] = Tally()
+        return found
+
+    def enter(self) -> None:
+        """A part begins."""
+        self.stack.append([self.clock(), 0.0])
+
+    def leave(self, part: str) -> float:
+        """The part that began last ends; an empty name is not the product's own time. Its whole
+        seconds, parts inside included."""
+        start, inside = self.stack.pop()
+        whole = self.clock() - start
+        if self.stack:
+            self.stack[-1][1] += whole + self.cost_s
+        if self.on and part:
+            cpu = self.tally(self.node).cpu
+            got = cpu.get(part)
+            if got is None:
+                got = cpu[part] = [0.0, 0.0]
+            got[0] += max(0.0, whole - inside - self.cost_s)
+            got[1] += 1
+        return whole
+
+    def passed(self, node: str, way: str, kind: str, span: str, size_bytes: int) -> None:
+        """A message went out of a node or came into it."""
+        if self.on:
+            wire = self.tally(node).wire
+            key = f"{way} {kind} {span}"
+            got = wire.get(key)
+            if got is None:
+                got = wire[key] = [0.0, 0.0]
+            got[0] += 1
+            got[1] += size_bytes
+
+    def note(self, name: str, amount: float = 1.0) -> None:
+        """Count something else that happened in the fleet."""
+        if self.on:
+            self.notes[name] = self.notes.get(name, 0.0) + amount
+
+    def wrapped(self, name: str, step: Callable[..., Any]) -> Callable[..., Any]:
+        """A core's step, with each event on the core's own account."""
+
+        def run(state: Any, event: object, now_ms: Any) -> Any:
+            self.enter()
+            try:
+                return step(state, event, now_ms)
+            finally:
+                self.leave(f"{name} {kind_of(event)}")
+
+        return run
+
+    def part(self, name: str, function: Callable[..., Any]) -> Callable[..., Any]:
+        """A function inside a step, with a line of its own."""
+
+        def run(*args: Any, **named: Any) -> Any:
+            self.enter()
+            try:
+                return function(*args, **named)
+            finally:
+                self.leave(name)
+
+        return run
+
+    @contextmanager
+    def attributed(self) -> Iterator[None]:
+        """While this lasts, the parts in ``FUNCTIONS`` are counted apart."""
+        kept: list[tuple[Any, str, Any]] = []
+        for path, names in FUNCTIONS:
+            module = importlib.import_module(path)
+            for name in names:
+                *outer, last = name.split(".")
+                owner: Any = getattr(module, outer[0], None) if outer else module
+                function = getattr(owner, last, None)
+                if function is not None:
+                    kept.append((owner, last, function))
+                    setattr(owner, last, self.part(f"{path.rsplit('.', 1)[1]}.{name}", function))
+        try:
+            yield
+        finally:
+            for owner, name, function in kept:
+                setattr(owner, name, function)
