--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -26,9 +26,11 @@
     """One fleet's figures by role: processor time by part, messages and bytes by kind."""
     lines: list[str] = []
     for role, parts in point.cpu.items():
-        whole = sum(s for s, _ in parts.values())
+        pace_s = point.notes["ns per count"] / 1e9
+        whole = pace_s * sum(s for s, _ in parts.values())
         lines.append(f"\n{role}: {whole:.4f} cores a node")
-        for part, (seconds, times) in sorted(parts.items(), key=lambda p: -p[1][0])[:14]:
+        for part, (work, times) in sorted(parts.items(), key=lambda p: -p[1][0])[:14]:
+            seconds = work * pace_s
             each_us = 1e6 * seconds / times if times else 0.0
             lines.append(f"  {part:32s} {seconds:9.5f} s/s  {times:8.1f}/s  {each_us:9.1f} us")
         wires = point.wire.get(role, {})
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Any
 
+from spokeroute.desk.difference import difference
 from spokeroute.dial.answers import Answer
 from spokeroute.dial.effects import SlotId
 from spokeroute.dial.ids import CONFIGURATION, FLOOR, Address, CallId, Incarnation, NodeId
@@ -35,23 +36,25 @@
     loaded_of,
     member_name,
     node_name,
+    path_of,
     registry_address,
     service_name,
     zone_of,
 )
 from tools.capacity_world import Fleet, HollowNode
 
-ROLES = ("exchange", "hub", "registry", "holder")
+ROLES = ("exchange", "hub", "registry", "holder", "desk")
 SETTLE_MOST_S = 12.0
 BODY = b'{"meter":1234567,"reading":42.5}'
 
 
 @dataclass(frozen=True, slots=True)
 class Point:
-    """What one fleet of one size did. ``cpu`` and ``wire``: by role, then by part or message."""
+    """What one fleet of one size did. ``cpu`` and ``wire``: by role, then by part or message.
+    Work is in the meter's unit; ``notes`` say how many nanoseconds one took here."""
 
     size: dict[str, Any]
-    cpu: dict[str, dict[str, tuple[float, float]]]  # seconds, times; a node, a second
+    cpu: dict[str, dict[str, tuple[float, float]]]  # work, times; a node, a second
     wire: dict[str, dict[str, tuple[float, ...]]]
     """Messages, bytes, those that leave the zone, those that leave the region; a node, a second."""
     notes: dict[str, float]  # in the whole fleet, a second
@@ -162,7 +165,7 @@
 
         def made(slot: SlotId) -> CallIn:
             return CallIn(
-                slot, CallId(name), "10.9.8.7", "POST", f"/f/{function}", "",
+                slot, CallId(name), "10.9.8.7", "POST", path_of(function), "",
                 (("Content-Type", "application/json"), ("Host", "api.example")),
                 BODY, "5000", key, 0,
             )  # fmt: skip
@@ -186,6 +189,7 @@
         self.applied += 1
         node = self.registries[self.applied % len(self.registries)]
         body = document(self.size, f"change {self.applied}")
+        self._desk(body)
         self.meter.node = node.me.node
         self.meter.passed(node.me.node, "in", "apply", "zone", len(body))
         self.meter.enter()
@@ -203,9 +207,28 @@
 
         node.ask("operator", lambda s: Apply(s, value, digest_of(value), -1), told)
 
+    def _desk(self, body: bytes) -> None:
+        """What the operator's client does with it: ``desk apply --check``, then ``desk apply``."""
+        self.meter.node = "desk"
+        self.meter.passed("desk", "out", "apply", "zone", len(body))
+        self.meter.enter()
+        sent = json.loads(body)
+        difference(sent, {**sent, "name": "another"})
+        self.meter.leave("desk apply")
+
     def _churn(self) -> None:
         self.fleet.platform.fail(self.rng.randrange(10**6))
 
+    def happen(self) -> None:
+        """From now on, count, and let the size's events come."""
+        size = self.size
+        self.meter.on = True
+        self._every(size.calls_per_s, self._warm_call)
+        self._every(size.wakes_per_s, self._wake)
+        self._every(size.keyed_per_s, self._keyed_call)
+        self._every(size.churn_per_s, self._churn, regular=True)
+        self._every(size.applies / size.seconds, self._apply, regular=True)
+
     def measured(self) -> Point:
         """Settle, then count for the size's seconds."""
         began = time.monotonic()
@@ -217,17 +240,15 @@
             gc.collect()
             gc.freeze()
             before = self._floors()
-            self.meter.on = True
-            self._every(size.calls_per_s, self._warm_call)
-            self._every(size.wakes_per_s, self._wake)
-            self._every(size.keyed_per_s, self._keyed_call)
-            self._every(size.churn_per_s, self._churn, regular=True)
-            self._every(size.applies / size.seconds, self._apply, regular=True)
+            self.happen()
+            work, spent_ns = self.meter.clock(), time.process_time_ns()
             self.fleet.clock.run(size.seconds * 1000)
+            pace = (time.process_time_ns() - spent_ns) / (self.meter.clock() - work)
             self.meter.on = False
             self.meter.notes["floors"] = self._floors() - before
         rss_mb = resident_mb()
         point = self._point(rss_mb, time.monotonic() - began)
+        point.notes["ns per count"] = rounded(pace)
         self.close()
         gc.unfreeze()
         return point
@@ -237,7 +258,8 @@
 
     def _point(self, rss_mb: float, took_s: float) -> Point:
         size, holder = self.size, self.holder()
-        role_of = {n.me.node: "registry" for n in self.registries}
+        role_of: dict[str, str] = {n.me.node: "registry" for n in self.registries}
+        role_of["desk"] = "desk"
         if holder is not None:
             role_of[holder.me.node] = "holder"
         for number, node in enumerate(self.exchanges):
--- a/tools/capacity_meter.py
+++ b/tools/capacity_meter.py
@@ -1,13 +1,12 @@
-"""Counts of a hollow fleet: processor time by actor and event, messages and bytes by kind.
+"""Counts of a hollow fleet: work by actor and event, messages and bytes by kind.
 
-Times nest: what a part spends inside another part is the other's alone. The clock's own cost
-is measured and taken off.
+Work nests: what a part spends inside another part is the other's alone. What the counting itself
+costs is measured and taken off.
 """
 
 from __future__ import annotations
 
 import importlib
-import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -15,8 +14,7 @@
 
 from spokeroute.dial.effects import From
 from spokeroute.register.copies import Fresh
-
-Clock = Callable[[], float]
+from tools.capacity_clock import NANOSECONDS, counter
 
 FUNCTIONS = (
     ("spokeroute.dispatch.placement", (
@@ -38,7 +36,7 @@
 class Tally:
     """What one node did while the meter was on."""
 
-    cpu: dict[str, list[float]] = field(default_factory=dict)  # part -> seconds, times
+    cpu: dict[str, list[float]] = field(default_factory=dict)  # part -> work, times
     wire: dict[str, list[float]] = field(default_factory=dict)  # "out Probe zone" -> count, bytes
 
 
@@ -66,22 +64,32 @@
         meter.leave("calls Tick")
     """
 
-    def __init__(self, clock: Clock = time.process_time) -> None:
-        self.clock = clock
+    def __init__(self, clock: Callable[[], int] | None = None) -> None:
+        found, unit = counter()
+        self.clock = clock or found
+        self.unit = NANOSECONDS if clock else unit
         self.on = False
         self.tallies: dict[str, Tally] = {}
         self.node = ""
         self.stack: list[list[float]] = []
         self.notes: dict[str, float] = {}
-        self.cost_s = self._calibrated()
-
-    def _calibrated(self) -> float:
-        """What one pair of readings adds to a part."""
-        most = 2_000
-        start = self.clock()
+        self.inner = self.outer = 0.0
+        self._calibrate()
+
+    def _calibrate(self) -> None:
+        """What an empty part costs itself, and the part around it."""
+        most = 3_000
+        self.on, node = True, self.node
+        self.node = "calibration"
+        self.enter()
         for _ in range(most):
-            self.clock()
-        return (self.clock() - start) / most
+            self.enter()
+            self.leave("inside")
+        self.leave("around")
+        cpu = self.tallies.pop("calibration").cpu
+        self.inner = cpu["inside"][0] / most
+        self.outer = cpu["around"][0] / most
+        self.on, self.node = False, node
 
     def tally(self, node: str) -> Tally:
         """A node's counts."""
@@ -94,21 +102,19 @@
         """A part begins."""
         self.stack.append([self.clock(), 0.0])
 
-    def leave(self, part: str) -> float:
-        """The part that began last ends; an empty name is not the product's own time. Its whole
-        seconds, parts inside included."""
+    def leave(self, part: str) -> None:
+        """The part that began last ends; an empty name is not the product's own work."""
         start, inside = self.stack.pop()
         whole = self.clock() - start
         if self.stack:
-            self.stack[-1][1] += whole + self.cost_s
+            self.stack[-1][1] += whole + self.outer
         if self.on and part:
             cpu = self.tally(self.node).cpu
             got = cpu.get(part)
             if got is None:
                 got = cpu[part] = [0.0, 0.0]
-            got[0] += max(0.0, whole - inside - self.cost_s)
+            got[0] += whole - inside - self.inner
             got[1] += 1
-        return whole
 
     def passed(self, node: str, way: str, kind: str, span: str, size_bytes: int) -> None:
         """A message went out of a node or came into it."""
--- a/tools/capacity_rows.py
+++ b/tools/capacity_rows.py
@@ -11,7 +11,9 @@
 from tools.capacity_fit import Line, Prediction, fit, is_flat
 
 CPU, IN, OUT, BYTES_IN, BYTES_OUT = "cpu", "msg in", "msg out", "bytes in", "bytes out"
+MEMORY = "memory"
 UNITS = {
+    MEMORY: "MB",
     CPU: "s/s", IN: "msg/s", OUT: "msg/s", BYTES_IN: "B/s", BYTES_OUT: "B/s", "bytes": "B/s",
     "disk": "B/s",
 }  # fmt: skip
@@ -62,11 +64,11 @@
 
 
 def _sum(row: Row, point: dict[str, Any]) -> float:
-    if row.what == "bytes":
+    if row.what in ("bytes", MEMORY):
         return float(sum(point["notes"].get(part, 0.0) for part in row.parts))
     if row.what == CPU:
         parts = point["cpu"].get(row.role, {})
-        return float(sum(
+        return float(point["pace"]) * float(sum(
             seconds for part, (seconds, _) in parts.items()
             if (part in row.parts if row.parts else mechanism_of(part) == row.mechanism)
         ))  # fmt: skip
@@ -77,6 +79,28 @@
     return float(sum(wire[k][at] for k in kinds if k in wire))
 
 
+def calm(raw: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """The points with the seconds that one of their counts stands for: as on a core without busy
+    neighbours, so by the pace of the fastest tenth of them.
+
+    Example:
+        calm(raw)[0]["pace"] < 1.0
+    """
+    pace_s = pace_of(raw) / 1e9
+    return [{**p, "pace": pace_s} for p in raw]
+
+
+def pace_of(raw: list[dict[str, Any]]) -> float:
+    """Nanoseconds that one count stands for.
+
+    Example:
+        >>> pace_of([{"notes": {"ns per count": 0.3}}])
+        0.3
+    """
+    paces = sorted(p["notes"]["ns per count"] for p in raw if p["notes"]["ns per count"] > 0)
+    return float(paces[len(paces) // 10])
+
+
 def _events(row: Row, point: dict[str, Any]) -> float:
     if not row.per:
         return 1.0
@@ -125,6 +149,10 @@
     return Fitted(row, tuple(points), line, flat, max(0.0, at) * RATES[row.rate], beyond)
 
 
+GOSSIP = (
+    "peers Tick", "peers Shuffle", "peers CopiesNow", "copies ViewNow", "steward ViewNow",
+    "copies GossipHeard", "encode Shuffle", "decode Shuffle",
+)  # fmt: skip
 SHUFFLE, PROOF = ("Shuffle",), ("Probe", "ProbeAck")
 ROUND = ("Accept", "Accepted", "Prepare", "Promise", "HandOver")
 LEDGER = ("LedgerShare", "LedgerAck")
@@ -171,13 +199,23 @@
         per="in Lists", rate="pushes"),
     Row("exchange", "LAAF lists", BYTES_IN, ("instances", "workers"), "names in lists",
         ("Lists",), "in Lists", "pushes"),
+    Row("exchange", "memory by instances", MEMORY, ("memory instances",), "instances",
+        ("memory exchange",)),
+    Row("exchange", "memory by functions", MEMORY, ("memory functions",), "functions",
+        ("memory exchange",), slope_only=True),
+    Row("exchange", "memory by nodes", MEMORY, ("memory nodes",), "nodes",
+        ("memory exchange",), slope_only=True),
+    Row("exchange", "memory while a floor is read", MEMORY, ("memory instances",), "instances",
+        ("peak exchange",)),
     Row("exchange", "calls", CPU, ("calls",), "calls a node"),
     *_wires("exchange", "calls", FORWARD, "calls", "calls a node"),
     Row("exchange", "budget shares", CPU, ("calls",), "calls a node"),
     Row("exchange", "claims", CPU, ("claims",), "keyed", slope_only=True),
     Row("exchange", "claims", BYTES_OUT, ("claims",), "keyed", CLAIM, slope_only=True),
     Row("exchange", "loop and beats", CPU, ("nodes",), "nodes"),
-    Row("registry", "views and gossip", CPU, ("nodes",), "nodes^2"),
+    Row("registry", "views and gossip", CPU, ("nodes",), "nodes", GOSSIP),
+    Row("registry", "views and gossip, reports kept", CPU, ("nodes",), "nodes^2",
+        ("placement ViewNow",)),
     *_wires("registry", "views and gossip", SHUFFLE, "nodes", "nodes"),
     Row("registry", "freshness proofs and reports", CPU, ("held",), "held", ON_PROBE,
         "in Probe", "probes of every node"),
@@ -208,10 +246,26 @@
     Row("registry", "claims", IN, ("claims",), "keyed", (*CLAIM, *ROUND), slope_only=True),
     Row("registry", "claims", "disk", ("claims",), "keyed", ("DiskWrite",), slope_only=True),
     Row("registry", "loop and beats", CPU, ("nodes",), "nodes"),
+    Row("registry", "memory by instances", MEMORY, ("memory instances",), "instances",
+        ("memory registry",)),
+    Row("registry", "memory by functions", MEMORY, ("memory functions",), "functions",
+        ("memory registry",), slope_only=True),
+    Row("registry", "memory by nodes", MEMORY, ("memory nodes",), "nodes",
+        ("memory registry",), slope_only=True),
+    Row("holder", "memory by instances", MEMORY, ("memory instances",), "instances",
+        ("memory holder",)),
+    Row("holder", "memory by functions", MEMORY, ("memory functions",), "functions",
+        ("memory holder",), slope_only=True),
+    Row("holder", "memory by nodes", MEMORY, ("memory nodes",), "nodes",
+        ("memory holder",), slope_only=True),
+    Row("desk", "configuration", CPU, ("functions",), "functions", ("desk apply",), "desk apply",
+        "configurations"),
+    Row("desk", "configuration", "bytes", ("functions",), "functions", ("document bytes",),
+        rate="configurations"),
     Row("holder", "scaler", CPU, ("instances", "functions"), "functions x instances",
         ("placement.plan", "plan.room_of", "plan.best_worker", "plan.sleepers_mb"),
         "placement.plan", "passes"),
-    Row("holder", "reports", CPU, ("held",), "held",
+    Row("holder", "reports", CPU, ("held",), "instances",
         ("placement.means_of", "placement.suspects_of", "placement.live_holders",
          "placement.demand_now")),
     Row("holder", "floor and holds", CPU, ("instances",), "instances",
@@ -232,6 +286,8 @@
         "names in lists", ("Lists",), "out Lists", "pushes to every node"),
     Row("holder", "ledger", CPU, ("instances",), "instances"),
     Row("holder", "ledger", BYTES_OUT, ("instances",), "instances", LEDGER),
-    Row("holder", "views and gossip", CPU, ("nodes",), "nodes^2"),
+    Row("holder", "views and gossip", CPU, ("nodes",), "nodes", GOSSIP),
+    Row("holder", "views and gossip, reports kept", CPU, ("nodes",), "nodes^2",
+        ("placement ViewNow",)),
     Row("holder", "loop and beats", CPU, ("nodes",), "nodes"),
 )  # fmt: skip
--- a/tools/capacity_size.py
+++ b/tools/capacity_size.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import dataclass, replace
+from functools import cache
 
 from immutables import Map
 
@@ -17,6 +18,7 @@
     InstanceId,
     MemberId,
     NodeId,
+    RegisterName,
     ServiceName,
     Term,
     WorkerId,
@@ -180,14 +182,30 @@
     )
 
 
+@cache
+def _mark(number: int) -> str:
+    """Digits that a packer can't guess, as operators' own names have."""
+    return f"{random.Random(f'mark/{number}').getrandbits(32):08x}"
+
+
 def service_name(number: int) -> str:
     """A function's name.
 
     Example:
-        >>> service_name(7)
+        >>> service_name(7)[:8]
         'fn-00007'
     """
-    return f"fn-{number:05d}"
+    return f"fn-{number:05d}-{_mark(number)[:6]}"
+
+
+def path_of(number: int) -> str:
+    """A function's path.
+
+    Example:
+        >>> path_of(7)[:3]
+        '/f/'
+    """
+    return f"/f/{_mark(number)}/{number}"
 
 
 def zone_of(number: int) -> str:
@@ -209,15 +227,19 @@
     """
     services: list[Service] = []
     routes: list[Route] = []
+    rng = random.Random(f"configuration/{size.seed}")
     for number in range(size.functions):
-        least = counts_of(size, number)
         services.append(
             Service(
-                service_name(number), SERVICE_MB, LIMIT, cold_ms=1_000, longest_run_ms=1_500,
-                min_instances=least, spares=0,
+                service_name(number), SERVICE_MB, LIMIT, cold_ms=1_000,
+                start_ms=rng.randrange(100, 900), longest_run_ms=rng.randrange(1_000, 2_000),
+                min_instances=counts_of(size, number), spares=0,
             )
         )  # fmt: skip
-        routes.append(Route(f"/f/{number}", service_name(number), ("GET", "POST"), True, 1e5))
+        routes.append(
+            Route(path_of(number), service_name(number), ("GET", "POST"), True, 1e5,
+                  aim_ms=rng.randrange(200, 900))
+        )  # fmt: skip
     return Configuration(ZONES, tuple(services), tuple(routes), name=f"hollow {note}")
 
 
@@ -285,41 +307,34 @@
     return tuple(out)
 
 
-def address_of(number: int) -> str:
-    """An instance's address.
-
-    Example:
-        >>> address_of(300)
-        '10.64.1.44:8080'
-    """
-    return f"10.{64 + number // 65536}.{number // 256 % 256}.{number % 256}:8080"
-
-
+@cache
 def floor_of(size: Size) -> Floor:
-    """Every instance up, warm, routed and held.
+    """Every instance up, warm, routed and held; in no order that a packer could use.
 
     Example:
         >>> len(floor_of(Size(instances=7)).instances)
         7
     """
     born, holders = incarnations(size), holders_of(size)
+    rng = random.Random(f"floor/{size.seed}")
     placed: list[Placed] = []
     for service in range(size.awake):
-        for own in range(counts_of(size, service)):
+        name = service_name(service)
+        for _ in range(counts_of(size, service)):
             number = len(placed)
-            holder = holders[number]
-            worker = number % size.nodes
-            name = InstanceId(f"{service_name(service)}-1-{number}-1")
+            holder, worker = holders[number], number % size.nodes
+            host = f"10.{rng.randrange(64, 128)}.{rng.randrange(256)}.{rng.randrange(256)}"
             placed.append(
                 Placed(
-                    id=name, service=ServiceName(service_name(service)),
-                    worker=WorkerId(worker_name(worker)), zone=ZoneName(zone_of(worker)),
-                    address=Address(address_of(number)), limit=LIMIT, state=UP, warm=True,
-                    routed=True, holder=NodeId(node_name(holder)),
+                    id=InstanceId(f"{name}-{rng.randrange(1, 30)}-{number}-{rng.randrange(1, 9)}"),
+                    service=ServiceName(name), worker=WorkerId(worker_name(worker)),
+                    zone=ZoneName(zone_of(worker)),
+                    address=Address(f"{host}:{rng.randrange(20_000, 60_000)}"), limit=LIMIT,
+                    state=UP, warm=True, routed=True, holder=NodeId(node_name(holder)),
                     holder_incarnation=born[holder],
                 )
             )  # fmt: skip
-            del own
+    rng.shuffle(placed)
     return Floor(Term(0), 1, tuple(placed))
 
 
@@ -343,6 +358,12 @@
     return Address(f"10.0.0.{number + 1}:7000")
 
 
+@cache
+def _values(size: Size) -> tuple[tuple[RegisterName, bytes], ...]:
+    configuration = pack_configuration(configuration_of(size), "0123456789abcdef")
+    return ((CONFIGURATION, configuration), (FLOOR, pack_floor(floor_of(size))))
+
+
 def loaded_of(size: Size, number: int) -> Loaded:
     """The disk of a registry in a fleet that has run before: roster, configuration and floor
     chosen at one ballot.
@@ -354,10 +375,7 @@
     members = tuple((MemberId(member_name(i)), registry_address(i)) for i in range(size.registries))
     ballot = Ballot(1, members[0][0])
     cells: dict[str, Cell] = {}
-    values = {
-        CONFIGURATION: pack_configuration(configuration_of(size), "0123456789abcdef"),
-        FLOOR: pack_floor(floor_of(size)),
-    }
-    for name, value in values.items():
-        cells[name] = Cell(ballot, ballot, 1, digest_of(value), value)
+    for name, value in _values(size):
+        own = bytes(bytearray(value))  # each disk has its own
+        cells[name] = Cell(ballot, ballot, 1, digest_of(own), own)
     return Loaded(MemberId(member_name(number)), Roster(Epoch(1), members), True, Map(cells))
--- a/tools/capacity_sweep.py
+++ b/tools/capacity_sweep.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from tools.capacity_fleet import Point, measure
+from tools.capacity_memory import measure_memory
 from tools.capacity_size import MOST_MB, Size, needed_mb, needed_s
 
 MOST_WORKERS = 8
@@ -54,36 +55,40 @@
 
 
 SWEEPS = (
-    Sweep("nodes", "nodes",
-          Size(functions=8, instances=64, held=0, churn_per_s=1.0, seconds=3.0),
+    Sweep("nodes", "nodes", Size(functions=8, instances=64, held=0, seconds=4.0),
           (40, 80, 160, 240), 930, 2.0),
     Sweep("instances", "instances",
-          Size(nodes=6, functions=300, held=20, churn_per_s=1.0, seconds=3.0),
+          Size(nodes=6, functions=750, held=20, churn_per_s=1.0, seconds=4.0),
           (500, 1_000, 2_000, 4_000), 12_000, 2.0),
     Sweep("functions", "functions",
-          Size(nodes=6, instances=240, held=20, applies=3, seconds=3.0),
-          (250, 500, 1_000, 2_000), 8_000, 3.0),
-    Sweep("held", "held",
-          Size(nodes=6, instances=1_000, functions=100, churn_per_s=1.0, seconds=4.0),
-          (0, 30, 60, 120, 240)),
+          Size(nodes=6, instances=240, held=20, applies=4, seconds=4.0),
+          (250, 500, 1_000, 2_000), 8_000, 4.0),
+    Sweep("held", "instances", Size(nodes=6, functions=100, seconds=4.0),
+          (60, 360, 720, 1_440)),
     Sweep("calls", "calls_per_s",
-          Size(nodes=6, instances=1_422, functions=100, seconds=4.0),
-          (60, 120, 240, 480), 1_200, 4.0),
-    Sweep("changes", "applies",
-          Size(nodes=6, instances=160, functions=400, seconds=6.0),
-          (0, 1, 2, 4, 8)),
-    Sweep("starts", "wakes_per_s",
-          Size(nodes=6, instances=320, functions=400, seconds=8.0),
+          Size(nodes=8, instances=1_896, functions=1_896, each=1, seconds=4.0),
+          (80, 160, 320, 640), 1_200, 4.0),
+    Sweep("changes", "applies", Size(nodes=6, instances=160, functions=400, seconds=8.0),
+          (0, 2, 4, 8)),
+    Sweep("starts", "wakes_per_s", Size(nodes=6, instances=320, functions=400, seconds=8.0),
           (0, 1, 2, 4)),
-    Sweep("claims", "keyed_per_s",
-          Size(nodes=6, instances=160, functions=100, seconds=5.0),
+    Sweep("claims", "keyed_per_s", Size(nodes=6, instances=160, functions=100, seconds=4.0),
           (0, 10, 20, 40, 80)),
-    Sweep("registries", "registries",
-          Size(nodes=12, instances=160, functions=100, churn_per_s=1.0, seconds=5.0),
+    Sweep("registries", "registries", Size(nodes=12, instances=160, functions=100, seconds=4.0),
           (3, 5, 7, 9)),
     Sweep("workers", "nodes",
           Size(instances=480, functions=30, each=16, churn_per_s=1.0, seconds=4.0),
           (6, 12, 24, 48)),
+    Sweep("reach", "nodes",
+          Size(instances=96, functions=96, each=1, calls_per_s=200.0, seconds=4.0),
+          (12, 24, 48, 96)),
+    Sweep("memory instances", "instances",
+          Size(nodes=6, functions=250, churn_per_s=1.0, seconds=1.5), (500, 1_000, 2_000, 4_000),
+          8_000, 1.5),
+    Sweep("memory functions", "functions",
+          Size(nodes=6, instances=64, applies=1, seconds=1.5), (250, 500, 1_000, 2_000)),
+    Sweep("memory nodes", "nodes",
+          Size(instances=64, functions=8, held=0, seconds=1.5), (20, 40, 80, 160)),
 )  # fmt: skip
 
 
@@ -111,8 +116,18 @@
     return tuple(sorted(jobs, key=lambda j: -needed_s(j.size)))
 
 
+def run_job(job: Job) -> Point:
+    """One fleet, its work or its memory.
+
+    Example:
+        run_job(Job("held", False, Size(seconds=1.0))).notes
+    """
+    weighs = job.sweep.startswith("memory")
+    return measure_memory(job.size) if weighs else measure(job.size)
+
+
 def run_jobs(
-    jobs: tuple[Job, ...], workers: int, act: Callable[[Size], Any] = measure
+    jobs: tuple[Job, ...], workers: int, act: Callable[[Job], Any] | None = None
 ) -> Iterator[tuple[Job, Any]]:
     """Run jobs side by side, within the memory and the workers that are allowed.
 
@@ -134,7 +149,7 @@
                 if running and used_mb + needed_mb(job.size) > MOST_MB:
                     continue
                 waiting.remove(job)
-                running[pool.submit(act, job.size)] = job
+                running[pool.submit(act or run_job, job)] = job
                 used_mb += needed_mb(job.size)
             done, _ = wait(running, return_when=FIRST_COMPLETED)
             for each in done:
