Capacity: rows, page, plots, anchors and faults out of the raw points

Ruled out: one line by all sizes at once (products, like functions x instances, hide in it). Before: raw points. After: one line a cost, each by the size that it grows with.

--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -7,19 +7,28 @@
 from __future__ import annotations
 
 import os
+import subprocess
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Annotated, Any
 
 import cappa
 
+from tools.capacity_anchor import anchors
+from tools.capacity_clock import counter
+from tools.capacity_cold import cold_starts
 from tools.capacity_fleet import Point, measure
+from tools.capacity_page import blocks_of, short, unit_of, write
+from tools.capacity_plot import plots
+from tools.capacity_rows import ROWS, calm, fitted
 from tools.capacity_size import Size, SizeError
-from tools.capacity_sweep import SWEEPS, keep, sweep
+from tools.capacity_sweep import SWEEPS, keep, load, sweep
 
 FOLDER = Path("docs/capacity")
+PAGE = Path("docs/CAPACITY.md")
+ANCHORS = ((9, 0.0), (30, 0.0), (60, 0.0), (9, 120.0))
 
 
 def table(point: Point) -> str:
@@ -67,21 +76,42 @@
     repeats: Annotated[int, cappa.Arg(long="repeats", help="of each point of a sweep")] = 2
     workers: Annotated[int, cappa.Arg(long="workers", help="processes side by side, 8 at most")] = 6
     out: Annotated[Path, cappa.Arg(long="out", help="where raw figures and plots go")] = FOLDER
+    cold: Annotated[int, cappa.Arg(long="cold", help="time so many cold starts, hop by hop")] = 0
+    anchors: Annotated[
+        bool, cappa.Arg(long="anchors", help="run real fleets, and hollow ones beside them")
+    ] = False
+    page: Annotated[
+        bool, cappa.Arg(long="page", help="make the page's tables and plots anew from raw figures")
+    ] = False
 
     def __call__(self) -> None:
         if self.sweep:
             _sweep(self)
-            return
-        size = Size(
-            self.nodes, self.registries, self.functions, self.instances,
-            calls_per_s=self.calls, applies=self.applies, churn_per_s=self.churn,
-            wakes_per_s=self.wakes, keyed_per_s=self.keyed, seconds=self.seconds, seed=self.seed,
-        )  # fmt: skip
-        try:
-            print(table(measure(size)))
-        except SizeError as fault:
-            print(f"capacity: {fault}", file=sys.stderr)
-            sys.exit(2)
+        if self.cold:
+            hops = cold_starts(self.cold)
+            keep(self.out / "cold.json", {"count": self.cold, "points": [asdict(h) for h in hops]})
+            print("\n".join(f"{h.name}: {h.median_ms} ms, p99 {h.p99_ms} ms" for h in hops))
+        if self.anchors:
+            found = [asdict(a) for a in anchors(ANCHORS)]
+            keep(self.out / "anchors.json", {"load": os.getloadavg()[0], "points": found})
+        if self.page or (self.sweep and not self.only):
+            _page(self.out)
+        if not (self.sweep or self.cold or self.anchors or self.page):
+            _one(self)
+
+
+def _one(command: Capacity) -> None:
+    size = Size(
+        command.nodes, command.registries, command.functions, command.instances,
+        calls_per_s=command.calls, applies=command.applies, churn_per_s=command.churn,
+        wakes_per_s=command.wakes, keyed_per_s=command.keyed, seconds=command.seconds,
+        seed=command.seed,
+    )  # fmt: skip
+    try:
+        print(table(measure(size)))
+    except SizeError as fault:
+        print(f"capacity: {fault}", file=sys.stderr)
+        sys.exit(2)
 
 
 def _sweep(command: Capacity) -> None:
@@ -98,11 +128,43 @@
         "workers": command.workers,
         "load": round(os.getloadavg()[0], 1),
         "cores": os.cpu_count(),
+        "unit": counter()[1],
+        "commit": _commit(),
     }
     keep(command.out / "sweep.json", {**about, "points": points})
+    raw = calm(points)
+    for row in ROWS:
+        found = fitted(row, raw)
+        if found is not None:
+            print(
+                f"{row.role} {row.mechanism} {row.what}: slope {found.line.slope:.3g} by "
+                f"{row.size}, R2 {found.line.r2:.3f}, spread {found.line.spread:.0%}; at the aim "
+                f"{short(found.at_aim, unit_of(row.what))}"
+            )
     print(f"{len(points)} points in {about['seconds']} s: {command.out / 'sweep.json'}")
 
 
+def _commit() -> str:
+    """The newest commit that touched the product."""
+    said = subprocess.run(
+        ["git", "log", "-1", "--format=%h", "--", "spokeroute"], capture_output=True, text=True
+    )
+    return said.stdout.strip()
+
+
+def _read(path: Path) -> dict[str, Any]:
+    return load(path) if path.exists() else {}
+
+
+def _page(folder: Path) -> None:
+    doc = load(folder / "sweep.json")
+    blocks = blocks_of(doc, _read(folder / "cold.json"), _read(folder / "anchors.json"))
+    if PAGE.exists():
+        write(PAGE, blocks)
+    for path in plots(doc, folder):
+        print(path)
+
+
 def main() -> None:
     cappa.invoke(Capacity)
 
