--- a/spokeroute/dial/dialect.py
+++ b/spokeroute/dial/dialect.py
@@ -24,6 +24,8 @@
     key_header: str = "Idempotency-Key"
     client_header: str = "Spokeroute-Client"
     ready_path: str = "/spokeroute/ready"
+    fractional_retry: bool = False
+    """Whether callers understand Retry-After with a fraction of a second."""
 
 
 @dataclass(frozen=True, slots=True)
