The budget's extra sends are divided by how many exchanges there are

Cause: a fixed floor for 12 exchanges breaks the shared budget with 86, and wastes it with 3. The placement role's lists say how many exchanges were heard of lately; who was not told yet has no part of the extra. Ratio, extra and window are bounds. Shares add up for 1 to 930 exchanges (test).

--- a/spokeroute/dial/bounds.py
+++ b/spokeroute/dial/bounds.py
@@ -24,7 +24,7 @@
     then replaced at once."""
     budget_ratio: float = 0.2
     budget_window_ms: int = 10_000
-    budget_extra: int = 36
+    budget_extra: float = 36.0
     """Second sends in a window, over all exchanges, on top of the ratio."""
     starts_per_s: float = 80.0
     starts_burst: float = 15.0
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -281,7 +281,7 @@
 def test_seconds_within_share_counts_ten_seconds(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     """A share of two fifths: too much for the window, not for two of them."""
     sim.settle()
-    monkeypatch.setattr(budget, "EARN", 0.4)
+    monkeypatch.setattr(budget.Budget, "earned", lambda self, firsts: 0.4 * firsts)
     behave(sim, "lost", "readings")
     sim.traffic(60, 26_000, ("/readings",))
     sim.run(26_000)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,7 +17,7 @@
 from spokeroute.dispatch.flare import Function, Picture, Site
 from spokeroute.dispatch.floor import UP, Placed
 from spokeroute.exchange import calls, entry
-from spokeroute.exchange.budget import FLOOR_SHARE, WINDOW_MS, Budget
+from spokeroute.exchange.budget import WINDOW_MS, Budget
 from spokeroute.exchange.pick import pick
 from spokeroute.exchange.types import LISTS_AGE_MS, Attempt, Call, CallIn, Tables
 from spokeroute.logbook.entries import Record, entry_text, picture_doc
@@ -85,10 +85,30 @@
     while budget.allows("s", now_ms):
         budget = budget.second("s", now_ms)
         sent += 1
-    assert sent == 20 + FLOOR_SHARE
+    assert sent == 20 + 3
     assert not budget.allows("s", now_ms + WINDOW_MS // 2)
     assert budget.allows("s", now_ms + 2 * WINDOW_MS)
     assert Budget(0).allows("t", 0) is False  # a restarted process begins without a share
+    assert Budget(0, exchanges=0).allows("t", 2 * WINDOW_MS) is False  # nobody said how many
+
+
+@pytest.mark.parametrize("count", [1, 9, 60, 86, 930])
+def test_shares_of_the_extra_sends_add_up(count: int) -> None:
+    """However many exchanges there are, each spends no more than its part."""
+    total, now_ms = 0, 2 * WINDOW_MS
+    for _ in range(count):
+        budget = Budget(0, 0.2, 58.0, count)
+        while budget.allows("s", now_ms):
+            budget = budget.second("s", now_ms)
+            total += 1
+    assert total <= 58
+
+
+def test_the_number_of_exchanges_comes_with_the_lists() -> None:
+    state = entry.State(NodeId("ex1"), 1, Budget(0, exchanges=0))
+    lists = Lists(2, 5, 1, 0, (), 86)
+    state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), lists), Ms(10))
+    assert state.budget.exchanges == 86
 
 
 @pytest.fixture
