Instances may be named by the platform, and are held and reached while they boot

Cause: the floor knew an instance only by our id and waited for the listing to show it running; a platform that names instances itself, lists late and only what has started, could not be used, and each first call would have paid the listing's lag on top of the boot. Now the start's answer gives identity and address, the floor gets them and a holder (in the instance's zone) with its next write, the holder connects until that succeeds, and its word or the listing brings it up. Never reached nor listed: dropped and stopped. full: off the floor, the worker rests 1.5 s. Lists match by identity; what a listing lacks counts only once it was listed or twice the lag passed. Ruled out: waiting for the listing (lag on every cold call); a health request as the look (takes a slot, and some services have none). Placement is split: state in placing, FLARe's path in steering, per-service part of a pass in scaling, what a pass reads in workbook, listings in listing.

--- /dev/null
+++ b/spokeroute/dispatch/listing.py
@@ -0,0 +1,122 @@
+"""What the platform's listing shows of the floor's instances, and what in it is nobody's.
+
+A listing is late, and has an instance only once it has started. So what it lacks counts only
+for an instance that it had before, or that is up for longer than a listing may be late.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from immutables import Map
+
+from spokeroute.dial.ids import Ms
+from spokeroute.dispatch.floor import DRAINING, STARTING, UP, Floor, Placed
+from spokeroute.dispatch.plan import LISTED_ENDED, LOST_AFTER_LISTINGS, going
+from spokeroute.dispatch.platform import PlatformCall, PlatformListed
+from spokeroute.dispatch.workbook import identity_of
+
+ORPHAN_MS = 10_000
+LATE_LAGS = 2  # a listing this many times later than the platform promises is not reckoned with
+LATE_PLUS_MS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Sighting:
+    """What the listings said of one instance on the floor."""
+
+    since_ms: int  # since when it is looked for
+    listed: bool = False  # some listing had it
+    missing: int = 0  # newer listings in a row that lack it
+
+
+def sightings_of(
+    floor: Floor, listing: PlatformListed, old: Map[str, Sighting], lag_ms: int, now_ms: int
+) -> Map[str, Sighting]:
+    """Take a newer listing in. What starts, and what never was listed and drains, is not
+    looked for: it may be booting yet.
+
+    Example:
+        len(sightings_of(NO_FLOOR, listing, Map(), 500, 0)) == 0
+    """
+    there = {p.identity for p in listing.listed}
+    out: dict[str, Sighting] = {}
+    for placed in floor.instances:
+        before = old.get(placed.id)
+        if identity_of(placed) in there:
+            out[placed.id] = Sighting(before.since_ms if before else now_ms, True)
+        elif placed.state != STARTING:
+            seen = before or Sighting(now_ms)
+            late_ms = LATE_LAGS * lag_ms + LATE_PLUS_MS
+            due = placed.state == UP and now_ms - seen.since_ms >= late_ms
+            more = 1 if seen.listed or due else 0
+            out[placed.id] = Sighting(seen.since_ms, seen.listed, seen.missing + more)
+    return Map(out)
+
+
+def absent_from(
+    floor: Floor, listing: PlatformListed, sightings: Mapping[str, Sighting]
+) -> tuple[str, ...]:
+    """Instances that the floor has up or draining, and the newest listing has not, or shows as
+    ended or going. Every registry says so with its proofs, whoever holds the role.
+
+    Example:
+        absent_from(NO_FLOOR, listing, {}) == ()
+    """
+    listed = {p.identity: p for p in listing.listed}
+    seats = {s.id: s for s in listing.seats}
+    out: list[str] = []
+    for placed in floor.instances:
+        if placed.state == STARTING and not placed.holder:
+            continue
+        if placed.state not in (STARTING, UP, DRAINING):
+            continue
+        there = listed.get(identity_of(placed))
+        sight = sightings.get(placed.id)
+        lost = sight is not None and sight.missing >= LOST_AFTER_LISTINGS
+        ended = there is not None and there.state in LISTED_ENDED
+        if lost or ended or going(placed, there, seats.get(placed.worker)):
+            out.append(placed.id)
+    return tuple(out)
+
+
+def orphan_stops(
+    floor: Floor,
+    listing: PlatformListed,
+    orphan_ms: Map[str, int],
+    lease_until_ms: Ms,
+    now_ms: Ms,
+) -> tuple[list[PlatformCall], Map[str, int]]:
+    """Stops for instances that are listed but on no floor, such as one whose start was late.
+
+    A floor has an instance before its start is asked for, so what it lacks for this long is
+    nobody's; unless a start of that service on that worker was never answered: then it may be
+    the one that came of it, under a name that the floor doesn't know yet.
+
+    Example:
+        orphan_stops(NO_FLOOR, listing, Map(), 1000, 0)[0] == []
+    """
+    there = {identity_of(p) for p in floor.instances}
+    open_starts = {(p.service, p.worker) for p in floor.instances if _unanswered(p)}
+    since: dict[str, int] = {}
+    calls: list[PlatformCall] = []
+    for listed in listing.listed:
+        name = listed.identity
+        if name in there:
+            continue
+        since[name] = orphan_ms.get(name, now_ms)
+        if (listed.service, listed.worker) in open_starts:
+            continue
+        if now_ms - since[name] >= ORPHAN_MS:
+            since[name] = now_ms
+            calls.append(
+                PlatformCall(
+                    "stop", name, listed.service, listed.worker, 0, 0, lease_until_ms, name
+                )
+            )
+    return calls, Map(since)
+
+
+def _unanswered(placed: Placed) -> bool:
+    return placed.state == STARTING and not placed.identity
--- /dev/null
+++ b/spokeroute/dispatch/scaling.py
@@ -0,0 +1,130 @@
+"""A planning pass's part for one service: how many, which start, which drain, which are routed."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from spokeroute.dial.ids import Address, Incarnation, InstanceId, NodeId, ServiceName
+from spokeroute.dispatch.configuration import Service
+from spokeroute.dispatch.floor import DRAINING, STARTING, UP, Placed
+from spokeroute.dispatch.scaler import (
+    Demand,
+    best_worker,
+    counted,
+    room_of,
+    sleepers_mb,
+    wanted_of,
+)
+from spokeroute.dispatch.workbook import Pass
+
+SURPLUS_MS = 15_000
+NO_NODE = NodeId("")
+NO_PROCESS = Incarnation(0)
+
+
+def scale(work: Pass, service: Service) -> None:
+    """Start, drain and route one service's instances.
+
+    Example:
+        scale(work, service)
+    """
+    seen = work.seen
+    mine = work.of(service.name)
+    here = [p for p in mine if counted(p, seen.evacuated, seen.suspects)]
+    up = [p for p in here if p.state == UP and p.holder]
+    demand = seen.demand.get(service.name, Demand())
+    running = sum(1 for p in here if p.state == UP)
+    wanted = wanted_of(service, demand, running, seen.now_ms)
+    total = wanted + (service.spares if wanted else 0)
+    inputs: dict[str, object] = {
+        "service": service.to_dict(),
+        "level": demand.level,
+        "waiting": demand.waiting,
+        "idleForMs": seen.now_ms - demand.last_arrival_ms,
+        "have": len(here),
+        "up": running,
+    }
+    if len(here) < total:
+        _start(work, service, here, wanted, total, inputs)
+    elif len(here) > total:
+        work.surplus.add(service.name)
+        if seen.now_ms - seen.surplus_ms.get(service.name, seen.now_ms) >= SURPLUS_MS:
+            _drain(work, here, len(here) - total, wanted, inputs)
+    _route(work, service, up, wanted)
+
+
+def _start(
+    work: Pass,
+    service: Service,
+    here: list[Placed],
+    wanted: int,
+    total: int,
+    inputs: dict[str, object],
+) -> None:
+    seen = work.seen
+    near = list(here)
+    open_seats = {w: s for w, s in seen.seats.items() if w not in seen.full_workers}
+    for number in range(len(here), total):
+        if work.started >= seen.starts_left:
+            return
+        room = room_of(open_seats, work.now, seen.table.services, seen.evacuated)
+        if number >= wanted and not room.spare_allowed(service.memory_mb):
+            return
+        if number >= max(1, service.min_instances) and not room.rest_allowed(
+            service.memory_mb, sleepers_mb(seen.seats, work.now, seen.table.services)
+        ):
+            return
+        worker = best_worker(room, service.memory_mb, tuple(near), seen.cu_pct)
+        if worker is None:
+            return
+        work.started += 1
+        name = InstanceId(f"{service.name}-{seen.next_id}-{work.started}")
+        placed = Placed(
+            name, ServiceName(service.name), worker, seen.seats[worker].zone, Address(""),
+            service.limit, STARTING, service.cold_ms == 0, False, NO_NODE, NO_PROCESS,
+        )  # fmt: skip
+        work.now[name] = placed
+        near.append(placed)
+        work.say("start", {**inputs, "wanted": wanted}, {"instance": name, "worker": worker})
+
+
+def _drain(
+    work: Pass, here: list[Placed], many: int, wanted: int, inputs: dict[str, object]
+) -> None:
+    order = sorted(here, key=lambda p: (p.routed, -work.seen.cu_pct.get(p.worker, 0.0), p.id))
+    for placed in [p for p in order if p.state == UP][:many]:
+        work.now[placed.id] = replace(placed, state=DRAINING, routed=False)
+        work.say("drain", {**inputs, "wanted": wanted}, {"instance": placed.id})
+
+
+def _route(work: Pass, service: Service, up: list[Placed], wanted: int) -> None:
+    """Keep as many routed as are wanted; promote where the load is least."""
+    seen = work.seen
+    live = [work.now[p.id] for p in up if work.now[p.id].state == UP]
+    routed = [p for p in live if p.routed]
+    if len(routed) < wanted:
+        over = seen.table.thresholds.overload_pct
+        passive = sorted(
+            (p for p in live if not p.routed),
+            key=lambda p: (
+                (p.service, p.worker) in seen.avoid,
+                seen.cu_pct.get(p.worker, 0.0) >= over,
+                not p.warm,
+                seen.cu_pct.get(p.worker, 0.0),
+                p.id,
+            ),
+        )
+        for placed in passive[: wanted - len(routed)]:
+            kept = (placed.service, placed.worker) in seen.avoid
+            if routed and (kept or seen.cu_pct.get(placed.worker, 0.0) >= over):
+                break
+            work.now[placed.id] = replace(placed, routed=True)
+            routed.append(placed)
+            work.say("route", {"instance": placed.id, "wanted": wanted}, "routed")
+    elif len(routed) > max(1, wanted):
+        order = sorted(routed, key=lambda p: (-seen.cu_pct.get(p.worker, 0.0), p.id))
+        for placed in order[: len(routed) - max(1, wanted)]:
+            if seen.now_ms - seen.surplus_ms.get(service.name, seen.now_ms) >= SURPLUS_MS // 3:
+                work.now[placed.id] = replace(placed, routed=False)
+                work.say("route", {"instance": placed.id, "wanted": wanted}, "passive")
+        work.surplus.add(service.name)
--- /dev/null
+++ b/spokeroute/dispatch/steering.py
@@ -0,0 +1,85 @@
+"""FLARe on the ordinary path: LAAF's lists, pushed ahead of failures, and ROME's shifts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from spokeroute.dial.effects import Effect, Effects, Send
+from spokeroute.dial.ids import CONFIGURATION, Ms
+from spokeroute.dispatch.configuration import Table
+from spokeroute.dispatch.flare import Limits, Picture, laaf, rome
+from spokeroute.dispatch.placing import State, record_in, resting, seats_of
+from spokeroute.dispatch.reports import live_holders, means_of, suspects_of
+from spokeroute.dispatch.sense import picture
+from spokeroute.logbook.entries import Record, picture_doc, ranking_doc
+from spokeroute.trunk.messages import Lists, Successors
+
+RERANK_MS = 1_000
+PUSH_MS = 1_000
+
+
+def steer(state: State, table: Table, now_ms: Ms) -> tuple[State, Effects]:
+    """LAAF when a utilization moved past the trigger or the candidates changed; then ROME.
+
+    Example:
+        state, effects = steer(state, table, now_ms)
+    """
+    suspects = suspects_of(state.reports, now_ms)
+    now, faults = picture(
+        state.floor, table, means_of(state.reports), seats_of(state),
+        state.evacuated, suspects, state.policy,
+    )  # fmt: skip
+    effects: list[Effect] = []
+    if _moved(state, now, table.thresholds.trigger_pct, now_ms):
+        state = replace(
+            state, rankings=laaf(now), ranked=now, sequence=state.sequence + 1, ranked_ms=now_ms
+        )
+        record = Record("laaf", picture_doc(now), ranking_doc(state.rankings))
+        effects.append(record_in(state, record))
+        if faults:
+            record = Record("program-fault", {"faults": list(faults)}, "default used")
+            effects.append(record_in(state, record))
+        bounds = table.thresholds
+        limits = Limits(bounds.overload_pct, bounds.migration_pct, bounds.trigger_pct)
+        rested = replace(now, vetoes=(*now.vetoes, *sorted(resting(state, now_ms))))
+        relief = rome(rested, limits)
+        if relief.shifts:
+            inputs = {
+                **picture_doc(rested),
+                "limits": [limits.overload_pct, limits.migration_pct, limits.gap_pct],
+            }
+            output = [[s.service, s.from_worker, s.to_worker, s.cause] for s in relief.shifts]
+            effects.append(record_in(state, Record("rome", inputs, output)))
+            shifted = state.shifted_ms
+            for s in relief.shifts:
+                shifted = shifted.set((s.service, s.from_worker), now_ms)
+                shifted = shifted.set((s.service, s.to_worker), now_ms)
+            state = replace(state, shifts=relief.shifts, shifted_ms=shifted)
+    elif now_ms - state.pushed_ms < PUSH_MS:
+        return state, tuple(effects)
+    lists = Lists(
+        state.term,
+        state.sequence,
+        state.versions.get(CONFIGURATION, 0),
+        0,
+        tuple(Successors(r.service, r.worker, r.instances) for r in state.rankings),
+    )
+    state = replace(state, pushed_ms=now_ms)
+    effects.extend(Send(n, lists) for n in sorted(live_holders(state.reports, now_ms)))
+    return state, tuple(effects)
+
+
+def _moved(state: State, now: Picture, trigger_pct: float, now_ms: Ms) -> bool:
+    """Whether LAAF runs again: at once when a utilization moved past the trigger, within a
+    second when candidates came or went (exchanges pass over heads that are not fit)."""
+    old = state.ranked
+    if old is None:
+        return True
+    before = dict(old.cu_pct)
+    if set(before) != {w for w, _ in now.cu_pct}:
+        return True
+    if any(abs(cu - before[w]) > trigger_pct for w, cu in now.cu_pct):
+        return True
+    known = [(f.service, f.worker) for f in old.functions]
+    changed = old.sites != now.sites or known != [(f.service, f.worker) for f in now.functions]
+    return changed and now_ms - state.ranked_ms >= RERANK_MS
--- /dev/null
+++ b/spokeroute/dispatch/workbook.py
@@ -0,0 +1,112 @@
+"""What a planning pass looks at, and what it writes down."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from spokeroute.dial.ids import (
+    Address,
+    Incarnation,
+    InstanceId,
+    NodeId,
+    ServiceName,
+    WorkerId,
+)
+from spokeroute.dispatch.configuration import Table
+from spokeroute.dispatch.flare import Shift
+from spokeroute.dispatch.floor import Floor, Placed
+from spokeroute.dispatch.scaler import Demand, WorkerSeat
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One instance as the platform lists it, by the platform's own name."""
+
+    identity: str
+    service: ServiceName
+    worker: WorkerId
+    address: Address
+    state: str
+    cold_remaining_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """What the platform said of a start: its name for the instance and, perhaps, the address."""
+
+    identity: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """Everything that a planning pass looks at, besides the floor."""
+
+    now_ms: int
+    table: Table
+    evacuated: frozenset[str]
+    seats: Mapping[WorkerId, WorkerSeat]
+    listed: Mapping[str, Listed]  # by identity
+    missing: Mapping[str, int]  # instance -> newer listings in a row without it
+    demand: Mapping[str, Demand]
+    suspects: frozenset[str]
+    holders: Mapping[NodeId, Incarnation]  # live exchanges and their incarnations
+    ready_ms: Mapping[str, int]  # instance without a holder -> when it may get a new one
+    up_since_ms: Mapping[str, int]
+    surplus_ms: Mapping[str, int]  # service -> since when it has too many
+    cu_pct: Mapping[str, float]
+    shifts: tuple[Shift, ...]
+    avoid: frozenset[tuple[str, str]]  # (service, worker) that routing just left
+    starts_left: int
+    next_id: str
+    answered: Mapping[str, Answered] = field(default_factory=dict)  # starts, by our id
+    full: frozenset[str] = frozenset()  # starts that found no room
+    full_workers: frozenset[str] = frozenset()
+    reached: frozenset[str] = frozenset()  # instances that their own holder reached
+    starting_ms: Mapping[str, int] = field(default_factory=dict)  # since when an instance starts
+    zones: Mapping[str, str] = field(default_factory=dict)  # exchange -> its zone
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A decision for the ledger: its kind, what it looked at, what came of it."""
+
+    kind: str
+    inputs: dict[str, object]
+    output: object
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The next instances, the decisions behind them, and which services have too many."""
+
+    instances: tuple[Placed, ...]
+    decisions: tuple[Decision, ...]
+    surplus: frozenset[str]
+
+
+class Pass:
+    """A pass's workbook; it lives for one call of ``plan`` and no longer."""
+
+    def __init__(self, floor: Floor, seen: Seen) -> None:
+        self.seen = seen
+        self.now: dict[InstanceId, Placed] = {p.id: p for p in floor.instances}
+        self.decisions: list[Decision] = []
+        self.surplus: set[str] = set()
+        self.started = 0
+
+    def say(self, kind: str, inputs: dict[str, object], output: object) -> None:
+        self.decisions.append(Decision(kind, inputs, output))
+
+    def of(self, service: str) -> list[Placed]:
+        return [p for p in self.now.values() if p.service == service]
+
+
+def identity_of(placed: Placed) -> str:
+    """The platform's name for an instance; ours where it was never told, as it takes ours then.
+
+    Example:
+        identity_of(placed) == placed.id
+    """
+    return placed.identity or placed.id
--- /dev/null
+++ b/spokeroute/exchange/connect.py
@@ -0,0 +1,70 @@
+"""The edge that looks whether a starting instance can be reached: a plain connect, no call."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from spokeroute.dial.ids import Address, InstanceId
+from spokeroute.trunk.net import parse_address
+
+THREADS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Connect:
+    """A job: connect to an instance's address, and close again."""
+
+    instance: InstanceId
+    address: Address
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectDone:
+    """What came of it: reached, refused (nothing listens there), or neither in time."""
+
+    instance: InstanceId
+    address: Address
+    reached: bool
+    refused: bool = False
+
+
+def connect(job: Connect) -> ConnectDone:
+    """Connect once; blocks for no longer than the job says.
+
+    Example:
+        connect(Connect(InstanceId("a"), Address("127.0.0.1:1"), 100)).reached is False
+    """
+    try:
+        with socket.create_connection(parse_address(job.address), job.wait_ms / 1000):
+            return ConnectDone(job.instance, job.address, True)
+    except ConnectionRefusedError:
+        return ConnectDone(job.instance, job.address, False, refused=True)
+    except (OSError, ValueError):
+        return ConnectDone(job.instance, job.address, False)
+
+
+class Connector:
+    """Carries out Connect jobs on a few threads; reports ConnectDone.
+
+    Example:
+        Connector(report).launch(job)
+    """
+
+    def __init__(self, report: Callable[[ConnectDone], None]) -> None:
+        self.report = report
+        self.threads = ThreadPoolExecutor(THREADS, thread_name_prefix="connect")
+
+    def launch(self, job: Connect) -> None:
+        """Begin one.
+
+        Example:
+            Connector(report).launch(job)
+        """
+        self.threads.submit(self._run, job)
+
+    def _run(self, job: Connect) -> None:
+        self.report(connect(job))
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -13,10 +13,11 @@
 
 import simpy
 
-from spokeroute.dial.ids import Address, InstanceId, ServiceName, WorkerId, ZoneName
-from spokeroute.dispatch.plan import Listed
+from spokeroute.dial.ids import Address, ServiceName, WorkerId, ZoneName
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
 from spokeroute.dispatch.scaler import WorkerSeat
+from spokeroute.dispatch.workbook import Listed
+from spokeroute.exchange.connect import Connect, ConnectDone
 from spokeroute.exchange.types import AttemptDone, SendAttempt
 from tools.log import Dial, Emptied, Run
 
@@ -27,11 +28,13 @@
 class Server:
     """An instance as the platform knows it."""
 
-    id: str
+    id: str  # the caller's own id of its start
     service: str
     worker: str
     limit: int
     state: str
+    identity: str = ""  # what the platform calls it
+    memory_mb: int = 0
     address: str = ""
     up_at_ms: float = 0.0
     gone_at_ms: float = -1.0
@@ -53,7 +56,9 @@
             for i in range(workers)
         ]
         self.down_workers: set[str] = set()
-        self.servers: dict[str, Server] = {}
+        self.servers: dict[str, Server] = {}  # those there are, by the id of their start
+        self.known: dict[str, Server] = {}  # whatever was started
+        self.taken_mb: dict[str, int] = {}  # worker -> what others hold there
         self.by_address: dict[str, Server] = {}
         self.start_ms, self.work_ms, self.cap_per_s = start_ms, work_ms, cap_per_s
         self.start_small_ms = 0.0  # for instances that run one at once; 0: as the others
@@ -77,6 +82,10 @@
         self.fail_starts = 0  # so many starts come to nothing
         self.ports = 0
         self.misbehave: dict[str, str] = {}  # service -> how its instances behave
+        self.own_names = False  # it names instances itself, and lists one only once it is up
+        self.lost_answers = 0  # so many starts are carried out, and their answers lost
+        self.full: list[tuple[float, str]] = []  # starts that found no room, and where
+        self.knocks: list[tuple[float, str, bool]] = []  # plain connects, and what came of them
         env.process(self._snap())
 
     def seat(self, worker: str) -> WorkerSeat:
@@ -92,13 +101,14 @@
             )
             listed = tuple(
                 Listed(
-                    InstanceId(s.id),
+                    s.identity,
                     ServiceName(s.service),
                     WorkerId(s.worker),
                     Address(s.address),
                     s.state,
                 )
                 for s in self.servers.values()
+                if not (self.own_names and s.state == "starting")
             )
             self.snapshots.append((self.env.now, self.sequence, seats, listed))
             edge = self.env.now - self.list_delay_ms
@@ -116,16 +126,18 @@
         if self.list_bare:
             node.report(actor, PlatformListed(True, sequence, seats, ()), born)
             return
-        there = {p.id for p in listed}
+        there = {p.identity for p in listed}
         for server in self.by_address.values():
-            if server.gone_at_ms >= 0 and server.id not in there:
+            if server.gone_at_ms >= 0 and server.identity not in there:
                 self.shown_gone_ms.setdefault(server.id, self.env.now)
         out = {s.id for s in seats if s.draining}
+        ours = {s.identity: s.id for s in self.known.values()}
         for each in listed:
-            open_ = [e for e in self.shown_empty if (e.instance, e.to_ms) == (each.id, math.inf)]
+            name = ours.get(each.identity, each.identity)
+            open_ = [e for e in self.shown_empty if (e.instance, e.to_ms) == (name, math.inf)]
             if each.worker in out or each.state == "draining":
                 if not open_:
-                    self.shown_empty.append(Emptied(each.id, self.env.now))
+                    self.shown_empty.append(Emptied(name, self.env.now))
             elif open_:
                 open_[0].to_ms = self.env.now
         node.report(actor, PlatformListed(True, sequence, seats, listed), born)
@@ -145,20 +157,64 @@
             return
         self.recent.append(self.env.now)
         self.calls.append((self.env.now, node.name, job.op, job.instance))
-        outcome = "ok"
         if job.op == "start":
             self.starts.append((self.env.now, self.seat(job.worker).zone))
-            if job.worker in self.down_workers or self.fail_starts > 0:
-                self.fail_starts = max(0, self.fail_starts - 1)
-                outcome = "failed"
-            elif job.instance not in self.servers:
-                server = Server(job.instance, job.service, job.worker, job.limit, "starting")
-                self.servers[job.instance] = server
-                self.env.process(self._boot(server))
+            done = self._start(job)
+            if self.lost_answers > 0 and done.outcome == "ok":
+                self.lost_answers -= 1
+                yield self.env.timeout(2_000)
+                done = PlatformDone("start", job.instance, "failed", "TimeoutError")
         else:
             self.stop_ms.setdefault(job.instance, self.env.now)
-            self.end(job.instance)
-        node.report(actor, PlatformDone(job.op, job.instance, outcome, "worker down"), born)
+            done = self._stop(job)
+        node.report(actor, done, born)
+
+    def _start(self, job: PlatformCall) -> PlatformDone:
+        old = self.known.get(job.instance)
+        if old is None and self.fail_starts > 0:
+            self.fail_starts -= 1
+            return PlatformDone("start", job.instance, "failed", "worker down")
+        if old is None and (job.worker in self.down_workers or self._no_room(job)):
+            if not self.own_names:
+                return PlatformDone("start", job.instance, "failed", "worker down")
+            self.full.append((self.env.now, job.worker))
+            return PlatformDone("start", job.instance, "full", "no room")
+        server = old
+        if server is None:
+            self.ports += 1
+            identity = f"i-{self.ports}" if self.own_names else job.instance
+            server = Server(job.instance, job.service, job.worker, job.limit, "starting", identity)
+            server.memory_mb = job.memory_mb
+            server.address = f"10.9.0.1:{20000 + self.ports}" if self.own_names else ""
+            self.servers[job.instance] = self.known[job.instance] = server
+            self.env.process(self._boot(server))
+        address = server.address if self.own_names else ""
+        return PlatformDone("start", job.instance, "ok", "", server.identity, address)
+
+    def _no_room(self, job: PlatformCall) -> bool:
+        if not self.own_names:
+            return False
+        used = sum(s.memory_mb for s in self.servers.values() if s.worker == job.worker)
+        free = self.seat(job.worker).memory_mb - used - self.taken_mb.get(job.worker, 0)
+        return job.worker in self.emptied or free < job.memory_mb
+
+    def _stop(self, job: PlatformCall) -> PlatformDone:
+        if self.own_names and not job.identity:
+            return PlatformDone("stop", job.instance, "ok", "")
+        name = job.identity or job.instance
+        found = [s.id for s in self.servers.values() if s.identity == name]
+        for each in found:
+            self.end(each)
+        return PlatformDone("stop", job.instance, "ok", "")
+
+    def connect(self, node: Any, job: Connect, born: int) -> Steps:
+        """A plain connect to an instance's address."""
+        yield self.env.timeout(1.5)
+        yield from node.awake()
+        server = self.by_address.get(job.address)
+        reached = server is not None and server.state == "running"
+        self.knocks.append((self.env.now, job.instance, reached))
+        node.report("holder", ConnectDone(job.instance, job.address, reached, not reached), born)
 
     def _boot(self, server: Server) -> Steps:
         start_ms = (
@@ -167,8 +223,9 @@
         yield self.env.timeout(start_ms * self.rng.uniform(0.9, 1.2))
         if server.state != "starting":
             return
-        self.ports += 1
-        server.address = f"10.9.0.1:{20000 + self.ports}"
+        if not server.address:
+            self.ports += 1
+            server.address = f"10.9.0.1:{20000 + self.ports}"
         server.state, server.up_at_ms = "running", self.env.now
         server.behave = self.misbehave.get(server.service, "well")
         self.by_address[server.address] = server
@@ -188,7 +245,8 @@
     def take_over(self, old: Server, service: str) -> Server:
         """Another service's instance comes up at an old one's address."""
         self.end(old.id)
-        server = Server(f"stranger-{old.id}", service, old.worker, old.limit, "running")
+        name = f"stranger-{old.id}"
+        server = Server(name, service, old.worker, old.limit, "running", name)
         server.address, server.up_at_ms = old.address, self.env.now
         self.servers[server.id] = server
         self.by_address[server.address] = server
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -17,6 +17,7 @@
 from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
+from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
@@ -150,6 +151,8 @@
                 held = self.tokens.get(attempt_id)
                 if held is not None and held.revoke():
                     self.report("holder", AttemptDone(attempt_id, "no", "dropped"), born)
+            case Connect():
+                self.env.process(self.sim.platform.connect(self, job, born))
             case ListPlatform():
                 self.env.process(self.sim.platform.list(self, actor, born))
             case PlatformCall():
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -9,7 +9,7 @@
 
 from spokeroute.dial.answers import Answer
 from spokeroute.dial.effects import SlotId
-from spokeroute.dispatch import placement, plan, scaler, upkeep
+from spokeroute.dispatch import listing, placement, plan, scaler, scaling, upkeep
 from spokeroute.exchange import budget, holder, types
 from spokeroute.exchange.types import AttemptDone
 from spokeroute.register import copies
@@ -190,7 +190,7 @@
     sim.evacuate("north", True)
     sim.run(6_000)
     assert judges.evacuated_get_nothing(sim.log()) == []
-    monkeypatch.setattr(plan, "room_of", lambda seats, now, services, evacuated: scaler.room_of(
+    monkeypatch.setattr(scaling, "room_of", lambda seats, now, services, evacuated: scaler.room_of(
         seats, now, services, frozenset()))  # fmt: skip
     monkeypatch.setattr(placement, "platform_calls", lambda floor, table, marks, out, *rest:
                         upkeep.platform_calls(floor, table, marks, frozenset(), *rest))  # fmt: skip
@@ -207,7 +207,7 @@
     """The floor never marks what the platform says it drains."""
     sim.settle()
     monkeypatch.setattr(plan, "going", lambda *_: False)
-    monkeypatch.setattr(upkeep, "going", lambda *_: False)
+    monkeypatch.setattr(listing, "going", lambda *_: False)
     sim.platform.emptied.update(s.id for s in sim.platform.seats)
     sim.run(4_500)
     for _ in range(10):
--- /dev/null
+++ b/tests/test_own_names.py
@@ -0,0 +1,183 @@
+"""A platform that names instances itself: identity and address come with the start's answer,
+connects are refused until the instance is up, the listing is late and lacks what boots."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import pairwise
+
+import pytest
+
+from spokeroute.dial.effects import From, Launch, Send, Tell, Tick
+from spokeroute.dial.ids import Incarnation, Ms, NodeId, Term, Version
+from spokeroute.dispatch.configuration import (
+    Configuration,
+    Service,
+    build_table,
+    pack_configuration,
+)
+from spokeroute.dispatch.floor import STARTING, UP, Floor, Placed, pack_floor
+from spokeroute.exchange import holder
+from spokeroute.exchange.connect import Connect, ConnectDone
+from spokeroute.exchange.entry import HeldNow
+from spokeroute.exchange.types import SendAttempt
+from spokeroute.register.copies import Fresh
+from spokeroute.trunk.messages import Forward, Forwarded
+from tests.sim.acts import fall_and_return
+from tests.sim.cluster import Sim
+from tests.test_parts import placed
+from tests.test_scenarios import SEEDS, clean
+from tools.judges import level
+
+SERVICE = Service("s", 128, 1, start_ms=300)
+TABLE = build_table(Version(1), "", pack_configuration(Configuration((), (SERVICE,), ()), "a"))
+EACH = pytest.mark.parametrize("own", SEEDS, indirect=True)
+
+
+@pytest.fixture
+def own(request: pytest.FixtureRequest) -> Iterator[Sim]:
+    made = Sim(int(getattr(request, "param", 7)))
+    made.platform.own_names = True
+    made.platform.list_delay_ms = 800.0
+    yield made
+    made.close()
+
+
+def floor_of(sim: Sim) -> list[Placed]:
+    return list(sim.floors[-1][2].instances)
+
+
+def stops(sim: Sim) -> list[str]:
+    return [c[3] for c in sim.platform.calls if c[2] == "stop"]
+
+
+@EACH
+def test_ordinary_traffic_where_the_platform_names_instances(own: Sim) -> None:
+    own.settle()
+    own.traffic(60, 8_000)
+    own.run(8_000)
+    clean(own)
+    assert level(own.log(), 0, 1e9) > 0.995
+    assert stops(own) == []
+    listed = {s.identity for s in own.platform.servers.values()}
+    assert {p.identity for p in floor_of(own)} == listed
+    assert len(own.platform.known) == len(listed)
+
+
+@EACH
+def test_an_instance_is_up_before_the_listing_has_it(own: Sim) -> None:
+    """Its holder, in its own zone, reaches it; the listing comes 0.8 s later at the earliest."""
+    own.settle()
+    zones = {e.name: e.zone for e in own.exchanges}
+    assert all(zones[p.holder] == p.zone for p in floor_of(own))
+    known = set(own.platform.known)
+    own.call("/small/1")
+    own.run(3_000)
+    new = [own.platform.known[n] for n in own.platform.known if n not in known]
+    assert new
+    for server in new:
+        up_ms = next(
+            at_ms for at_ms, _, floor in own.floors for p in floor.instances
+            if p.id == server.id and p.state == UP
+        )  # fmt: skip
+        assert up_ms - server.up_at_ms < own.platform.list_delay_ms
+        held_ms = next(
+            at_ms for at_ms, _, floor in own.floors for p in floor.instances
+            if p.id == server.id and p.holder
+        )  # fmt: skip
+        assert held_ms < server.up_at_ms
+
+
+@EACH
+def test_a_start_without_an_answer_gives_one_instance(own: Sim) -> None:
+    own.platform.lost_answers = 3
+    own.settle()
+    own.run(15_000)
+    assert len(own.platform.known) == len(own.platform.servers)
+    assert {p.identity for p in floor_of(own)} == {s.identity for s in own.platform.known.values()}
+    assert stops(own) == []
+
+
+@EACH
+def test_a_worker_without_room_is_left_alone_for_a_while(own: Sim) -> None:
+    """Its memory is taken by what the floor does not know of."""
+    for worker in ("w1", "w2"):
+        own.platform.taken_mb[worker] = 7_680
+    own.settle()
+    own.run(4_000)
+    assert {s.worker for s in own.platform.servers.values()}.isdisjoint({"w1", "w2"})
+    for worker in ("w1", "w2"):
+        tries = sorted(at_ms for at_ms, w in own.platform.full if w == worker)
+        for here, there in pairwise(tries):
+            assert there - here < 150 or there - here > 1_200  # one pass may ask for several
+    assert all(p.state == UP for p in floor_of(own))
+
+
+@EACH
+def test_what_never_comes_up_is_dropped_and_stopped(own: Sim) -> None:
+    own.settle()
+    own.platform.start_small_ms = 600_000.0
+    own.call("/small/1")
+    own.run(1_000)
+    stuck = [p for p in floor_of(own) if p.service == "small-1"]
+    assert stuck and all(p.state == STARTING and p.holder for p in stuck)
+    own.platform.start_small_ms = 0.0
+    own.run(14_000)
+    assert {p.id for p in stuck} <= set(stops(own))
+    assert not {p.id for p in stuck} & set(own.platform.servers)
+
+
+@EACH
+def test_instances_live_on_when_everything_falls(own: Sim) -> None:
+    own.settle()
+    own.traffic(60, 30_000)
+    own.run(5_000)
+    before = dict(own.platform.servers)
+    fall_and_return(own, own.nodes, 2_000)
+    own.run(20_000)
+    assert set(before) <= set(own.platform.servers)
+    assert stops(own) == []
+    clean(own)
+
+
+def test_calls_wait_in_the_line_of_what_starts() -> None:
+    """The holder keeps them until a connect succeeds; refused connects are no failure."""
+    booting = placed("a", "w1", state=STARTING, warm=True, routed=False, limit=1, identity="i-1")
+    state = holder.State(NodeId("ex1"), 1)
+    now_ms = Ms(1_000)
+    fresh = Fresh(now_ms, {}, {"floor": pack_floor(Floor(Term(1), 1, (booting,)))}, TABLE, True)
+    state, _ = holder.step(state, fresh, now_ms)
+    forwards = [
+        Forward(f"c{i}.0", "s", "a", 1, "GET", "/x", (), b"", wait_ms)
+        for i, wait_ms in enumerate((5_000, 400))
+    ]
+    for forward in forwards:
+        state, effects = holder.step(state, From(NodeId("ex2"), Incarnation(1), forward), now_ms)
+        assert effects == ()
+    state, effects = holder.step(state, Tick(), Ms(now_ms + 20))
+    (job,) = [e.job for e in effects if isinstance(e, Launch)]
+    assert job == Connect(booting.id, booting.address, holder.CONNECT_WAIT_MS)
+    refused = ConnectDone(booting.id, booting.address, False, True)
+    state, _ = holder.step(state, refused, Ms(now_ms + 21))
+    state, effects = holder.step(state, Tick(), Ms(now_ms + 300))
+    assert [e.message for e in effects if isinstance(e, Send)] == [
+        Forwarded("c1.0", "no", "no room in time", 0, (), b"")
+    ]
+    told = [e.event for e in effects if isinstance(e, Tell) and isinstance(e.event, HeldNow)]
+    assert all(not h.failures and not h.confirmed for held in told for h in held.held)
+    reached = ConnectDone(booting.id, booting.address, True)
+    state, effects = holder.step(state, reached, Ms(now_ms + 320))
+    (sent,) = [e.job for e in effects if isinstance(e, Launch)]
+    assert isinstance(sent, SendAttempt) and sent.attempt_id == "c0.0"
+    (now,) = [e.event for e in effects if isinstance(e, Tell)]
+    assert isinstance(now, HeldNow)
+    assert now.held[0].confirmed
+
+
+@EACH
+def test_nobodys_instance_is_stopped_by_the_platforms_name(own: Sim) -> None:
+    own.settle()
+    old = next(s for s in own.platform.servers.values() if s.service == "readings")
+    lost = own.platform.take_over(old, "readings")
+    own.run(16_000)
+    assert lost.id not in own.platform.servers
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import queue
+import socket
 from typing import Any
 
 import pytest
 
-from spokeroute.dial.ids import Ms
+from spokeroute.dial.ids import Address, InstanceId, Ms
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformDone, PlatformListed
+from spokeroute.exchange.connect import Connect, ConnectDone, Connector, connect
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
 from spokeroute.trunk.net import monotonic_ms
 from tests.test_edge import Scripted
@@ -64,3 +66,15 @@
         server = Scripted([b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"])
         assert HttpPlatform(server.address).call(job("stop", identity)).outcome == "ok"
         assert path in server.requests[0]
+
+
+def test_a_connect_says_reached_refused_or_neither() -> None:
+    server = socket.create_server(("127.0.0.1", 0))
+    address = Address(f"127.0.0.1:{server.getsockname()[1]}")
+    got: queue.Queue[ConnectDone] = queue.Queue()
+    Connector(got.put).launch(Connect(InstanceId("a"), address, 1_000))
+    assert got.get(timeout=10) == ConnectDone(InstanceId("a"), address, True)
+    server.close()
+    assert connect(Connect(InstanceId("a"), address, 1_000)).refused
+    nowhere = Connect(InstanceId("a"), Address("no address"), 1_000)
+    assert connect(nowhere) == ConnectDone(InstanceId("a"), nowhere.address, False)
