--- a/tests/test_own_names.py
+++ b/tests/test_own_names.py
@@ -148,7 +148,7 @@
     fresh = Fresh(now_ms, {}, {"floor": pack_floor(Floor(Term(1), 1, (booting,)))}, TABLE, True)
     state, _ = holder.step(state, fresh, now_ms)
     forwards = [
-        Forward(f"c{i}.0", "s", "a", 1, "GET", "/x", (), b"", wait_ms)
+        Forward(f"c{i}.0", "s", "a", 1, "GET", "/x", (), b"", wait_ms, "")
         for i, wait_ms in enumerate((5_000, 400))
     ]
     for forward in forwards:
