--- a/spokeroute/dial/dialect.py
+++ b/spokeroute/dial/dialect.py
@@ -43,6 +43,9 @@
     """An answer that carries it says: not run."""
     misdirected_status: int = 0
     """Says: another instance is at that address, and it did not run the call."""
+    promises: tuple[int, ...] = ()
+    """Statuses that promise a caller that the call did not run. From an instance they count only
+    with its word that it did not."""
     seal_header: str = ""
     """A success without it is no instance's answer."""
 
