--- a/spokeroute/dial/bounds.py
+++ b/spokeroute/dial/bounds.py
@@ -44,3 +44,5 @@
     """Whether a missing or absurd wait falls back on the route's timeout."""
     last_zone_stays: bool = True
     """Whether the evacuation of the last zone is refused."""
+    members: int = 3
+    """How many disks the core grows to where so many registries are started; an odd number."""
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -11,6 +11,7 @@
 import simpy
 
 from spokeroute.dial.answers import Answer
+from spokeroute.dial.bounds import Bounds
 from spokeroute.dial.ids import CallId
 from spokeroute.dispatch.configuration import Configuration, pack_configuration, read_configuration
 from spokeroute.exchange.types import CallIn
@@ -74,9 +75,10 @@
 
     def __init__(
         self, seed: int, exchanges: int = 3, sync_ms: float = 0.5, start_ms: float = 600.0,
-        work_ms: float = 40.0,
+        work_ms: float = 40.0, registries: int = 3, bounds: Bounds | None = None,
     ) -> None:  # fmt: skip
         self.env = simpy.Environment()
+        self.bounds = bounds or Bounds()
         self.rng = random.Random(seed)
         self.sync_ms = sync_ms
         self.net = Net(self.env, self.rng)
@@ -86,7 +88,8 @@
         self.seeds = [f"10.0.0.{i + 1}:1" for i in range(3)]
         self.draws = 0
         self.registries = [
-            Node(self, f"reg{i + 1}", "registry", ZONES[i], self.seeds[i], True) for i in range(3)
+            Node(self, f"reg{i + 1}", "registry", ZONES[i % 3], f"10.0.0.{i + 1}:1", True)
+            for i in range(registries)
         ]
         self.exchanges = [
             Node(self, f"ex{i + 1}", "exchange", ZONES[i % 3], f"10.1.0.{i + 1}:1", False)
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -241,11 +241,12 @@
             loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
-            start = Start(seeds, rng.randrange(10**9), self.found, rank)
+            start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds)
             self.process = build_registry(me, self, start, loaded)
         else:
             me = Me(NodeId(self.name), incarnation, self.address, self.role, self.zone)
-            self.process = build_exchange(me, self, Start(seeds, rng.randrange(10**9)))
+            start = Start(seeds, rng.randrange(10**9), bounds=self.sim.bounds)
+            self.process = build_exchange(me, self, start)
         self.sim.net.nodes[self.address] = self
         self.env.process(self._beat(self.births))
 
