Callers are served on the loop: limits that change while running, no thread per call

Cause: a call cost two thread switches to a worker and back, three pipe writes, a poll set made anew over all connections, and a worker that looked every 0.25 s. Bounds were waitress's fixed ones: a body of exactly the bound or many small chunks were refused, half a request was never answered. Limits is swapped whole; 400, 408, 413, 431 and 501 reach no instance, and the close after them lingers, since a close with unread bytes resets the answer away. Keep-Alive tells a time under the real one. An answer keeps the instance's own Date, Server and encoding; hop-by-hop headers go, both ways. Time that passed in the turn before counts as part of a call's wait. No path is readiness among callers where readiness has a listener of its own. Ruled out by reckoning: a thread for HTTP beside the loop (two switches and locks a call).

--- /dev/null
+++ b/spokeroute/exchange/requests.py
@@ -0,0 +1,82 @@
+"""What a caller's request tells: pure readings of what waitress parsed."""
+
+from __future__ import annotations
+
+from functools import lru_cache
+
+from spokeroute.dial.answers import Answer, Ran, problem
+from spokeroute.dial.framing import HOP
+
+DROPPED = HOP | {"expect", "http2-settings"}
+BAD_REQUESTS = {
+    408: ("the request did not come in time", "send the request whole, at once"),
+    413: ("body too large", "send a body within the documented bound"),
+    431: ("headers too large", "send headers within the documented bound"),
+    501: ("transfer coding not known", "send a length or chunks"),
+}
+
+
+def bad_request(status: int) -> Answer:
+    """The answer to what could not be read, or is over a bound; it did not run.
+
+    Example:
+        >>> bad_request(431).status
+        431
+    """
+    title, remedy = BAD_REQUESTS.get(status, ("the request can't be read", "send HTTP/1.1"))
+    return problem(status, title, title, remedy, {"kind": "bad_request", "ran": Ran.NO.value})
+
+
+def header_key(header: str) -> str:
+    """How waitress names a header; no header where the name is empty.
+
+    Example:
+        >>> header_key("Idempotency-Key")
+        'IDEMPOTENCY_KEY'
+    """
+    return header.upper().replace("-", "_")
+
+
+def decoded(path: str) -> str:
+    """A path to match routes by. What is no UTF-8 in it matches no route's own part.
+
+    Example:
+        >>> decoded("//a/\\xc3\\xa4")
+        '/a/ä'
+    """
+    text = path if path.isascii() else path.encode("latin-1").decode("utf-8", "replace")
+    return text if text[:1] == "/" and text[1:2] != "/" else "/" + text.lstrip("/")
+
+
+def said_wait_ms(raw: str, unsaid_ms: int) -> int:
+    """How long a caller waits, as far as it says so.
+
+    Example:
+        >>> said_wait_ms("700", 4_000), said_wait_ms("", 4_000)
+        (700, 4000)
+    """
+    return int(raw) if raw.isascii() and raw.isdigit() and len(raw) < 8 else unsaid_ms
+
+
+@lru_cache(maxsize=1024)
+def _spoken(key: str) -> tuple[str, str]:
+    name = key.replace("_", "-").title()
+    return name, name.lower()
+
+
+def passed_on(headers: dict[str, str]) -> tuple[tuple[str, str], ...]:
+    """The headers that are an instance's business too.
+
+    Example:
+        >>> passed_on({"X_A": "1", "CONNECTION": "close, X-B", "X_B": "2"})
+        (('X-A', '1'),)
+    """
+    dropped = DROPPED
+    if "CONNECTION" in headers:
+        dropped = dropped | {x.strip().lower() for x in headers["CONNECTION"].split(",")}
+    kept = []
+    for key, value in headers.items():
+        name, low = _spoken(key)
+        if low not in dropped:
+            kept.append((name, value))
+    return tuple(kept)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,94 +1,188 @@
-"""The callers' door over real sockets on loopback, without a fleet behind it: a script stands
-in for the loop and answers each call as it is told to."""
+"""The callers' door over real sockets on loopback: what reaches the call path of a request, and
+what of its answer reaches the caller."""
 
 from __future__ import annotations
 
-import http.client
-import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import pytest
 
 from spokeroute.dial.answers import Answer
-from spokeroute.dial.dialect import CallerDialect
-from spokeroute.dial.http import serve
-from spokeroute.dial.slab import Slab
-from spokeroute.exchange.front import Front
-from spokeroute.exchange.types import CallIn
-from tools.fleet import free_ports
-
-OTHER = CallerDialect(
-    wait_header="Time-Left", wait_required=False, attempt_header="Try-Id",
-    key_header="Once", client_header="Who", ready_path="/health/up",
-)  # fmt: skip
-
-
-class Door:
-    """A front that is served, and the calls that reached its loop."""
-
-    def __init__(self, dialect: CallerDialect) -> None:
-        self.calls: list[CallIn] = []
-        self.slab = Slab(64)
-        self.answer: Callable[[CallIn], Answer] = lambda call: Answer(200, (), b"done")
-        self.front = Front("ex1", self.slab, self.post, dialect)
-        self.front.proved.set()
-        self.front.ready = lambda: True
-        ports = free_ports(2)
-        self.address = f"127.0.0.1:{ports[0]}"
-        self.ready_address = f"127.0.0.1:{ports[1]}"
-        self.server, self.front.dispatcher = serve(
-            self.front, self.address, 4, 16, 1 << 20, (self.front.ready_only, self.ready_address)
-        )
-        threading.Thread(target=self.server.run, daemon=True).start()
-
-    def post(self, event: object) -> None:
-        if isinstance(event, CallIn):
-            self.calls.append(event)
-            self.slab.answer(event.slot, self.answer(event))
-
-
-def request(
-    address: str, method: str, target: str, body: bytes = b"", **headers: str
-) -> tuple[int, dict[str, str], bytes]:
-    link = http.client.HTTPConnection(address, timeout=20)
-    link.request(method, target, body, {k.replace("_", "-"): v for k, v in headers.items()})
-    got = link.getresponse()
-    answered = (got.status, {k.lower(): v for k, v in got.getheaders()}, got.read())
-    link.close()
-    return answered
+from tests.door import GET, LONG, Caller, Door
 
 
 @pytest.fixture
 def door() -> Iterator[Door]:
-    yield Door(OTHER)
+    made = Door()
+    yield made
+    made.close()
 
 
 def test_the_dialect_names_what_is_read(door: Door) -> None:
-    status, _, body = request(
-        door.address, "POST", "/a/b%2Fc%20d?x=%31&y", b"{}",
-        Time_Left="700", Try_Id="t-9", Once="k1", Who="me", Host="shop.example",
-    )  # fmt: skip
-    assert (status, body) == (200, b"done")
-    call = door.calls[0]
+    caller = Caller(door.address).send(
+        b"POST /a/b%2Fc%20d?x=%31&y HTTP/1.1\r\nHost: shop.example\r\nTime-Left: 700\r\n"
+        b"Try-Id: t-9\r\nOnce: k1\r\nWho: me\r\nContent-Length: 2\r\nKeep-Alive: 3\r\n"
+        b"Connection: x-hop, keep-alive\r\nX-Hop: 1\r\nExpect: nothing\r\n\r\n{}"
+    )
+    assert caller.answer()[0] == 200
+    call = door.call()
     assert (call.wait, call.attempt, call.key, call.client) == ("700", "t-9", "k1", "me")
     assert (call.host, call.target, call.body) == ("shop.example", "/a/b%2Fc%20d?x=%31&y", b"{}")
-    assert (call.path, call.query) == ("/a/b/c d", "x=%31&y")
-    assert ("Try-Id", "t-9") in call.headers
+    assert (call.method, call.path, call.query) == ("POST", "/a/b/c d", "x=%31&y")
+    assert call.headers == (
+        ("Host", "shop.example"), ("Time-Left", "700"), ("Try-Id", "t-9"), ("Once", "k1"),
+        ("Who", "me"),
+    )  # fmt: skip
 
 
-def test_a_missing_wait_is_passed_on_where_none_is_required(door: Door) -> None:
-    assert request(door.address, "GET", "http://shop.example/a?q")[0] == 200
-    assert door.calls[0].wait == ""
-    assert door.calls[0].target == "/a?q"
-    assert request(door.address, "GET", "//twice//a")[0] == 200
-    assert door.calls[1].target == "//twice//a"
+def test_targets_come_as_they_were_sent(door: Door) -> None:
+    caller = Caller(door.address)
+    for sent, target, path in (
+        (b"http://other.example/a?q", "/a?q", "/a"),
+        (b"//twice//a", "//twice//a", "/twice//a"),
+        (b"/%ff/%C3%A4?%ff", "/%ff/%C3%A4?%ff", "/\ufffd/ä"),
+        (b"/a;b=c/../d?", "/a;b=c/../d?", "/a;b=c/../d"),
+    ):
+        caller.send(b"GET " + sent + b" HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+        assert caller.answer()[0] == 200
+        call = door.call()
+        assert (call.target, call.path, call.wait) == (target, path, "")
+        assert call.host == ("other.example" if b"://" in sent else "shop.example")
 
 
 def test_readiness_has_a_listener_of_its_own(door: Door) -> None:
-    for address in (door.address, door.ready_address):
-        door.front.ready = lambda: True
-        assert request(address, "GET", "/health/up")[0] == 200
-        door.front.ready = lambda: False
-        assert request(address, "GET", "/health/up")[0] == 503
-    assert request(door.ready_address, "GET", "/else")[0] == 404
-    assert door.calls == []
+    caller = Caller(door.ready_address)
+    for ready, status in ((True, 200), (False, 503), (True, 200)):
+        door.is_ready = ready
+        assert caller.send(b"GET /health/up HTTP/1.1\r\nHost: x\r\n\r\n").answer()[0] == status
+    assert caller.send(GET).answer()[0] == 404
+    assert door.calls.empty()
+    assert (
+        Caller(door.address).send(b"GET /health/up HTTP/1.1\r\nHost: x\r\n\r\n").answer()[0] == 200
+    )
+    assert door.call().path == "/health/up"  # among callers the path is anybody's
+
+
+def test_chunks_are_put_together(door: Door) -> None:
+    head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    caller = Caller(door.address)
+    for data in (head, b"4\r\nab", b"cd\r\n1;ext=1\r\ne\r", b"\n0\r\nTrailer: x\r\n\r\n" + GET):
+        caller.send(data)
+    assert caller.answer()[0] == caller.answer()[0] == 200
+    call = door.call()
+    assert call.body == b"abcde" and call.headers == (("Host", "x"),)
+    assert door.call().body == b""
+
+
+def test_one_byte_at_a_time(door: Door) -> None:
+    caller = Caller(door.address)
+    for byte in GET.replace(b"GET", b"PUT").replace(
+        b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\nabc"
+    ):
+        caller.send(bytes((byte,)))
+    assert caller.answer()[0] == 200
+    assert door.call().body == b"abc"
+
+
+def test_answers_are_as_the_instance_gave_them(door: Door) -> None:
+    headers = (
+        ("Content-Type", "text/plain"), ("X-Seal", "a.b"), ("content-encoding", "gzip"),
+        ("Date", "Thu, 01 Jan 1970 00:00:00 GMT"), ("Server", "theirs"), ("X-Empty", ""),
+        ("X-Folded", "one\r\n two"),
+    )  # fmt: skip
+    hop = (
+        ("Connection", "close, X-Once"), ("X-Once", "1"), ("Transfer-Encoding", "chunked"),
+        ("Keep-Alive", "timeout=99"), ("Content-Length", "77"), ("Trailer", "X-T"),
+    )  # fmt: skip
+    body = bytes(range(256)) * 2_000
+    door.answer = lambda call: Answer(201, (*headers, *hop), body)
+    status, got, data = Caller(door.address).send(GET).answer()
+    assert (status, data) == (201, body)
+    assert got == {
+        "content-type": "text/plain", "x-seal": "a.b", "content-encoding": "gzip",
+        "date": "Thu, 01 Jan 1970 00:00:00 GMT", "server": "theirs", "x-empty": "",
+        "x-folded": "one two", "content-length": "512000", "keep-alive": "timeout=59",
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize("status", [204, 304, 200])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_framing_without_a_body(door: Door, status: int, method: str) -> None:
+    length = (("Content-Length", "5"),)
+    body = b"hello" if (status, method) == (200, "GET") else b""
+    door.answer = lambda call: Answer(status, length, body)
+    caller = Caller(door.address)
+    for _ in range(2):  # the second one shows that the first ended where it says
+        caller.send(GET.replace(b"GET", method.encode()))
+        got, headers, data = caller.answer(method)
+        assert (got, data) == (status, body)
+        assert headers.get("content-length") == (None if status == 204 else "5")
+
+
+def test_old_clients_and_those_that_close(door: Door) -> None:
+    for head, stays in (
+        (b"GET /a HTTP/1.0\r\n\r\n", False),
+        (b"GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", True),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", False),
+        (GET, True),
+    ):
+        caller = Caller(door.address).send(head)
+        status, headers, _ = caller.answer()
+        assert status == 200
+        assert (headers.get("connection") == "close") is not stays
+        assert caller.send(GET).answer()[0] == 200 if stays else caller.closed()
+
+
+def test_pipelined_requests_get_their_own_answers(door: Door) -> None:
+    door.answer = lambda call: Answer(200, (), call.target.encode())
+    sent = b"".join(GET.replace(b"/a", b"/%d" % n) for n in range(50))
+    caller = Caller(door.address).send(sent)
+    assert [caller.answer()[2] for _ in range(50)] == [b"/%d" % n for n in range(50)]
+
+
+def test_an_answer_to_one_who_left_goes_to_nobody(door: Door) -> None:
+    door.hold()
+    left = Caller(door.address).send(GET)
+    call = door.call()
+    left.sock.close()
+    assert door.gone.get(timeout=20) == call.slot
+    door.reply(call.slot, Answer(200, (), b"late"))
+    door.answer = lambda call: Answer(200, (), b"own")
+    stays = Caller(door.address)
+    for _ in range(20):  # the slot is used again
+        assert stays.send(GET).answer()[2] == b"own"
+        door.reply(call.slot, Answer(200, (), b"later"))
+
+
+def test_a_crowd_past_the_slots_is_refused_at_once(door: Door) -> None:
+    door.hold()
+    crowd = [Caller(door.address).send(GET) for _ in range(8)]
+    held = [door.call() for _ in crowd]
+    status, headers, body = Caller(door.address).send(GET).answer()
+    assert status == 503 and headers["retry-after"] == "1" and b'"ran": "no"' in body
+    for call in held:
+        door.reply(call.slot, Answer(200, (), b"done"))
+    assert [caller.answer()[0] for caller in crowd] == [200] * 8
+
+
+def test_calls_wait_for_the_first_proof(door: Door) -> None:
+    door.is_ready = False
+    caller = Caller(door.address).send(GET)
+    assert (
+        Caller(door.ready_address).send(b"GET /health/up HTTP/1.1\r\nHost: x\r\n\r\n").answer()[0]
+        == 503
+    )
+    assert door.calls.empty()
+    door.is_ready = True
+    assert caller.answer()[0] == 200
+    assert door.call().waited_ms >= 0
+
+
+def test_continue_is_said_where_it_is_waited_for(door: Door) -> None:
+    caller = Caller(door.address).send(LONG + b"2\r\nExpect: 100-continue\r\n\r\n")
+    while b"\r\n\r\n" not in caller.read:
+        assert caller.more()
+    assert caller.read == b"HTTP/1.1 100 Continue\r\n\r\n"
+    caller.read = b""
+    assert caller.send(b"{}").answer()[0] == 200
+    assert door.call().body == b"{}"
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,101 @@
+"""What the callers' door refuses of itself: bad bytes, bounds, and times that ran out."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from spokeroute.dial.answers import Answer
+from spokeroute.dial.http import Limits
+from tests.door import CHUNKED, GET, LONG, Caller, Door
+
+
+@pytest.fixture
+def door() -> Iterator[Door]:
+    made = Door()
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: x\nX: y\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400),
+        (b"GET /a HTTP/3.0\r\nHost: x\r\n\r\n", 400),
+        (b"GET /a\r\n\r\n", 400),
+        (b"GET /\xff HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"GET http://[x/ HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
+        (LONG + b"+5\r\n\r\nhello", 400),
+        (LONG + b"5\r\nContent-Length: 6\r\n\r\nhello!", 400),
+        (LONG + b"5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (b"POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (CHUNKED + b"5\r\nhello!\r\n0\r\n\r\n", 400),
+        (CHUNKED + b"x\r\nhello\r\n0\r\n\r\n", 400),
+        (CHUNKED.replace(b"chunked", b"gzip, chunked"), 501),
+        (b"GET /a HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 70_000 + b"\r\n\r\n", 431),
+        (b"GET /" + b"y" * 70_000, 431),
+        (LONG + b"300000\r\n\r\n" + b"y" * 300_000, 413),
+        (CHUNKED + (b"3e8\r\n" + b"y" * 1000 + b"\r\n") * 300, 413),
+    ],
+)  # fmt: skip
+def test_what_is_refused_reaches_nobody_and_is_answered(
+    door: Door, data: bytes, status: int
+) -> None:
+    caller = Caller(door.address).send(data)
+    got, headers, body = caller.answer()
+    assert got == status and headers["connection"] == "close" and b'"ran": "no"' in body
+    assert caller.closed()
+    assert Caller(door.address).send(GET).answer()[0] == 200
+    assert door.call().path == "/a" and door.calls.empty()
+
+
+def test_bounds_may_be_reached_and_change_while_running(door: Door) -> None:
+    caller = Caller(door.address)
+    assert caller.send(GET).answer()[0] == 200
+    door.front.limits = Limits(max_header_bytes=100, max_body_bytes=10)
+    pad = 100 - len(b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\nX: \r\n\r\n")
+    head = b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\nX: " + b"y" * pad
+    assert caller.send(head + b"\r\n\r\n0123456789").answer()[0] == 200
+    assert Caller(door.address).send(head + b"y\r\n\r\n0123456789").answer()[0] == 431
+    assert Caller(door.address).send(LONG + b"11\r\n\r\n0123456789a").answer()[0] == 413
+    small = b"".join(b"1\r\n%d\r\n" % n for n in range(10))
+    assert caller.send(CHUNKED + small + b"0\r\n\r\n").answer()[0] == 200
+    assert Caller(door.address).send(CHUNKED + small + b"1\r\na\r\n0\r\n\r\n").answer()[0] == 413
+    door.front.limits = Limits()
+    assert caller.send(LONG + b"11\r\n\r\n0123456789a").answer()[0] == 200
+
+
+@pytest.mark.parametrize("part", [b"G", GET[:-2], LONG + b"5\r\n\r\nhell", CHUNKED + b"5\r\nhe"])
+def test_half_a_request_is_answered_in_time(door: Door, part: bytes) -> None:
+    door.front.limits = Limits(header_timeout_ms=300)
+    caller = Caller(door.address).send(part)
+    status, headers, body = caller.answer()
+    assert status == 408 and headers["connection"] == "close" and b'"ran": "no"' in body
+    assert caller.closed() and door.calls.empty()
+
+
+def test_idle_connections_are_closed_and_told_before(door: Door) -> None:
+    door.front.limits = Limits(idle_timeout_ms=1_600)
+    fresh, used = Caller(door.address), Caller(door.address)
+    headers = used.send(GET).answer()[1]
+    answered_s = time.monotonic()
+    assert headers["keep-alive"] == "timeout=1"
+    assert used.closed() and time.monotonic() - answered_s >= 1.5
+    assert fresh.closed()
+
+
+def test_a_call_under_way_is_not_idle(door: Door) -> None:
+    door.front.limits = Limits(idle_timeout_ms=300, header_timeout_ms=300)
+    door.hold()
+    busy, idle = Caller(door.address).send(GET), Caller(door.address)
+    call = door.call()
+    assert idle.closed()  # a time in which the busy one was let alone
+    door.reply(call.slot, Answer(200, (), b"done"))
+    assert busy.answer()[0] == 200
