A service whose boot does not fit into its aim keeps one instance warm, and a spare in use

Cause: one without minInstances slept until its first call, which then paid a whole boot: with a start of 1400 ms and an aim of 200 ms that call could not be in time. The aim is in the ledger's inputs, so replay recomputes it. Ruled out: minInstances written by whoever configures (the number follows from start and aim, which are both known here).

--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -13,6 +13,7 @@
     counted,
     room_of,
     sleepers_mb,
+    spares_of,
     wanted_of,
 )
 from spokeroute.dispatch.workbook import Pass
@@ -34,8 +35,9 @@
     up = [p for p in here if p.state == UP and p.holder]
     demand = seen.demand.get(service.name, Demand())
     running = sum(1 for p in here if p.state == UP)
-    wanted = wanted_of(service, demand, running, seen.now_ms)
-    total = wanted + (service.spares if wanted else 0)
+    aim_ms = seen.table.aim_ms.get(service.name, 0)
+    wanted = wanted_of(service, demand, running, seen.now_ms, aim_ms)
+    total = wanted + spares_of(service, demand, wanted, seen.now_ms, aim_ms)
     inputs: dict[str, object] = {
         "service": service.to_dict(),
         "level": demand.level,
@@ -43,6 +45,7 @@
         "idleForMs": seen.now_ms - demand.last_arrival_ms,
         "have": len(here),
         "up": running,
+        "aimMs": aim_ms,
     }
     if len(here) < total:
         _start(work, service, here, wanted, total, inputs)
