--- a/spokeroute/dial/bounds.py
+++ b/spokeroute/dial/bounds.py
@@ -24,7 +24,7 @@
     then replaced at once."""
     budget_ratio: float = 0.2
     budget_window_ms: int = 10_000
-    budget_extra: int = 36
+    budget_extra: float = 36.0
     """Second sends in a window, over all exchanges, on top of the ratio."""
     starts_per_s: float = 80.0
     starts_burst: float = 15.0
@@ -40,5 +40,9 @@
     """How long it still takes calls after it said that it is not ready any more."""
     call_threads: int = 160
     memory_mb: int = 0
+    wait_optional: bool = False
+    """Whether a missing or absurd wait falls back on the route's timeout."""
     last_zone_stays: bool = True
     """Whether the evacuation of the last zone is refused."""
+    members: int = 3
+    """How many disks the core grows to where so many registries are started; an odd number."""
--- a/spokeroute/dispatch/listing.py
+++ b/spokeroute/dispatch/listing.py
@@ -112,7 +112,15 @@
             since[name] = now_ms
             calls.append(
                 PlatformCall(
-                    "stop", name, listed.service, listed.worker, 0, 0, lease_until_ms, name
+                    "stop",
+                    name,
+                    listed.service,
+                    listed.worker,
+                    0,
+                    0,
+                    lease_until_ms,
+                    name,
+                    floor.term,
                 )
             )
     return calls, Map(since)
--- a/spokeroute/dispatch/steering.py
+++ b/spokeroute/dispatch/steering.py
@@ -9,7 +9,7 @@
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Limits, Picture, laaf, rome
 from spokeroute.dispatch.placing import State, record_in, resting, seats_of
-from spokeroute.dispatch.reports import live_holders, means_of, suspects_of
+from spokeroute.dispatch.reports import exchanges_of, live_holders, means_of, suspects_of
 from spokeroute.dispatch.sense import picture
 from spokeroute.logbook.entries import Record, picture_doc, ranking_doc
 from spokeroute.trunk.messages import Lists, Successors
@@ -63,6 +63,7 @@
         state.versions.get(CONFIGURATION, 0),
         0,
         tuple(Successors(r.service, r.worker, r.instances) for r in state.rankings),
+        exchanges_of(state.reports, now_ms),
     )
     state = replace(state, pushed_ms=now_ms)
     effects.extend(Send(n, lists) for n in sorted(live_holders(state.reports, now_ms)))
