--- a/spokeroute/dial/connections.py
+++ b/spokeroute/dial/connections.py
@@ -272,10 +272,10 @@
         Example:
             connection.rest()
         """
-        self.handle_read()
-        if self.socket is not None and self.idle:
+        self.handle(READ)
+        if self.socket is not None and self.idle and not self.linger_until_s:
             self.linger()
-        self.update()
+            self.update()
 
 
 class Listener(TcpWSGIServer):  # type: ignore[misc]
--- a/tests/door.py
+++ b/tests/door.py
@@ -100,7 +100,7 @@
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         self.sock = socket.create_connection((host, int(port)), timeout=20)
-        self.read = b""
+        self.read = bytearray()
 
     def send(self, data: bytes) -> Caller:
         self.sock.sendall(data)
@@ -127,7 +127,8 @@
         length = 0 if bare else int(headers["content-length"])
         while len(self.read) < length:
             assert self.more(), "cut short"
-        body, self.read = self.read[:length], self.read[length:]
+        body = bytes(self.read[:length])
+        del self.read[:length]
         return status, headers, body
 
     def closed(self) -> bool:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -183,6 +183,6 @@
     while b"\r\n\r\n" not in caller.read:
         assert caller.more()
     assert caller.read == b"HTTP/1.1 100 Continue\r\n\r\n"
-    caller.read = b""
+    caller.read.clear()
     assert caller.send(b"{}").answer()[0] == 200
     assert door.call().body == b"{}"
