Holders that go dark without a reset are noticed in 0.4 s, and calls go round them

Cause: a frozen or powered-off machine resets nothing, so what was forwarded to it waited until the placement role named another holder (2.5 s) or the socket's bound (3 s). An entry now asks a holder that has said nothing for 100 ms while an attempt is out, and after 300 ms more leaves its instances alone and repeats what may be repeated; it goes on asking, and one word ends it. A process that stood still itself starts anew. Ruled out: an acknowledgement for each forward, a frame a call. The moves of a call that all paths share stand in exchange/moves.py now.

--- /dev/null
+++ b/spokeroute/exchange/moves.py
@@ -0,0 +1,218 @@
+"""The moves of a call that every path of it shares: on to an instance, or to its one answer."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from spokeroute.dial.answers import Answer, Kind, Ran, refusal
+from spokeroute.dial.effects import Effect, Effects, Reply, Send
+from spokeroute.dial.ids import Ms, NodeId
+from spokeroute.exchange.claiming import ask_claim
+from spokeroute.exchange.entry import (
+    State,
+    end_attempt,
+    overdue_ms,
+    pressed,
+    put,
+    shun,
+    took_note,
+)
+from spokeroute.exchange.pick import pick
+from spokeroute.exchange.types import (
+    Attempt,
+    Call,
+)
+from spokeroute.trunk.messages import (
+    Forward,
+    ForwardDrop,
+)
+
+HOLD_MS = 30
+END_MARGIN_MS = 40
+SECOND_MIN_MS = 100
+SHUN_MS = 60
+
+
+def ask_core(state: State, call: Call, to: str, now_ms: Ms) -> tuple[State, Effects]:
+    """Ask a registry for what a call's key needs: its claim, or that it is freed.
+
+    Example:
+        state, effects = ask_core(state, call, "claim", now_ms)
+    """
+    op_id = f"{call.ask.call_id}/{to}/{state.draws}"
+    state = replace(state, draws=state.draws + 1)
+    call = replace(call, claim_op=op_id, claim_ms=now_ms, claim_asks=call.claim_asks + 1)
+    state = replace(put(state, call), op_of=state.op_of.set(op_id, call.ask.slot.index))
+    registries = state.registries
+    if not registries:
+        return state, ()
+    first = sum(call.ask.call_id.encode())  # each ask goes to the next registry
+    node = registries[(first + call.claim_asks) % len(registries)]
+    return state, (Send(node, ask_claim(call, op_id, to, now_ms)),)
+
+
+def send_on(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
+    """Pick an instance and forward the call to its holder, or hold it.
+
+    Example:
+        state, effects = send_on(state, call, now_ms)
+    """
+    if not state.tables.fresh(now_ms):
+        return refuse(state, call, Kind.NOT_FRESH, "", now_ms)
+    picked = pick(
+        call, state.tables, state.lists, state.lists_ms, state.outstanding, state.shunned_ms,
+        state.me, now_ms, state.zone,
+    )  # fmt: skip
+    if picked is None:
+        if call.touched and not call.attempts and call.maybe:
+            return unknown(state, call, now_ms)
+        held = replace(call, phase="waiting", next_ms=Ms(now_ms + HOLD_MS))
+        return pressed(put(state, held), call.service.name, now_ms)
+    placed = picked.placed
+    name = call.service.name
+    budget = state.budget
+    if call.touched and placed.id not in call.touched:
+        spent = len(call.touched) >= call.route.attempts
+        if spent or not budget.allows(name, now_ms):
+            if call.maybe:
+                return unknown(state, call, now_ms)
+            why = f"{call.why}; {'as often as the route allows' if spent else 'budget spent'}"
+            return refuse(state, call, Kind.UNREACHED, why, now_ms)
+        budget = budget.second(name, now_ms)
+        state = took_note(state, call, placed.id, picked.rule, now_ms)
+    elif not call.failed and not call.attempts and call.draws == 0:
+        budget = budget.first(name, now_ms)
+    attempt_id = f"{call.ask.call_id}.{call.draws}"
+    each = Attempt(placed.id, placed.worker, placed.holder, placed.holder_incarnation, now_ms)
+    call = replace(
+        call, phase="trying", draws=call.draws + 1, attempts=call.attempts.set(attempt_id, each),
+        next_ms=Ms(now_ms + overdue_ms(call)),
+    )  # fmt: skip
+    ask = call.ask
+    path = ask.target or (f"{ask.path}?{ask.query}" if ask.query else ask.path)
+    forward = Forward(
+        attempt_id, name, placed.id, placed.holder_incarnation, ask.method, path, ask.headers,
+        ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
+    )  # fmt: skip
+    count = state.outstanding.get(placed.id, 0) + 1
+    state = replace(
+        put(state, call),
+        budget=budget,
+        attempt_of=state.attempt_of.set(attempt_id, ask.slot.index),
+        outstanding=state.outstanding.set(placed.id, count),
+    )
+    return state, (Send(NodeId(placed.holder), forward),)
+
+
+def may_have_run(
+    state: State, call: Call, each: Attempt, why: str, now_ms: Ms
+) -> tuple[State, Effects]:
+    """An attempt ended without an answer that counts.
+
+    Example:
+        state, effects = may_have_run(state, call, each, "lost: reset", now_ms)
+    """
+    call = replace(
+        call, maybe=True, why=why, failed=(*call.failed, each),
+        touched=call.touched | {each.instance},
+    )  # fmt: skip
+    state = replace(state, shunned_ms=shun(state.shunned_ms, each.instance, now_ms, SHUN_MS))
+    return go_on(put(state, call), call, now_ms)
+
+
+def go_on(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
+    """After an attempt without an answer: a successor, a wait, or the truth at once.
+
+    Example:
+        state, effects = go_on(state, call, now_ms)
+    """
+    if call.attempts:
+        return put(state, call), ()
+    if call.gone_ms >= 0 or now_ms >= call.deadline_ms - END_MARGIN_MS:
+        return end_call(state, call, now_ms)
+    if call.maybe:
+        if call.once or call.deadline_ms - now_ms < SECOND_MIN_MS:
+            return unknown(state, call, now_ms)
+        return send_on(state, call, now_ms)
+    if call.touched:
+        return send_on(state, call, now_ms)
+    held = replace(call, phase="waiting", next_ms=Ms(now_ms + HOLD_MS))
+    return put(state, held), ()
+
+
+def unknown(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
+    """The truth where it may have run.
+
+    Example:
+        state, effects = unknown(state, call, now_ms)
+    """
+    why = call.why
+    kind = Kind.BAD_ANSWER if why.startswith("bad answer") else Kind.UNKNOWN
+    if why.startswith("lost"):
+        kind = Kind.LOST
+    return answer_call(state, call, refusal(kind, Ran.MAYBE, why), now_ms)
+
+
+def refuse(state: State, call: Call, kind: Kind, why: str, now_ms: Ms) -> tuple[State, Effects]:
+    """Not run: a claim is freed before that is said.
+
+    Example:
+        state, effects = refuse(state, call, now_ms)
+    """
+    if call.maybe or call.attempts:
+        return unknown(state, call, now_ms)
+    if call.ask.key and call.phase != "freeing" and (call.claimed or call.phase == "claiming"):
+        call = replace(call, phase="freeing", why=f"{kind.name}|{why}", next_ms=now_ms)
+        return ask_core(state, call, "free", now_ms)
+    return answer_call(state, call, refusal(kind, Ran.NO, why), now_ms)
+
+
+def end_call(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
+    """The wait is over.
+
+    Example:
+        state, effects = end_call(state, call, now_ms)
+    """
+    if call.attempts:
+        drops = tuple(Send(NodeId(t.holder), ForwardDrop(n)) for n, t in call.attempts.items())
+        call = replace(call, why=call.why or "no answer within the wait")
+        state, effects = unknown(state, call, now_ms)
+        return state, (*drops, *effects)
+    if call.maybe:
+        return unknown(state, call, now_ms)
+    kind = Kind.NO_CORE if call.phase == "claiming" else Kind.NO_ROOM
+    return refuse(state, call, kind, call.why, now_ms)
+
+
+def answer_call(state: State, call: Call, answer: Answer, now_ms: Ms) -> tuple[State, Effects]:
+    """The one answer; the slot is free after it.
+
+    Example:
+        state, effects = answer_call(state, call, now_ms)
+    """
+    for attempt_id in call.attempts:
+        state, _, _ = end_attempt(state, attempt_id)
+    effects: list[Effect] = []
+    if call.claimed and call.phase != "freeing" and state.registries:
+        known = "may have run" if answer.status in (502, 504) else f"ended {answer.status}"
+        op_id = f"{call.ask.call_id}/end/{state.draws}"
+        effects.append(Send(state.registries[0], ask_claim(call, op_id, known, now_ms)))
+    state = replace(
+        state,
+        calls=state.calls.delete(call.ask.slot.index),
+        answers=state.answers + 1,
+        draws=state.draws + 1,
+    )
+    return state, (Reply(call.ask.slot, answer), *effects)
+
+
+def lose_attempt(state: State, attempt_id: str, why: str, now_ms: Ms) -> tuple[State, Effects]:
+    """No answer comes to an attempt any more.
+
+    Example:
+        state, effects = lose_attempt(state, "c1.0", "lost: its link broke", now_ms)
+    """
+    state, call, each = end_attempt(state, attempt_id)
+    if call is None or each is None:
+        return state, ()
+    return may_have_run(state, call, each, why, now_ms)
--- /dev/null
+++ b/tests/calls_made.py
@@ -0,0 +1,20 @@
+"""Calls in the middle of their way, for tests of the pure cores."""
+
+from __future__ import annotations
+
+from immutables import Map
+
+from spokeroute.dial.effects import SlotId
+from spokeroute.dial.ids import CallId, Incarnation, InstanceId, Ms, NodeId, WorkerId
+from spokeroute.dispatch.configuration import Route, Service
+from spokeroute.exchange.types import Attempt, Call, CallIn
+
+
+def call_to(holder: str, sent_ms: Ms, slot: SlotId) -> Call:
+    """A repeatable call with one attempt under way at a holder."""
+    ask = CallIn(slot, CallId("c1"), "a", "GET", "/x", "", (), b"", "5000", "", 0)
+    each = Attempt(InstanceId("i"), WorkerId("w"), NodeId(holder), Incarnation(1), sent_ms)
+    return Call(
+        ask, Route("/x", "s"), Service("s", 128, 4), sent_ms, Ms(sent_ms + 5_000), "trying",
+        Ms(sent_ms + 5_000), once=False, attempts=Map({"c1.0": each}),
+    )  # fmt: skip
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,70 @@
+"""A holder that goes dark without resetting its connections: others notice, and go round it."""
+
+from __future__ import annotations
+
+import pytest
+
+from spokeroute.dial.effects import SlotId
+from spokeroute.dial.ids import Ms
+from spokeroute.exchange.silence import AGAIN_MS, ASK_MS, SILENT_MS, Silence, look
+from tests.calls_made import call_to
+from tests.sim.cluster import Sim
+from tests.test_scenarios import clean
+
+
+def holding(sim: Sim, service: str) -> list[str]:
+    """The exchanges that hold a service's instances, most first."""
+    floor = sim.floors[-1][2]
+    names = [p.holder for p in floor.instances if p.service == service and p.holder]
+    return sorted(set(names), key=lambda n: -names.count(n))
+
+
+@pytest.mark.parametrize("how", ["frozen", "dark"])
+def test_calls_go_round_a_holder_that_went_dark(how: str) -> None:
+    """Neither a freeze nor a cut resets anything. Calls that come half a second later must not
+    wait for it; the placement role notices it only after 2.5 s."""
+    sim = Sim(11, exchanges=5)
+    sim.settle()
+    sim.traffic(60, 30_000, ("/readings",))
+    sim.run(11_000)
+    lost = next(e for e in sim.exchanges if e.name == holding(sim, "readings")[0])
+    at_ms = sim.env.now
+    if how == "frozen":
+        lost.freeze()
+    else:
+        for other in sim.nodes:
+            sim.net.cuts |= {(lost.name, other.name), (other.name, lost.name)}
+    sim.run(2_400)
+    if how == "frozen":
+        lost.wake()
+    else:
+        sim.net.cuts.clear()
+    sim.run(6_000)
+    late = [
+        a for a in sim.asked
+        if at_ms + 600 <= a.at_ms < at_ms + 2_300 and a.exchange != lost.name
+        and not (a.status == 200 and a.done_ms - a.at_ms < 400)
+    ]  # fmt: skip
+    asked = [a for a in sim.asked if at_ms + 600 <= a.at_ms < at_ms + 2_300]
+    assert len(late) <= len(asked) // 50, [(a.at_ms - at_ms, a.status, a.kind) for a in late]
+    clean(sim)
+    sim.close()
+
+
+def test_a_holder_is_asked_before_it_counts_as_silent() -> None:
+    call = call_to("ex2", sent_ms=Ms(1_000), slot=SlotId(1, 1))
+    silence, ask, silent = look(Silence(), (call,), "ex1", Ms(1_000 + ASK_MS - 1))
+    assert (ask, silent) == ((), ())
+    silence, ask, silent = look(silence, (call,), "ex1", Ms(1_000 + ASK_MS))
+    assert (ask, silent) == (("ex2",), ())
+    heard = silence.heard("ex2", 1_000 + ASK_MS + 3)
+    assert look(heard, (call,), "ex1", Ms(1_000 + ASK_MS + SILENT_MS))[2] == ()
+    late_ms = Ms(1_000 + ASK_MS + SILENT_MS)
+    woken = silence.woken(late_ms)
+    assert look(woken, (call,), "ex1", late_ms)[2] == ()
+    silence, ask, silent = look(silence, (call,), "ex1", late_ms)
+    assert silent == ("ex2",)
+    silence, ask, silent = look(silence, (), "ex1", Ms(late_ms + AGAIN_MS))
+    assert (ask, silent) == (("ex2",), ())
+    assert not silence.heard("ex2", late_ms + 500).since_ms
+    assert look(Silence(), (call_to("ex1", Ms(0), SlotId(1, 1)),), "ex1", Ms(9_000))[1] == ()
