--- a/spokeroute/dial/bounds.py
+++ b/spokeroute/dial/bounds.py
@@ -22,6 +22,8 @@
     rejection_safe: bool = False
     """Whether an instance itself refuses what is over its limit, as not run: a lost holder is
     then replaced at once."""
+    stop_drains: bool = False
+    """Whether the platform's stop closes an instance's door at once and lets what runs end."""
     budget_ratio: float = 0.2
     budget_window_ms: int = 10_000
     budget_extra: float = 36.0
--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -11,6 +11,7 @@
     Demand,
     best_worker,
     counted,
+    patience_ms,
     room_of,
     sleepers_mb,
     spares_of,
@@ -43,6 +44,7 @@
         "level": demand.level,
         "waiting": demand.waiting,
         "idleForMs": seen.now_ms - demand.last_arrival_ms,
+        "gapMs": demand.gap_ms,
         "have": len(here),
         "up": running,
         "aimMs": aim_ms,
@@ -51,7 +53,8 @@
         _start(work, service, here, wanted, total, inputs)
     elif len(here) > total:
         work.surplus.add(service.name)
-        if seen.now_ms - seen.surplus_ms.get(service.name, seen.now_ms) >= SURPLUS_MS:
+        since_ms = seen.now_ms - seen.surplus_ms.get(service.name, seen.now_ms)
+        if since_ms >= min(SURPLUS_MS, patience_ms(service, demand)):
             _drain(work, here, len(here) - total, wanted, inputs)
     _route(work, service, up, wanted)
 
