--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -42,6 +42,7 @@
     roster: Roster | None = None
     votes: bool = False
     ledger: dict[str, str] = field(default_factory=dict)
+    starts: int = 0
     sync_ms: float = 0.5
     stalled_until_ms: float = 0.0
     full: bool = False
@@ -241,7 +242,8 @@
                 member = MemberId(f"m-{self.sim.draw():06d}")
                 self.disk = SimDisk(member, sync_ms=self.sim.sync_ms)
             disk = self.disk
-            loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
+            disk.starts += 1
+            loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells), disk.starts)
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
             start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds)
