--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -10,14 +10,16 @@
 from spokeroute.exchange.claiming import ask_claim
 from spokeroute.exchange.entry import (
     State,
+    adopt,
     end_attempt,
+    lost_to,
     overdue_ms,
     pressed,
     put,
     shun,
     took_note,
 )
-from spokeroute.exchange.pick import pick
+from spokeroute.exchange.pick import GUEST, pick
 from spokeroute.exchange.types import (
     Attempt,
     Call,
@@ -61,8 +63,10 @@
         return refuse(state, call, Kind.NOT_FRESH, "", now_ms)
     picked = pick(
         call, state.tables, state.lists, state.lists_ms, state.outstanding, state.shunned_ms,
-        state.me, now_ms, state.zone,
+        state.me, now_ms, state.zone, lost_to(state, now_ms),
     )  # fmt: skip
+    if picked is None and state.bounds.rejection_safe:
+        picked = adopt(state, call, now_ms)
     if picked is None:
         if call.touched and not call.attempts and call.maybe:
             return unknown(state, call, now_ms)
@@ -93,6 +97,7 @@
     forward = Forward(
         attempt_id, name, placed.id, placed.holder_incarnation, ask.method, path, ask.headers,
         ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
+        picked.rule == GUEST,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     state = replace(
@@ -101,7 +106,7 @@
         attempt_of=state.attempt_of.set(attempt_id, ask.slot.index),
         outstanding=state.outstanding.set(placed.id, count),
     )
-    return state, (Send(NodeId(placed.holder), forward),)
+    return state, (Send(NodeId(placed.holder), forward, placed.holder_address),)
 
 
 def may_have_run(
@@ -216,3 +221,15 @@
     if call is None or each is None:
         return state, ()
     return may_have_run(state, call, each, why, now_ms)
+
+
+def unsent_attempt(state: State, attempt_id: str, now_ms: Ms) -> tuple[State, Effects]:
+    """An attempt was never sent: the call goes on as if it had not been tried.
+
+    Example:
+        state, effects = unsent_attempt(state, "c1.0", now_ms)
+    """
+    state, call, each = end_attempt(state, attempt_id)
+    if call is None or each is None:
+        return state, ()
+    return go_on(state, replace(call, why="down: its holder can't be reached"), now_ms)
--- a/spokeroute/exchange/silence.py
+++ b/spokeroute/exchange/silence.py
@@ -38,6 +38,16 @@
         since = self.since_ms.delete(node) if node in self.since_ms else self.since_ms
         return Silence(self.heard_ms.set(node, now_ms), asked, since)
 
+    def lost(self, node: str, now_ms: int) -> Silence:
+        """The connection to a holder broke: it is left alone until it is heard.
+
+        Example:
+            >>> "ex1" in Silence().lost("ex1", 5).since_ms
+            True
+        """
+        asked = self.asked_ms.set(node, now_ms)
+        return replace(self, asked_ms=asked, since_ms=self.since_ms.set(node, now_ms))
+
     def woken(self, now_ms: int) -> Silence:
         """This process itself stood still: nobody's silence counts.
 
