--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -17,6 +17,7 @@
 from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
+from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
@@ -41,6 +42,7 @@
     roster: Roster | None = None
     votes: bool = False
     ledger: dict[str, str] = field(default_factory=dict)
+    starts: int = 0
     sync_ms: float = 0.5
     stalled_until_ms: float = 0.0
     full: bool = False
@@ -56,6 +58,11 @@
         self.nodes: dict[Address, Node] = {}
         self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "zone:x"
         self.last_ms: dict[tuple[str, str], float] = {}
+        self.linked: set[tuple[str, int, str]] = set()  # connections that came to be
+
+    def link(self, sender: Node, address: str) -> tuple[str, int, str]:
+        """A sender's connection: of this life of its process."""
+        return (sender.name, sender.births, address)
 
     def cut_between(self, a: Node, b: Node) -> bool:
         """Whether nothing gets from a to b."""
@@ -82,8 +89,12 @@
             return
         if there is None or not there.alive:
             if there is not None and there.machine_up and sender.births == born:
-                sender.lost(there)
+                link = self.link(sender, address)
+                sender.lost(there, link in self.linked)
+                self.linked.discard(link)
             return
+        if sender.births == born:
+            self.linked.add(self.link(sender, address))
         there.frame(frame)
 
 
@@ -122,6 +133,12 @@
     def send(self, address: Address, frame: bytes) -> None:
         self.sim.net.send(self, address, frame)
 
+    def cut(self, address: Address) -> None:
+        """A connection that never came to be is given up: what was to go there was not sent."""
+        there = self.sim.net.nodes.get(address)
+        if there is not None and self.sim.net.link(self, address) not in self.sim.net.linked:
+            self.lost(there, False)
+
     def reply(self, slot: SlotId, answer: Answer) -> None:
         told = self.slots.pop(slot.index, None)
         if told is not None:
@@ -150,6 +167,8 @@
                 held = self.tokens.get(attempt_id)
                 if held is not None and held.revoke():
                     self.report("holder", AttemptDone(attempt_id, "no", "dropped"), born)
+            case Connect():
+                self.env.process(self.sim.platform.connect(self, job, born))
             case ListPlatform():
                 self.env.process(self.sim.platform.list(self, actor, born))
             case PlatformCall():
@@ -211,10 +230,10 @@
         self.process.received(data)
         self.process.pump()
 
-    def lost(self, there: Node) -> None:
+    def lost(self, there: Node, reached: bool) -> None:
         if self.alive and self.role == "exchange" and there.process is not None:
             node = there.process.me.node
-            self._now(lambda: self._post("calls", LinkDown(node)))
+            self._now(lambda: self._post("calls", LinkDown(node, reached)))
 
     def _now(self, act: Callable[[], None]) -> None:
         if self.frozen:
@@ -238,14 +257,16 @@
                 member = MemberId(f"m-{self.sim.draw():06d}")
                 self.disk = SimDisk(member, sync_ms=self.sim.sync_ms)
             disk = self.disk
-            loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
+            disk.starts += 1
+            loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells), disk.starts)
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
-            start = Start(seeds, rng.randrange(10**9), self.found, rank)
+            start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds)
             self.process = build_registry(me, self, start, loaded)
         else:
             me = Me(NodeId(self.name), incarnation, self.address, self.role, self.zone)
-            self.process = build_exchange(me, self, Start(seeds, rng.randrange(10**9)))
+            start = Start(seeds, rng.randrange(10**9), bounds=self.sim.bounds)
+            self.process = build_exchange(me, self, start)
         self.sim.net.nodes[self.address] = self
         self.env.process(self._beat(self.births))
 
