--- a/tools/capacity_faults.py
+++ b/tools/capacity_faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from spokeroute.dispatch.platform import STARTS_PER_S
+from spokeroute.dial.bounds import Bounds
 from tools.capacity_aim import (
     CHANGES_A_DAY,
     INSTANCES,
@@ -68,9 +68,10 @@
     for fault in FAULTS:
         moved = fault.nodes * a_node / 1e6
         starts = fault.nodes * held if fault.starts else 0.0
+        starts_s = starts / Bounds().starts_per_s
         out.append(
             f"| {fault.name} | {fault.nodes:.0f} | {moved:,.0f} | {moved / REGISTRIES:,.0f} | "
-            f"{a_node / LINK_BYTES_PER_S:.1f} | {starts:,.0f} | {starts / STARTS_PER_S:,.0f} |"
+            f"{a_node / LINK_BYTES_PER_S:.1f} | {starts:,.0f} | {starts_s:,.0f} |"
         )
     day = CHANGES_A_DAY * configuration
     out += [
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -12,8 +12,9 @@
 
 from spokeroute.desk.difference import difference
 from spokeroute.dial.answers import Answer
+from spokeroute.dial.bounds import Bounds
 from spokeroute.dial.effects import SlotId
-from spokeroute.dial.ids import CONFIGURATION, FLOOR, Address, CallId, Incarnation, NodeId
+from spokeroute.dial.ids import CONFIGURATION, FLOOR, CallId, Incarnation, NodeId
 from spokeroute.dispatch.configuration import (
     Configuration,
     pack_configuration,
@@ -32,6 +33,7 @@
     Size,
     check,
     configuration_of,
+    exchange_address,
     incarnations,
     loaded_of,
     member_name,
@@ -84,7 +86,7 @@
         self._build()
 
     def _build(self) -> None:
-        size = self.size
+        size, bounds = self.size, Bounds(members=self.size.registries)
         seeds = tuple(registry_address(i) for i in range(size.registries))
         for number in range(size.registries):
             loaded = loaded_of(size, number)
@@ -93,13 +95,13 @@
                 seeds[number], "registry", zone_of(number),
             )  # fmt: skip
             node = HollowNode(self.fleet, me)
-            node.build(Start(seeds, self.rng.randrange(10**9), True, number), loaded)
+            node.build(Start(seeds, self.rng.randrange(10**9), True, number, bounds), loaded)
             self.registries.append(node)
         for number, born in enumerate(incarnations(size)):
-            address = Address(f"10.1.{number // 256}.{number % 256}:7000")
-            me = Me(NodeId(node_name(number)), born, address, "exchange", zone_of(number))
+            address, zone = exchange_address(number), zone_of(number)
+            me = Me(NodeId(node_name(number)), born, address, "exchange", zone)
             node = HollowNode(self.fleet, me)
-            node.build(Start(seeds, self.rng.randrange(10**9)), None)
+            node.build(Start(seeds, self.rng.randrange(10**9), bounds=bounds), None)
             self.exchanges.append(node)
         for node in (*self.registries, *self.exchanges):
             self.fleet.clock.after(self.rng.random() * 20, node.beat)
--- a/tools/capacity_meter.py
+++ b/tools/capacity_meter.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import importlib
+import inspect
+import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -17,19 +19,14 @@
 from tools.capacity_clock import NANOSECONDS, counter
 
 FUNCTIONS = (
-    ("spokeroute.dispatch.placement", (
-        "plan", "picture", "laaf", "rome", "pack_floor", "unpack_floor", "platform_calls",
-        "orphan_stops", "remark", "demand_now", "take_listing", "absent_from", "picture_doc",
-        "ranking_doc", "live_holders", "suspects_of", "means_of",
-    )),
-    ("spokeroute.dispatch.plan", ("room_of", "best_worker", "sleepers_mb")),
-    ("spokeroute.dispatch.floor", ("unpack_floor",)),
-    ("spokeroute.exchange.types", ("unpack_floor",)),
-    ("spokeroute.logbook.ledger", ("entry_text",)),
-    ("spokeroute.register.proposer", ("digest_of",)),
-    ("spokeroute.exchange.budget", ("Budget.allows", "Budget.first", "Budget.second")),
+    "plan", "picture", "laaf", "rome", "pack_floor", "unpack_floor", "platform_calls",
+    "orphan_stops", "remark", "demand_now", "take_listing", "sightings_of", "absent_from",
+    "picture_doc", "ranking_doc", "live_holders", "suspects_of", "means_of", "addresses_of",
+    "reached_of", "room_of", "best_worker", "sleepers_mb", "entry_text", "digest_of",
 )  # fmt: skip
-"""Parts of a step that get a line of their own; those that a version lacks are passed over."""
+"""Parts of a step that get a line of their own, wherever the product has them; those that a
+version lacks are passed over."""
+METHODS = (("spokeroute.exchange.budget", "Budget", ("allows", "first", "second")),)
 
 
 @dataclass
@@ -160,17 +157,27 @@
     def attributed(self) -> Iterator[None]:
         """While this lasts, the parts in ``FUNCTIONS`` are counted apart."""
         kept: list[tuple[Any, str, Any]] = []
-        for path, names in FUNCTIONS:
-            module = importlib.import_module(path)
+        made: dict[Any, Any] = {}
+        for path, module in list(sys.modules.items()):
+            if not path.startswith("spokeroute"):
+                continue
+            for name in FUNCTIONS:
+                function = getattr(module, name, None)
+                if not inspect.isfunction(function):
+                    continue
+                if function not in made:
+                    made[function] = self.part(f"fn.{name}", function)
+                kept.append((module, name, function))
+                setattr(module, name, made[function])
+        for path, owner, names in METHODS:
+            kind = getattr(importlib.import_module(path), owner)
             for name in names:
-                *outer, last = name.split(".")
-                owner: Any = getattr(module, outer[0], None) if outer else module
-                function = getattr(owner, last, None)
+                function = getattr(kind, name, None)
                 if function is not None:
-                    kept.append((owner, last, function))
-                    setattr(owner, last, self.part(f"{path.rsplit('.', 1)[1]}.{name}", function))
+                    kept.append((kind, name, function))
+                    setattr(kind, name, self.part(f"fn.{owner}.{name}", function))
         try:
             yield
         finally:
-            for owner, name, function in kept:
-                setattr(owner, name, function)
+            for where, name, function in kept:
+                setattr(where, name, function)
--- a/tools/capacity_platform.py
+++ b/tools/capacity_platform.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone
+from spokeroute.exchange.connect import Connect, ConnectDone
 from tools.capacity_size import SERVICE_MB, Size, floor_of, worker_name, zone_of
 
 BOOT_MS = 300.0
@@ -31,6 +32,7 @@
     address: str
     state: str
     up_ms: float = -1.0
+    told: str = ""  # the address that its start's answer names
 
 
 class HollowPlatform:
@@ -46,6 +48,7 @@
         self.snapped_ms = -1e9
         self.starts = 0
         self.failed: list[str] = []
+        self.tells_address = True
 
     def fill(self, size: Size) -> None:
         """The workers and instances of a size, all running."""
@@ -82,7 +85,7 @@
         elif job.instance not in self.servers:
             self.starts += 1
             address = f"10.128.{self.starts // 256 % 256}.{self.starts % 256}:8080"
-            server = Server(job.service, job.worker, "", "starting")
+            server = Server(job.service, job.worker, "", "starting", told=address)
             self.servers[job.instance] = server
 
             def boot() -> None:
@@ -92,7 +95,15 @@
 
             self.clock.after(BOOT_MS, boot)
         self.changed = True
-        return PlatformDone(job.op, job.instance, "ok", "")
+        started = self.servers.get(job.instance)
+        told = started.told if started is not None and self.tells_address else ""
+        return PlatformDone(job.op, job.instance, "ok", "", job.instance, told)
+
+    def connect(self, job: Connect) -> ConnectDone:
+        """Whether an instance listens yet."""
+        server = self.servers.get(job.instance)
+        up = server is not None and server.state == "running"
+        return ConnectDone(job.instance, job.address, up, not up)
 
     def fail(self, number: int) -> str:
         """One running instance fails: it is listed so, and goes once it is off the floor."""
--- a/tools/capacity_rows.py
+++ b/tools/capacity_rows.py
@@ -159,13 +159,13 @@
 CLAIM = ("ClaimAsk", "ClaimGot")
 FORWARD = ("Forward", "Forwarded")
 ON_PROBE = ("decode Probe", "keeper Probe", "steward Probe", "placement Probe", "encode ProbeAck")
-ON_LISTING = ("edge read_listing", "placement PlatformListed", "placement.take_listing",
-              "placement.absent_from")  # fmt: skip
-ON_FLOOR = ("types.unpack_floor", "calls Fresh changed", "holder Fresh changed",
+ON_LISTING = ("edge read_listing", "placement PlatformListed", "fn.take_listing", "fn.sightings_of",
+              "fn.absent_from")  # fmt: skip
+ON_FLOOR = ("fn.unpack_floor", "calls Fresh changed", "holder Fresh changed",
             "decode FetchGot", "copies FetchGot")  # fmt: skip
 ON_ROUND = (
     "keeper Accept", "keeper Prepare", "keeper DiskDone", "decode Accept", "encode Promise",
-    "placement.unpack_floor", "placement Fresh changed", "decode HandOver", "keeper HandOver",
+    "fn.unpack_floor", "placement Fresh changed", "decode HandOver", "keeper HandOver",
 )  # fmt: skip
 
 
@@ -263,23 +263,23 @@
     Row("desk", "configuration", "bytes", ("functions",), "functions", ("document bytes",),
         rate="configurations"),
     Row("holder", "scaler", CPU, ("instances", "functions"), "functions x instances",
-        ("placement.plan", "plan.room_of", "plan.best_worker", "plan.sleepers_mb"),
-        "placement.plan", "passes"),
+        ("fn.plan", "fn.room_of", "fn.best_worker", "fn.sleepers_mb"),
+        "fn.plan", "passes"),
     Row("holder", "reports", CPU, ("held",), "instances",
-        ("placement.means_of", "placement.suspects_of", "placement.live_holders",
-         "placement.demand_now")),
+        ("fn.means_of", "fn.suspects_of", "fn.live_holders",
+         "fn.demand_now")),
     Row("holder", "floor and holds", CPU, ("instances",), "instances",
-        ("placement.pack_floor", "floor.unpack_floor", "placement.unpack_floor",
-         "placement Settled", "proposer.digest_of", "proposer Promise", "encode Accept",
-         "decode Promise", "placement Fresh changed"), "placement.pack_floor", "floor changes"),
+        ("fn.pack_floor", "fn.unpack_floor", "fn.unpack_floor",
+         "placement Settled", "fn.digest_of", "proposer Promise", "encode Accept",
+         "decode Promise", "placement Fresh changed"), "fn.pack_floor", "floor changes"),
     Row("holder", "floor and holds, each pass", CPU, ("instances",), "instances",
-        ("placement.remark", "placement Tick"), "placement.plan", "passes"),
+        ("fn.remark", "placement Tick"), "fn.plan", "passes"),
     Row("holder", "platform lists and starts, each pass", CPU, ("instances",), "instances",
-        ("placement.platform_calls", "placement.orphan_stops"), "placement.plan", "passes"),
+        ("fn.platform_calls", "fn.orphan_stops"), "fn.plan", "passes"),
     Row("holder", "LAAF lists, the picture", CPU, ("instances",), "instances",
-        ("placement.picture",), "placement.picture", "passes"),
+        ("fn.picture",), "fn.picture", "passes"),
     Row("holder", "LAAF lists, a run", CPU, ("instances", "workers"), "pairs x sites",
-        ("placement.laaf", "placement.rome"), "placement.laaf", "pushes"),
+        ("fn.laaf", "fn.rome"), "fn.laaf", "pushes"),
     Row("holder", "LAAF lists, to every node", CPU, ("instances", "workers"), "names in lists",
         ("encode Lists",), "encode Lists", "pushes to every node"),
     Row("holder", "LAAF lists, to every node", BYTES_OUT, ("instances", "workers"),
--- a/tools/capacity_size.py
+++ b/tools/capacity_size.py
@@ -307,6 +307,16 @@
     return tuple(out)
 
 
+def exchange_address(number: int) -> Address:
+    """Where an exchange listens for its peers.
+
+    Example:
+        >>> exchange_address(257)
+        '10.1.1.1:7000'
+    """
+    return Address(f"10.1.{number // 256}.{number % 256}:7000")
+
+
 @cache
 def floor_of(size: Size) -> Floor:
     """Every instance up, warm, routed and held; in no order that a packer could use.
@@ -331,7 +341,7 @@
                     zone=ZoneName(zone_of(worker)),
                     address=Address(f"{host}:{rng.randrange(20_000, 60_000)}"), limit=LIMIT,
                     state=UP, warm=True, routed=True, holder=NodeId(node_name(holder)),
-                    holder_incarnation=born[holder],
+                    holder_incarnation=born[holder], holder_address=exchange_address(holder),
                 )
             )  # fmt: skip
     rng.shuffle(placed)
--- a/tools/capacity_world.py
+++ b/tools/capacity_world.py
@@ -14,6 +14,7 @@
 from spokeroute.dial.ids import Address, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
+from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.types import AttemptDone, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
 from spokeroute.nodes import Start, build_exchange, build_registry
@@ -135,12 +136,11 @@
             framed(address, to, message)
 
         def carry(actor: str, effect: Any) -> None:
-            if type(effect) is Send and effect.to != self.me.node:
-                if effect.to not in process.book:
-                    self.meter.note(f"no address: {type(effect.message).__name__}")
-                else:
-                    self.meter.note(f"addressed: {type(effect.message).__name__}")
+            self.kind = ""
             perform(actor, effect)
+            if type(effect) is Send and effect.to != self.me.node:
+                went = "addressed" if self.kind else "no address"
+                self.meter.note(f"{went}: {type(effect.message).__name__}")
 
         # The hooks for the counts: the process has no others.
         process._frame = frame  # type: ignore[method-assign]
@@ -157,6 +157,9 @@
         self.fleet.net.send(self, address, frame, self.kind)
         self.meter.leave("")
 
+    def cut(self, address: Address) -> None:
+        """Every connection here came to be."""
+
     def launch(self, actor: str, job: object) -> None:
         self.meter.enter()
         self._launch(actor, job)
@@ -184,6 +187,8 @@
                 self.later(REACH_MS + WORK_MS, actor, lambda: done)
             case Revoke():
                 pass
+            case Connect():
+                self.later(REACH_MS, actor, lambda: self.fleet.platform.connect(job))
             case ListPlatform():
                 self.later(3.0, actor, self._listing)
             case PlatformCall():
