--- a/tools/capacity_aim.py
+++ b/tools/capacity_aim.py
@@ -98,7 +98,7 @@
     ),
     "configuration": (
         "edge build_table", "edge read_configuration", "edge pack_configuration", "operator *",
-        "copies Compiled", "copies Compile",
+        "copies Compiled", "copies Compile", "desk apply",
     ),
     "floor and holds": (
         "fn.unpack_floor", "fn.unpack_floor", "fn.unpack_floor",
