--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -123,14 +123,14 @@
 
     def settle(self) -> None:
         """Run until it is settled, and a little more."""
-        self.fleet.clock.run(SETTLE_S * 1000 - 700)
+        self.fleet.clock.run(SETTLE_S * 1000 - 500)
         left_s = SETTLE_MOST_S - SETTLE_S
         while not self.settled():
             if left_s <= 0:
                 raise RuntimeError(f"the fleet did not settle: {self.fleet.notes}")
-            self.fleet.clock.run(500)
-            left_s -= 0.5
-        self.fleet.clock.run(700)
+            self.fleet.clock.run(250)
+            left_s -= 0.25
+        self.fleet.clock.run(500)
 
     # what happens while it is measured
 
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from tools.capacity_aim import AIM, BYTES_A_NODE, CORES_A_NODE, MB_A_NODE
+from tools.capacity_caps import caps
 from tools.capacity_faults import faults
 from tools.capacity_rows import (
     BYTES_IN,
@@ -252,6 +253,7 @@
     out["reach"] = reach(raw)
     out["faults"] = faults(lines)
     out["about"] = about(doc)
+    out["caps"] = caps(lines)
     if cold_doc:
         out["cold"] = cold(cold_doc["points"])
     if anchor_doc:
--- a/tools/capacity_size.py
+++ b/tools/capacity_size.py
@@ -37,7 +37,7 @@
 HUBS = 2  # nodes that hold what the ordinary ones do not
 MOST_MB = 8_192
 MOST_WORKER_S = 600.0
-SETTLE_S = 3.5
+SETTLE_S = 3.0
 
 
 class SizeError(Exception):
