--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -64,6 +64,15 @@
         """A sender's connection: of this life of its process."""
         return (sender.name, sender.births, address)
 
+    def reset(self, dead: Node) -> Steps:
+        """A process died on a machine that is up: its connections are reset at once."""
+        yield self.env.timeout(1.5)
+        for node in dead.sim.nodes:
+            link = self.link(node, dead.address)
+            if link in self.linked and not self.cut_between(dead, node):
+                self.linked.discard(link)
+                node.lost(dead, True)
+
     def cut_between(self, a: Node, b: Node) -> bool:
         """Whether nothing gets from a to b."""
         froms = (a.name, f"zone:{a.zone}")
@@ -281,6 +290,8 @@
         self.tokens = {}
         if self.process is not None:
             self.process.close()
+        if self.machine_up:
+            self.env.process(self.sim.net.reset(self))
         for told in list(self.slots.values()):
             told(Answer(0, (), b""))  # the caller's connection breaks
         self.slots = {}
