--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -66,6 +66,7 @@
     reached: frozenset[str] = frozenset()  # instances that their own holder reached
     starting_ms: Mapping[str, int] = field(default_factory=dict)  # since when an instance starts
     zones: Mapping[str, str] = field(default_factory=dict)  # exchange -> its zone
+    addresses: Mapping[NodeId, Address] = field(default_factory=dict)  # of exchanges
 
 
 @dataclass(frozen=True, slots=True)
