What a request waited through a freeze or a long turn counts as part of its wait

Cause: time before the reading was reckoned only where the loop came back at once; a process that overslept read requests as if they had just come. Ruled out: the kernel's receive times, which a simulated machine may not have.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,11 +3,14 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from collections.abc import Iterator
 
 import pytest
 
 from spokeroute.dial.answers import Answer
+from spokeroute.exchange.types import CallIn
 from tests.door import GET, LONG, Caller, Door
 
 
@@ -165,6 +168,25 @@
     assert [caller.answer()[0] for caller in crowd] == [200] * 8
 
 
+def test_time_that_passed_before_the_reading_counts(door: Door) -> None:
+    second, blocked = Caller(door.address), threading.Event()
+    assert second.send(GET).answer()[0] == 200
+    assert door.call().waited_ms < 2_000
+
+    def block(call: CallIn) -> Answer:
+        if not blocked.is_set():
+            second.send(GET)
+            blocked.set()
+            time.sleep(0.3)  # a turn that takes its time
+        return Answer(200, (), b"done")
+
+    door.answer = block
+    Caller(door.address).send(GET).answer()
+    assert second.answer()[0] == 200
+    door.call()
+    assert door.call().waited_ms >= 300
+
+
 def test_calls_wait_for_the_first_proof(door: Door) -> None:
     door.is_ready = False
     caller = Caller(door.address).send(GET)
