--- a/spokeroute/dial/bounds.py
+++ b/spokeroute/dial/bounds.py
@@ -22,9 +22,11 @@
     rejection_safe: bool = False
     """Whether an instance itself refuses what is over its limit, as not run: a lost holder is
     then replaced at once."""
+    stop_drains: bool = False
+    """Whether the platform's stop closes an instance's door at once and lets what runs end."""
     budget_ratio: float = 0.2
     budget_window_ms: int = 10_000
-    budget_extra: int = 36
+    budget_extra: float = 36.0
     """Second sends in a window, over all exchanges, on top of the ratio."""
     starts_per_s: float = 80.0
     starts_burst: float = 15.0
@@ -44,3 +46,5 @@
     """Whether a missing or absurd wait falls back on the route's timeout."""
     last_zone_stays: bool = True
     """Whether the evacuation of the last zone is refused."""
+    members: int = 3
+    """How many disks the core grows to where so many registries are started; an odd number."""
--- a/spokeroute/dial/dialect.py
+++ b/spokeroute/dial/dialect.py
@@ -24,6 +24,8 @@
     key_header: str = "Idempotency-Key"
     client_header: str = "Spokeroute-Client"
     ready_path: str = "/spokeroute/ready"
+    fractional_retry: bool = False
+    """Whether callers understand Retry-After with a fraction of a second."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,9 @@
     """An answer that carries it says: not run."""
     misdirected_status: int = 0
     """Says: another instance is at that address, and it did not run the call."""
+    promises: tuple[int, ...] = ()
+    """Statuses that promise a caller that the call did not run. From an instance they count only
+    with its word that it did not."""
     seal_header: str = ""
     """A success without it is no instance's answer."""
 
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -17,6 +17,7 @@
 from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
+from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
@@ -150,6 +151,8 @@
                 held = self.tokens.get(attempt_id)
                 if held is not None and held.revoke():
                     self.report("holder", AttemptDone(attempt_id, "no", "dropped"), born)
+            case Connect():
+                self.env.process(self.sim.platform.connect(self, job, born))
             case ListPlatform():
                 self.env.process(self.sim.platform.list(self, actor, born))
             case PlatformCall():
@@ -241,11 +244,12 @@
             loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
-            start = Start(seeds, rng.randrange(10**9), self.found, rank)
+            start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds)
             self.process = build_registry(me, self, start, loaded)
         else:
             me = Me(NodeId(self.name), incarnation, self.address, self.role, self.zone)
-            self.process = build_exchange(me, self, Start(seeds, rng.randrange(10**9)))
+            start = Start(seeds, rng.randrange(10**9), bounds=self.sim.bounds)
+            self.process = build_exchange(me, self, start)
         self.sim.net.nodes[self.address] = self
         self.env.process(self._beat(self.births))
 
