--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -11,8 +11,10 @@
     Demand,
     best_worker,
     counted,
+    patience_ms,
     room_of,
     sleepers_mb,
+    spares_of,
     wanted_of,
 )
 from spokeroute.dispatch.workbook import Pass
@@ -34,21 +36,25 @@
     up = [p for p in here if p.state == UP and p.holder]
     demand = seen.demand.get(service.name, Demand())
     running = sum(1 for p in here if p.state == UP)
-    wanted = wanted_of(service, demand, running, seen.now_ms)
-    total = wanted + (service.spares if wanted else 0)
+    aim_ms = seen.table.aim_ms.get(service.name, 0)
+    wanted = wanted_of(service, demand, running, seen.now_ms, aim_ms)
+    total = wanted + spares_of(service, demand, wanted, seen.now_ms, aim_ms)
     inputs: dict[str, object] = {
         "service": service.to_dict(),
         "level": demand.level,
         "waiting": demand.waiting,
         "idleForMs": seen.now_ms - demand.last_arrival_ms,
+        "gapMs": demand.gap_ms,
         "have": len(here),
         "up": running,
+        "aimMs": aim_ms,
     }
     if len(here) < total:
         _start(work, service, here, wanted, total, inputs)
     elif len(here) > total:
         work.surplus.add(service.name)
-        if seen.now_ms - seen.surplus_ms.get(service.name, seen.now_ms) >= SURPLUS_MS:
+        since_ms = seen.now_ms - seen.surplus_ms.get(service.name, seen.now_ms)
+        if since_ms >= min(SURPLUS_MS, patience_ms(service, demand)):
             _drain(work, here, len(here) - total, wanted, inputs)
     _route(work, service, up, wanted)
 
