A living holder answers what it was handed; who was turned away may come back to the same one

Now an attempt ends with its holder only if that one is silent, and a call that was turned away goes on to whichever has room, charged as a second send. Tests for both.

--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -75,7 +75,7 @@
     placed = picked.placed
     name = call.service.name
     budget = state.budget
-    if call.touched and placed.id not in call.touched:
+    if call.resend or (call.touched and placed.id not in call.touched):
         spent = len(call.touched) >= call.route.attempts
         if spent or not budget.allows(name, now_ms):
             if call.maybe:
@@ -83,6 +83,7 @@
             why = f"{call.why}; {'as often as the route allows' if spent else 'budget spent'}"
             return refuse(state, call, Kind.UNREACHED, why, now_ms)
         budget = budget.second(name, now_ms)
+        call = replace(call, resend=False)
         state = took_note(state, call, placed.id, picked.rule, now_ms)
     elif not call.failed and not call.attempts and call.draws == 0:
         budget = budget.first(name, now_ms)
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -4,10 +4,32 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
+from immutables import Map
 
 from spokeroute.dial.bounds import Bounds
+from spokeroute.dial.effects import From, Send, SlotId, Tick
+from spokeroute.dial.ids import (
+    Address,
+    Incarnation,
+    InstanceId,
+    Ms,
+    NodeId,
+    ServiceName,
+    Version,
+    WorkerId,
+    ZoneName,
+)
+from spokeroute.dispatch.configuration import Configuration, build_table, pack_configuration
+from spokeroute.dispatch.floor import UP, Placed
+from spokeroute.exchange import calls, entry
+from spokeroute.exchange.budget import Budget
+from spokeroute.exchange.calls import _lost_holders
+from spokeroute.exchange.types import Tables
+from spokeroute.trunk.messages import Forward, Forwarded
+from tests.calls_made import call_to
 from tests.sim.acts import fall_and_return
 from tests.sim.cluster import Sim, configuration
 from tests.test_scenarios import clean
@@ -74,3 +96,45 @@
     seats = [s for e in sim.exchanges if e.alive for s in e.state("holder").seats.values()]
     assert seats and not any(s.guest for s in seats)
     sim.close()
+
+
+def test_a_living_holder_answers_what_it_was_handed(safe: Sim) -> None:
+    """The floor names another holder while a call runs; the old one lives and will answer."""
+    safe.platform.work_ms = 800.0
+    asked = [safe.call("/corrections") for _ in range(6)]
+    safe.run(200)
+    for node in safe.exchanges:
+        open_ = node.state("calls")
+        tables = open_.tables
+        other = {p.id: replace(p, holder=NodeId("ex9")) for p in tables.floor.instances}
+        moved = replace(tables, by_id=Map(other))
+        state, effects = _lost_holders(replace(open_, tables=moved), node.now_ms())
+        assert effects == () and state.calls == open_.calls
+    safe.run(3_000)
+    assert [a.status for a in asked] == [200] * 6
+
+
+def test_a_call_that_was_turned_away_comes_back_to_the_same_instance() -> None:
+    """The only instance was full for a moment: the call must not wait for another one in vain,
+    and its second send is charged."""
+    call = call_to("ex1", Ms(11_000), SlotId(1, 1))
+    placed = Placed(
+        InstanceId("i"), ServiceName("s"), WorkerId("w"), ZoneName("north"), Address("h:1"), 1, UP,
+        True, True, NodeId("ex1"), Incarnation(1),
+    )  # fmt: skip
+    table = build_table(
+        Version(1), "", pack_configuration(Configuration((), (call.service,), ()), "a")
+    )
+    tables = Tables(
+        Ms(11_000), table, by_service=Map({"s": (placed,)}), by_id=Map({"i": placed}),
+        rule_ms=20_000,
+    )  # fmt: skip
+    state = entry.State(NodeId("ex1"), 1, Budget(0), tables)
+    state = replace(entry.put(state, call), attempt_of=Map({"c1.0": 1}), outstanding=Map({"i": 1}))
+    no = Forwarded("c1.0", "no", "refused: the instance said 503, not run", 503, (), b"")
+    state, effects = calls.step(state, From(NodeId("ex1"), Incarnation(1), no), Ms(11_010))
+    assert effects == ()
+    state, effects = calls.step(state, Tick(), Ms(11_100))
+    sent = [e.message for e in effects if isinstance(e, Send)]
+    assert [m.instance for m in sent if isinstance(m, Forward)] == ["i"]
+    assert state.budget.seconds.total("s", 11_100, 1) == 1
