--- a/spokeroute/dispatch/models.py
+++ b/spokeroute/dispatch/models.py
@@ -1,29 +1,59 @@
-"""What a configuration is made of, as mashumaro reads it. JSON names stand as aliases."""
+"""What a configuration is made of. mashumaro reads an operator's (``configuration.py``); what was
+checked and kept once is built without it, so that front nodes need not load it."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import Field, dataclass, field, fields
+from typing import Any, Self
 
-from mashumaro import DataClassDictMixin, field_options
-from mashumaro.config import BaseConfig
 
+def _written(name: str) -> dict[str, Any]:
+    """The metadata of a field whose name in JSON is ``name``."""
+    return {"alias": name}
 
-class Strict(DataClassDictMixin):
-    """A part of the configuration that takes no unknown field."""
 
-    class Config(BaseConfig):
-        forbid_extra_keys = True
-        serialize_by_alias = True
+def written(part: Field[Any]) -> str:
+    """How a field is named in JSON.
 
+    Example:
+        [written(f) for f in fields(Thresholds)][0] == "overloadPct"
+    """
+    return str(part.metadata.get("alias", part.name))
 
-def _written(name: str) -> dict[str, Any]:
-    """The metadata of a field whose name in JSON is ``name``."""
-    return field_options(alias=name)
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, Part):
+        return value.to_dict()
+    return [_plain(each) for each in value] if isinstance(value, tuple) else value
+
+
+class Part:
+    """A part of the configuration, as JSON and back from what was checked and kept."""
+
+    def to_dict(self) -> dict[str, Any]:
+        """The part by its names in JSON.
+
+        Example:
+            >>> Share("s", 1.0).to_dict()
+            {'service': 's', 'weight': 1.0}
+        """
+        kept: Any = self
+        return {written(f): _plain(getattr(self, f.name)) for f in fields(kept)}
+
+    @classmethod
+    def from_dict(cls, raw: dict[str, Any]) -> Self:
+        """A part without parts of its own, which was checked before.
+
+        Example:
+            >>> Share.from_dict({"service": "s", "weight": 1.0})
+            Share(service='s', weight=1.0)
+        """
+        kind: Any = cls
+        return cls(**{f.name: raw[written(f)] for f in fields(kind) if written(f) in raw})
 
 
 @dataclass(frozen=True)
-class Service(Strict):
+class Service(Part):
     """A function: what an instance of it needs and how it behaves."""
 
     name: str
@@ -40,7 +70,7 @@
 
 
 @dataclass(frozen=True)
-class Share(Strict):
+class Share(Part):
     """A service's share of a split route."""
 
     service: str
@@ -48,7 +78,7 @@
 
 
 @dataclass(frozen=True)
-class Route(Strict):
+class Route(Part):
     """A host (empty: any) and a path, its methods (none: all), and where its calls go. A path
     is exact, or ends in ``/*`` (it and what is below) or ``/**`` (only what is below)."""
 
@@ -76,7 +106,7 @@
 
 
 @dataclass(frozen=True)
-class Limits(Strict):
+class Limits(Part):
     """What a caller may send, and how long it may take."""
 
     max_header_bytes: int = field(default=65_536, metadata=_written("maxHeaderBytes"))
@@ -86,7 +116,7 @@
 
 
 @dataclass(frozen=True)
-class Programs(Strict):
+class Programs(Part):
     """Policy programs; empty means FLARe itself."""
 
     rank: str = ""
@@ -94,7 +124,7 @@
 
 
 @dataclass(frozen=True)
-class Thresholds(Strict):
+class Thresholds(Part):
     """FLARe's numbers, in percent of a worker."""
 
     overload_pct: float = field(default=70.0, metadata=_written("overloadPct"))
@@ -103,7 +133,7 @@
 
 
 @dataclass(frozen=True)
-class Configuration(Strict):
+class Configuration(Part):
     """The whole configuration."""
 
     zones: tuple[str, ...]
--- /dev/null
+++ b/spokeroute/registry_daemon.py
@@ -0,0 +1,138 @@
+"""The registry's daemon: its cores on the real loop, with the disk's and the platform's threads."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from absl import logging
+
+from spokeroute.daemon import RealWorld, http_fault, listen, on_signals
+from spokeroute.dial.http import WsgiApp, serve
+from spokeroute.dial.ids import Address, Incarnation
+from spokeroute.dial.settings import Settings, SettingsError
+from spokeroute.dial.slab import Slab
+from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
+from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformClient
+from spokeroute.dispatch.role import Resign
+from spokeroute.logbook.ledger import KEEP_ENTRIES, LedgerWrite, LedgerWritten
+from spokeroute.logbook.ring import Ring
+from spokeroute.nodes import Start
+from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.keeper import DiskDone, DiskFailed, DiskWrite
+from spokeroute.registry.api import Api
+from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
+from spokeroute.registry_node import build_registry
+from spokeroute.reread import Rereader
+from spokeroute.trunk.net import Loop
+from spokeroute.trunk.process import Me
+
+API_THREADS = 16
+
+
+def _serve_on_thread(server: Any) -> None:
+    threading.Thread(target=server.run, name="http", daemon=True).start()
+
+
+class DiskEdge:
+    """The disk's one thread: batches of cells, and ledger entries between them."""
+
+    def __init__(self, disk: Disk, loop: Loop) -> None:
+        self.disk = disk
+        self.loop = loop
+        self.pool = ThreadPoolExecutor(1, thread_name_prefix="disk")
+
+    def write(self, actor: str, job: DiskWrite) -> None:
+        self.pool.submit(self._write, actor, job)
+
+    def _write(self, actor: str, job: DiskWrite) -> None:
+        try:
+            self.disk.write(job)
+        except Exception as fault:  # lmdb raises many kinds
+            self.loop.report(actor, DiskFailed(f"{type(fault).__name__}: {fault}"))
+            return
+        self.loop.report(actor, DiskDone(job.batch))
+
+    def ledger(self, actor: str, job: LedgerWrite) -> None:
+        self.pool.submit(self._ledger, actor, job)
+
+    def _ledger(self, actor: str, job: LedgerWrite) -> None:
+        try:
+            self.disk.append(job.entries, KEEP_ENTRIES)
+        except Exception as fault:
+            logging.error("ledger entries were not kept: %s; free the disk", fault)
+            return
+        self.loop.report(actor, LedgerWritten(job.entries[-1][0], job.ack_to))
+
+
+def run_registry(
+    settings: Settings,
+    platform: PlatformClient | None = None,
+    edge_of: Callable[[Api], WsgiApp] | None = None,
+    read: Callable[[], Settings] | None = None,
+) -> int:
+    """Run a registry until SIGTERM. ``platform`` speaks another contract than the product's own,
+    ``edge_of`` gives the operators another interface over its API.
+
+    Example:
+        run_registry(read_settings("reg1.toml", {}))
+    """
+    threading.stack_size(512 * 1024)
+    try:
+        disk = Disk(Path(settings.data), settings.disk_mb)
+        loaded = disk.load()
+    except DiskError as fault:
+        raise SettingsError(str(fault)) from fault
+    loop = listen(settings)
+    ring = Ring(settings.name)
+    slab = Slab(64)
+    world = RealWorld(loop, ring, slab)
+    me = Me(
+        loaded.member, Incarnation(secrets.randbits(48)), Address(settings.trunk),
+        "registry", settings.zone,
+    )  # fmt: skip
+    seeds = tuple(Address(s) for s in settings.seeds)
+    rank = seeds.index(me.address) if me.address in seeds else len(seeds)
+    process = build_registry(
+        me,
+        world,
+        Start(seeds, secrets.randbits(30), settings.found, rank, settings.bounds),
+        loaded,
+    )
+    edge = DiskEdge(disk, loop)
+    world.jobs[DiskWrite] = edge.write
+    world.jobs[LedgerWrite] = edge.ledger
+    platforms = PlatformEdge(platform or HttpPlatform(settings.platform), loop.report)
+    world.jobs[ListPlatform] = platforms.list
+    world.jobs[PlatformCall] = platforms.call
+    api = Api(process, slab, disk, lambda event: loop.report("operator", event))
+    app = edge_of(api) if edge_of else api
+    try:
+        server = serve(app, settings.http, API_THREADS, MAX_CONFIGURATION_BYTES + 1024)
+    except (OSError, ValueError) as fault:
+        raise http_fault(settings.http, fault) from fault
+    _serve_on_thread(server)
+    stopped_at: list[float] = []
+
+    def first() -> None:
+        stopped_at.append(time.monotonic())
+        loop.report("role", Resign())
+
+    def quiet() -> bool:
+        idle = process.actors["keeper"].state.writing is None
+        waited_s = time.monotonic() - stopped_at[0]
+        return (waited_s > 0.3 and idle) or waited_s > 3.0
+
+    rereader = Rereader(process, ring, settings, read)
+    loop.on_tick = rereader.look
+    loop.before_stop = quiet
+    on_signals(loop, first, rereader)
+    loop.run(process)
+    edge.pool.shutdown(wait=True)
+    disk.close()
+    return 0
--- /dev/null
+++ b/spokeroute/registry_node.py
@@ -0,0 +1,91 @@
+"""How the cores of a registry are put together; exchanges load none of them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from spokeroute.dial.ids import Incarnation, MemberId
+from spokeroute.dispatch import placement, role
+from spokeroute.logbook import ledger
+from spokeroute.nodes import Start
+from spokeroute.register import claims, copies, keeper, proposer, steward
+from spokeroute.register.disk import Loaded
+from spokeroute.registry import operator
+from spokeroute.trunk import messages as m
+from spokeroute.trunk import peers
+from spokeroute.trunk.process import Me, Process, World
+
+
+def build_registry(me: Me, world: World, start: Start, loaded: Loaded) -> Process:
+    """A registry's actors, over what its disk held.
+
+    Example:
+        process = build_registry(me, world, Start(seeds, 1, found=True), disk.load())
+    """
+    # Counted by its disk, so that of two lives of this member the later one is known.
+    me = replace(me, incarnation=Incarnation(loaded.starts))
+    process = Process(me, world)
+    member = MemberId(loaded.member)
+    members = tuple(a for _, a in loaded.roster.members) if loaded.roster else ()
+    seeds = tuple(dict.fromkeys((*start.seeds, *members)))
+    process.add(
+        "peers",
+        peers.State(me, seeds, start.seed, ("copies", "steward", "placement"), "copies"),
+        peers.step,
+        takes=(m.Shuffle,),
+    )
+    process.add(
+        "keeper",
+        keeper.start(member, loaded.roster, loaded.votes, loaded.cells),
+        keeper.step,
+        takes=(m.Prepare, m.Accept, m.HandOver, m.Probe, m.FetchAsk, m.CopyAsk),
+    )
+    process.add(
+        "proposer",
+        proposer.State(member, start.seed, loaded.roster),
+        proposer.step,
+        takes=(m.Promise, m.Accepted, m.Finish, m.Alive),
+    )
+    process.add(
+        "steward",
+        steward.State(
+            member,
+            me.address,
+            start.seeds,
+            start.found,
+            me.zone,
+            loaded.roster,
+            loaded.votes,
+            bounds=start.bounds,
+        ),
+        steward.step,
+        takes=(m.Alive, m.RosterNews, m.CopyPart, m.Probe),
+    )
+    process.add(
+        "copies",
+        copies.State(("placement",), roster=loaded.roster, bounds=start.bounds),
+        copies.step,
+        takes=(m.ProbeAck, m.FetchGot, m.RosterNews),
+    )
+    process.add("claims", claims.State(), claims.step, takes=(m.ClaimAsk,))
+    process.add("operator", operator.State(me.node, bounds=start.bounds), operator.step)
+    ids = loaded.roster.ids if loaded.roster else ()
+    process.add(
+        "role",
+        role.State(me.node, me.incarnation, ids),
+        role.step,
+        takes=(m.Alive, m.RoleFree),
+    )
+    process.add(
+        "placement",
+        placement.State(me.node, frozenset((me.node,)), bounds=start.bounds), placement.step,
+        takes=(m.Probe,),
+    )  # fmt: skip
+    others = tuple(x for x in ids if x != member)
+    process.add(
+        "ledger",
+        ledger.State(me.node, f"{me.node}.{me.incarnation}", others),
+        ledger.step,
+        takes=(m.LedgerShare, m.LedgerAck),
+    )
+    return process
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -21,11 +21,12 @@
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
-from spokeroute.nodes import Start, build_exchange, build_registry
+from spokeroute.nodes import Start, build_exchange
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.copies import Compile, Compiled
 from spokeroute.register.disk import Loaded
 from spokeroute.register.keeper import DiskDone, DiskFailed, DiskWrite
+from spokeroute.registry_node import build_registry
 from spokeroute.trunk.process import Me, Process
 from tools.log import Down
 
