--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -63,7 +63,13 @@
     )
     process.add(
         "copies",
-        copies.State(("placement",), roster=loaded.roster, bounds=start.bounds),
+        copies.State(
+            ("placement",),
+            roster=loaded.roster,
+            bounds=start.bounds,
+            address=me.address,
+            zone=me.zone,
+        ),
         copies.step,
         takes=(m.ProbeAck, m.FetchGot, m.RosterNews),
     )
