No date of our own in answers: the wall clock is not read

Cause: test_no_decision_looks_at_a_wall_clock found the time that Date was written from. The instance's own Date goes through as before; an exchange says none, as one without a clock to trust. Ruled out: a library's date, which reads the same clock unseen. Before/after: that test red, now green.

--- a/spokeroute/dial/framing.py
+++ b/spokeroute/dial/framing.py
@@ -7,10 +7,7 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
-from email.utils import formatdate
-from functools import lru_cache
 from http import HTTPStatus
 
 from spokeroute.dial.answers import Answer
@@ -36,11 +33,6 @@
     keep_alive_s: int = 0
 
 
-@lru_cache(maxsize=2)
-def _date(second: int) -> str:
-    return formatdate(second, usegmt=True)
-
-
 def hops(headers: tuple[tuple[str, str], ...]) -> frozenset[str]:
     """The headers that concern this connection only: the known ones, and those that
     ``Connection`` names.
@@ -56,7 +48,8 @@
 
 
 def head_of(answer: Answer, body: bytes, framing: Framing) -> bytes:
-    """The status line and the headers, with the length of ``body`` where one is told.
+    """The status line and the headers, with the length of ``body`` where one is told. A date is
+    the instance's own: no wall clock of ours is trusted.
 
     Example:
         >>> b"Content-Length: 2" in head_of(Answer(200, (), b"{}"), b"{}", Framing("GET"))
@@ -65,14 +58,13 @@
     status = answer.status
     lines = [f"HTTP/{framing.version} {status} {REASONS.get(status, 'Status')}"]
     dropped = hops(answer.headers)
-    dated, length = False, ""
+    length = ""
     for name, value in answer.headers:
         low = name.lower()
         if low == "content-length":
             length = value
         if low in dropped:
             continue
-        dated = dated or low == "date"
         if "\r" in value or "\n" in value:  # a folded line: one line, as its reader is meant to
             value = " ".join(value.split())
         lines.append(f"{name}: {value}")
@@ -82,8 +74,6 @@
             lines.append(f"Content-Length: {len(body)}")
         elif length or (body and status != 304):
             lines.append(f"Content-Length: {length or len(body)}")
-    if not dated:
-        lines.append(f"Date: {_date(int(time.time()))}")
     if framing.close:
         lines.append("Connection: close")
     else:
