--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -10,14 +10,16 @@
 from spokeroute.exchange.claiming import ask_claim
 from spokeroute.exchange.entry import (
     State,
+    adopt,
     end_attempt,
+    lost_to,
     overdue_ms,
     pressed,
     put,
     shun,
     took_note,
 )
-from spokeroute.exchange.pick import pick
+from spokeroute.exchange.pick import GUEST, pick
 from spokeroute.exchange.types import (
     Attempt,
     Call,
@@ -61,8 +63,10 @@
         return refuse(state, call, Kind.NOT_FRESH, "", now_ms)
     picked = pick(
         call, state.tables, state.lists, state.lists_ms, state.outstanding, state.shunned_ms,
-        state.me, now_ms, state.zone,
+        state.me, now_ms, state.zone, lost_to(state, now_ms),
     )  # fmt: skip
+    if picked is None and state.bounds.rejection_safe:
+        picked = adopt(state, call, now_ms)
     if picked is None:
         if call.touched and not call.attempts and call.maybe:
             return unknown(state, call, now_ms)
@@ -71,7 +75,7 @@
     placed = picked.placed
     name = call.service.name
     budget = state.budget
-    if call.touched and placed.id not in call.touched:
+    if call.resend or (call.touched and placed.id not in call.touched):
         spent = len(call.touched) >= call.route.attempts
         if spent or not budget.allows(name, now_ms):
             if call.maybe:
@@ -79,6 +83,7 @@
             why = f"{call.why}; {'as often as the route allows' if spent else 'budget spent'}"
             return refuse(state, call, Kind.UNREACHED, why, now_ms)
         budget = budget.second(name, now_ms)
+        call = replace(call, resend=False)
         state = took_note(state, call, placed.id, picked.rule, now_ms)
     elif not call.failed and not call.attempts and call.draws == 0:
         budget = budget.first(name, now_ms)
@@ -93,6 +98,7 @@
     forward = Forward(
         attempt_id, name, placed.id, placed.holder_incarnation, ask.method, path, ask.headers,
         ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
+        picked.rule == GUEST,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     state = replace(
@@ -101,7 +107,7 @@
         attempt_of=state.attempt_of.set(attempt_id, ask.slot.index),
         outstanding=state.outstanding.set(placed.id, count),
     )
-    return state, (Send(NodeId(placed.holder), forward),)
+    return state, (Send(NodeId(placed.holder), forward, placed.holder_address),)
 
 
 def may_have_run(
@@ -216,3 +222,15 @@
     if call is None or each is None:
         return state, ()
     return may_have_run(state, call, each, why, now_ms)
+
+
+def unsent_attempt(state: State, attempt_id: str, now_ms: Ms) -> tuple[State, Effects]:
+    """An attempt was never sent: the call goes on as if it had not been tried.
+
+    Example:
+        state, effects = unsent_attempt(state, "c1.0", now_ms)
+    """
+    state, call, each = end_attempt(state, attempt_id)
+    if call is None or each is None:
+        return state, ()
+    return go_on(state, replace(call, why="down: its holder can't be reached"), now_ms)
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -21,11 +21,12 @@
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
-from spokeroute.nodes import Start, build_exchange, build_registry
+from spokeroute.nodes import Start, build_exchange
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.copies import Compile, Compiled
 from spokeroute.register.disk import Loaded
 from spokeroute.register.keeper import DiskDone, DiskFailed, DiskWrite
+from spokeroute.registry_node import build_registry
 from spokeroute.trunk.process import Me, Process
 from tools.log import Down
 
@@ -42,6 +43,7 @@
     roster: Roster | None = None
     votes: bool = False
     ledger: dict[str, str] = field(default_factory=dict)
+    starts: int = 0
     sync_ms: float = 0.5
     stalled_until_ms: float = 0.0
     full: bool = False
@@ -57,6 +59,20 @@
         self.nodes: dict[Address, Node] = {}
         self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "zone:x"
         self.last_ms: dict[tuple[str, str], float] = {}
+        self.linked: set[tuple[str, int, str]] = set()  # connections that came to be
+
+    def link(self, sender: Node, address: str) -> tuple[str, int, str]:
+        """A sender's connection: of this life of its process."""
+        return (sender.name, sender.births, address)
+
+    def reset(self, dead: Node) -> Steps:
+        """A process died on a machine that is up: its connections are reset at once."""
+        yield self.env.timeout(1.5)
+        for node in dead.sim.nodes:
+            link = self.link(node, dead.address)
+            if link in self.linked and not self.cut_between(dead, node):
+                self.linked.discard(link)
+                node.lost(dead, True)
 
     def cut_between(self, a: Node, b: Node) -> bool:
         """Whether nothing gets from a to b."""
@@ -83,8 +99,12 @@
             return
         if there is None or not there.alive:
             if there is not None and there.machine_up and sender.births == born:
-                sender.lost(there)
+                link = self.link(sender, address)
+                sender.lost(there, link in self.linked)
+                self.linked.discard(link)
             return
+        if sender.births == born:
+            self.linked.add(self.link(sender, address))
         there.frame(frame)
 
 
@@ -123,6 +143,12 @@
     def send(self, address: Address, frame: bytes) -> None:
         self.sim.net.send(self, address, frame)
 
+    def cut(self, address: Address) -> None:
+        """A connection that never came to be is given up: what was to go there was not sent."""
+        there = self.sim.net.nodes.get(address)
+        if there is not None and self.sim.net.link(self, address) not in self.sim.net.linked:
+            self.lost(there, False)
+
     def reply(self, slot: SlotId, answer: Answer) -> None:
         told = self.slots.pop(slot.index, None)
         if told is not None:
@@ -214,10 +240,10 @@
         self.process.received(data)
         self.process.pump()
 
-    def lost(self, there: Node) -> None:
+    def lost(self, there: Node, reached: bool) -> None:
         if self.alive and self.role == "exchange" and there.process is not None:
             node = there.process.me.node
-            self._now(lambda: self._post("calls", LinkDown(node)))
+            self._now(lambda: self._post("calls", LinkDown(node, reached)))
 
     def _now(self, act: Callable[[], None]) -> None:
         if self.frozen:
@@ -241,7 +267,8 @@
                 member = MemberId(f"m-{self.sim.draw():06d}")
                 self.disk = SimDisk(member, sync_ms=self.sim.sync_ms)
             disk = self.disk
-            loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells))
+            disk.starts += 1
+            loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells), disk.starts)
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
             start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds)
@@ -264,6 +291,8 @@
         self.tokens = {}
         if self.process is not None:
             self.process.close()
+        if self.machine_up:
+            self.env.process(self.sim.net.reset(self))
         for told in list(self.slots.values()):
             told(Answer(0, (), b""))  # the caller's connection breaks
         self.slots = {}
