--- a/tools/capacity_world.py
+++ b/tools/capacity_world.py
@@ -17,11 +17,12 @@
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.types import AttemptDone, Revoke, SendAttempt
 from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
-from spokeroute.nodes import Start, build_exchange, build_registry
+from spokeroute.nodes import Start, build_exchange
 from spokeroute.register.copies import Compile, Compiled
 from spokeroute.register.disk import Loaded
 from spokeroute.register.keeper import DiskDone, DiskWrite
 from spokeroute.registry.platform_edge import read_listing
+from spokeroute.registry_node import build_registry
 from spokeroute.trunk.process import Me, Process
 from tools.capacity_meter import Meter
 from tools.capacity_platform import HollowPlatform
