--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -122,7 +122,9 @@
         print(f"capacity: no sweep {', '.join(unknown)}; known: {known}", file=sys.stderr)
         sys.exit(2)
     began = time.monotonic()
-    points: list[dict[str, Any]] = sweep(names, command.repeats, command.workers)
+    command.out.mkdir(parents=True, exist_ok=True)
+    part = command.out / f"sweep-{_commit()}.part"  # an ended run of the same product goes on
+    points = sweep(names, command.repeats, command.workers, part)
     about = {
         "seconds": round(time.monotonic() - began),
         "workers": command.workers,
--- a/tools/capacity_aim.py
+++ b/tools/capacity_aim.py
@@ -92,7 +92,8 @@
         "decode ProbeAck", "encode Probe", "decode Probe", "keeper AbsentNow",
     ),
     "reports": (
-        "placement Probe", "calls HeldNow", "copies Reports", "holder Tick",
+        "placement Probe", "calls HeldNow", "* HeldWord", "* HeldAnew", "encode Held*",
+        "decode Held*", "copies Reports", "holder Tick",
         "fn.means_of", "fn.suspects_of", "fn.live_holders",
         "fn.demand_now", "fn.addresses_of", "fn.reached_of",
     ),
--- a/tools/capacity_sweep.py
+++ b/tools/capacity_sweep.py
@@ -157,28 +157,54 @@
                 yield job, each.result()
 
 
-def sweep(names: tuple[str, ...], repeats: int, workers: int) -> list[dict[str, Any]]:
-    """Run sweeps with progress on the screen; raw points, as they are kept.
+def sweep(
+    names: tuple[str, ...], repeats: int, workers: int, part: Path | None = None
+) -> list[dict[str, Any]]:
+    """Run sweeps with progress on the screen; raw points, as they are kept. Each point goes into
+    ``part`` as it comes; what that has already is not run again.
 
     Example:
         sweep(("held",), 1, 4)[0]["sweep"]
     """
     jobs = jobs_of(names, repeats)
+    out = _done(part, jobs)
+    left = tuple(j for j in jobs if _key(j) not in {_key_of(p) for p in out})
     began = time.monotonic()
-    out: list[dict[str, Any]] = []
-    for number, (job, point) in enumerate(run_jobs(jobs, workers), 1):
+    for number, (job, point) in enumerate(run_jobs(left, workers), 1):
         out.append({"sweep": job.sweep, "beyond": job.beyond, **asdict(point)})
+        if part is not None:
+            with part.open("a") as lines:
+                lines.write(json.dumps(out[-1]) + "\n")
         found = next(s for s in SWEEPS if s.name == job.sweep)
         value = getattr(job.size, found.varied)
         print(
-            f"[{number}/{len(jobs)}, {time.monotonic() - began:.0f} s] {job.sweep} {value}"
+            f"[{number}/{len(left)}, {time.monotonic() - began:.0f} s] {job.sweep} {value}"
             f"{' (beyond)' if job.beyond else ''}: {point.took_s:.0f} s, {point.rss_mb:.0f} MB",
             flush=True,
         )
-    out.sort(key=lambda p: (p["sweep"], p["beyond"], json.dumps(p["size"], sort_keys=True)))
+    if part is not None:
+        part.unlink(missing_ok=True)
+    out.sort(key=_key_of)
     return out
 
 
+def _key(job: Job) -> str:
+    return f"{job.sweep} {job.beyond} {json.dumps(asdict(job.size), sort_keys=True)}"
+
+
+def _key_of(point: dict[str, Any]) -> str:
+    return f"{point['sweep']} {point['beyond']} {json.dumps(point['size'], sort_keys=True)}"
+
+
+def _done(part: Path | None, jobs: tuple[Job, ...]) -> list[dict[str, Any]]:
+    """What an ended run of the same jobs left behind."""
+    if part is None or not part.exists():
+        return []
+    wanted = {_key(j) for j in jobs}
+    points = [json.loads(line) for line in part.read_text().splitlines()]
+    return [p for p in points if _key_of(p) in wanted]
+
+
 def keep(path: Path, doc: dict[str, Any]) -> None:
     """Write raw figures, a point a line.
 
