--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -24,10 +24,10 @@
 )
 from spokeroute.dispatch.configuration import Configuration, build_table, pack_configuration
 from spokeroute.dispatch.floor import UP, Placed
-from spokeroute.exchange import calls, entry
+from spokeroute.exchange import calls, entry, holder
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.calls import _lost_holders
-from spokeroute.exchange.types import Tables
+from spokeroute.exchange.types import NOT_HELD, Tables
 from spokeroute.trunk.messages import Forward, Forwarded
 from tests.calls_made import call_to
 from tests.sim.acts import fall_and_return
@@ -139,3 +139,16 @@
     sent = [e.message for e in effects if isinstance(e, Send)]
     assert [m.instance for m in sent if isinstance(m, Forward)] == ["i"]
     assert state.budget.seconds.total("s", 11_100, 1) == 1
+
+
+def test_a_holder_that_has_not_read_the_newest_floor_is_none_that_is_gone() -> None:
+    """It lives and will hold the instance: a guest beside it would be one too many."""
+    state = holder.State(NodeId("ex1"), 7)
+    forward = Forward("c1.0", "s", "a", 7, "GET", "/x", (), b"", 900, "")
+    _, effects = holder.step(state, From(NodeId("ex2"), Incarnation(1), forward), Ms(1_000))
+    (said,) = [e.message for e in effects if isinstance(e, Send)]
+    assert isinstance(said, Forwarded) and said.ran == "no" and said.reason != NOT_HELD
+    older = replace(forward, holder_incarnation=6)
+    _, effects = holder.step(state, From(NodeId("ex2"), Incarnation(1), older), Ms(1_000))
+    (said,) = [e.message for e in effects if isinstance(e, Send)]
+    assert isinstance(said, Forwarded) and said.reason == NOT_HELD
