--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -53,6 +53,7 @@
     reached: bool = False  # a connect succeeded while it started
     connecting: bool = False
     connect_ms: Ms = Ms(0)  # the next connect
+    guest: bool = False  # nobody living holds it: one call at a time, until somebody does
 
     @property
     def booting(self) -> bool:
