--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -144,10 +144,9 @@
                 to_nodes = "share" in row.mechanism
                 what = BYTES_OUT if to_nodes else BYTES_IN
             sums[what] = sums.get(what, 0.0) + found.at_aim
-        out.append(
-            f"| {role} | {short(sums.get(CPU, 0.0))} | {short(sums.get(BYTES_IN, 0.0), 'B/s')} | "
-            f"{short(sums.get(BYTES_OUT, 0.0), 'B/s')} | {short(sums.get(MEMORY, 0.0), 'MB')} |"
-        )
+        units = ((CPU, ""), (BYTES_IN, "B/s"), (BYTES_OUT, "B/s"), (MEMORY, "MB"))
+        said = [short(sums[w], unit) if w in sums else "not measured" for w, unit in units]
+        out.append(f"| {role} | {' | '.join(said)} |")
     return "\n".join(out)
 
 
