Tests with real processes run on one worker: two fleets at once may draw the same port

Cause: tools/fleet.free_ports closes the ports that it drew before a fleet listens on them, so fleets that start at the same moment collide (seen twice in parallel runs, "Address already in use").

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,6 +16,9 @@
 
 from tools.fleet import Fleet, get
 
+# Real processes draw free ports: two fleets at once may draw the same one.
+pytestmark = pytest.mark.xdist_group("fleet")
+
 EXAMPLE = Path(__file__).parent.parent / "examples" / "organismo.json"
 
 
--- a/tests/test_leaving_fleet.py
+++ b/tests/test_leaving_fleet.py
@@ -15,6 +15,9 @@
 from tests.test_fleet import EXAMPLE, desk, until_served
 from tools.fleet import Fleet
 
+# Real processes draw free ports: two fleets at once may draw the same one.
+pytestmark = pytest.mark.xdist_group("fleet")
+
 CALLERS = 8
 GRACE_S = 6.0
 
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -15,6 +15,9 @@
 from tools.fleet import Fleet, free_ports
 from tools.relay import Relay
 
+# Real processes draw free ports: two fleets at once may draw the same one.
+pytestmark = pytest.mark.xdist_group("fleet")
+
 HOUR_S = 3_600
 
 
--- a/tests/test_reread.py
+++ b/tests/test_reread.py
@@ -20,6 +20,9 @@
 from spokeroute.trunk.process import Me
 from tests.sim.cluster import Sim
 
+# Real processes draw free ports: two fleets at once may draw the same one.
+pytestmark = pytest.mark.xdist_group("fleet")
+
 OLD = Settings("ex1", seeds=("10.0.0.1:1",))
 
 
