--- /dev/null
+++ b/spokeroute/common/__init__.py
@@ -0,0 +1,1 @@
+"""What every package uses: ids, effects, answers, bounds, settings and the slab."""
--- a/spokeroute/dial/settings.py
+++ b/spokeroute/common/settings.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from spokeroute.dial.bounds import Bounds
+from spokeroute.common.bounds import Bounds
 
 
 class SettingsError(Exception):
@@ -133,18 +133,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DeskSettings:
+class ClientSettings:
     """Where the operator's client and the doctor look."""
 
     registries: tuple[str, ...] = ()
     exchanges: tuple[str, ...] = ()
 
 
-def read_desk_settings(path: str) -> DeskSettings:
+def read_client_settings(path: str) -> ClientSettings:
     """The client's settings file; a SettingsError says what is wrong with it.
 
     Example:
-        read_desk_settings("").registries == ()
+        read_client_settings("").registries == ()
     """
     raw = _read_toml(path)
     for key, value in raw.items():
@@ -156,4 +156,4 @@
             raise SettingsError(f"setting {key!r} in {path} must be a list of addresses: mend it")
         for address in value:
             check_address(key, str(address))
-    return DeskSettings(tuple(raw.get("registries", ())), tuple(raw.get("exchanges", ())))
+    return ClientSettings(tuple(raw.get("registries", ())), tuple(raw.get("exchanges", ())))
--- a/spokeroute/dispatch/listing.py
+++ b/spokeroute/dispatch/listing.py
@@ -11,8 +11,8 @@
 
 from immutables import Map
 
-from spokeroute.dial.ids import Ms
-from spokeroute.dispatch.floor import DRAINING, STARTING, UP, Floor, Placed
+from spokeroute.common.ids import Ms
+from spokeroute.dispatch.placement_table import DRAINING, STARTING, UP, Floor, Placed
 from spokeroute.dispatch.plan import LISTED_ENDED, LOST_AFTER_LISTINGS, going
 from spokeroute.dispatch.platform import PlatformCall, PlatformListed
 from spokeroute.dispatch.workbook import identity_of
--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placing.py
@@ -6,21 +6,28 @@
 
 from immutables import Map
 
-from spokeroute.dial.bounds import Bounds
-from spokeroute.dial.effects import Effects, Tell
-from spokeroute.dial.ids import FLOOR, Ms, NodeId, WorkerId
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.effects import Effects, Tell
+from spokeroute.common.ids import FLOOR, Ms, NodeId, WorkerId
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Picture, Ranking, Shift
-from spokeroute.dispatch.floor import NO_FLOOR, STARTING, UP, Floor, unpack_evacuated, unpack_floor
 from spokeroute.dispatch.listing import Sighting, sightings_of
+from spokeroute.dispatch.placement_table import (
+    NO_FLOOR,
+    STARTING,
+    UP,
+    Floor,
+    unpack_evacuated,
+    unpack_floor,
+)
 from spokeroute.dispatch.platform import PlatformListed
 from spokeroute.dispatch.reports import Reported
 from spokeroute.dispatch.scaler import Demand, WorkerSeat
 from spokeroute.dispatch.sense import PolicyPair, compile_policy
 from spokeroute.dispatch.upkeep import Marks
-from spokeroute.logbook.entries import Record
-from spokeroute.register.copies import Fresh
-from spokeroute.trunk.messages import HeldWord, Probe, Took
+from spokeroute.ledger.entries import Record
+from spokeroute.register.replica import Fresh
+from spokeroute.transport.messages import HeldWord, Probe, Took
 
 SHIFT_REST_MS = 10_000
 ANEW_MS = 5_000
--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from spokeroute.dial.ids import Address, Incarnation, InstanceId, NodeId, ServiceName
+from spokeroute.common.ids import Address, Incarnation, InstanceId, NodeId, ServiceName
 from spokeroute.dispatch.configuration import Service
-from spokeroute.dispatch.floor import DRAINING, STARTING, UP, Placed
+from spokeroute.dispatch.placement_table import DRAINING, STARTING, UP, Placed
 from spokeroute.dispatch.scaler import (
     Demand,
     best_worker,
--- a/spokeroute/dispatch/steering.py
+++ b/spokeroute/dispatch/steering.py
@@ -4,15 +4,15 @@
 
 from dataclasses import replace
 
-from spokeroute.dial.effects import Effect, Effects, Send
-from spokeroute.dial.ids import CONFIGURATION, Ms
+from spokeroute.common.effects import Effect, Effects, Send
+from spokeroute.common.ids import CONFIGURATION, Ms
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Limits, Picture, laaf, rome
 from spokeroute.dispatch.placing import State, record_in, resting, seats_of
 from spokeroute.dispatch.reports import exchanges_of, live_holders, means_of, suspects_of
 from spokeroute.dispatch.sense import picture
-from spokeroute.logbook.entries import Record, picture_doc, ranking_doc
-from spokeroute.trunk.messages import Lists, Successors
+from spokeroute.ledger.entries import Record, picture_doc, ranking_doc
+from spokeroute.transport.messages import Lists, Successors
 
 RERANK_MS = 1_000
 PUSH_MS = 1_000
--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from spokeroute.dial.ids import (
+from spokeroute.common.ids import (
     Address,
     Incarnation,
     InstanceId,
@@ -15,7 +15,7 @@
 )
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Shift
-from spokeroute.dispatch.floor import Floor, Placed
+from spokeroute.dispatch.placement_table import Floor, Placed
 from spokeroute.dispatch.reports import Words
 from spokeroute.dispatch.scaler import Demand, WorkerSeat
 
--- a/spokeroute/exchange/connect.py
+++ b/spokeroute/exchange/connect.py
@@ -7,8 +7,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
-from spokeroute.dial.ids import Address, InstanceId
-from spokeroute.trunk.net import parse_address
+from spokeroute.common.ids import Address, InstanceId
+from spokeroute.transport.net import parse_address
 
 THREADS = 4
 
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from spokeroute.dial.answers import Answer, Kind, Ran, refusal
-from spokeroute.dial.effects import Effect, Effects, Reply, Send
-from spokeroute.dial.ids import Ms, NodeId
+from spokeroute.common.answers import Answer, Kind, Ran, refusal
+from spokeroute.common.effects import Effect, Effects, Reply, Send
+from spokeroute.common.ids import Ms, NodeId
 from spokeroute.exchange.claiming import ask_claim
 from spokeroute.exchange.entry import (
     State,
@@ -24,7 +24,7 @@
     Attempt,
     Call,
 )
-from spokeroute.trunk.messages import (
+from spokeroute.transport.messages import (
     Forward,
     ForwardDrop,
 )
--- a/spokeroute/exchange/requests.py
+++ b/spokeroute/exchange/requests.py
@@ -4,8 +4,8 @@
 
 from functools import lru_cache
 
-from spokeroute.dial.answers import Answer, Ran, problem
-from spokeroute.dial.framing import HOP
+from spokeroute.common.answers import Answer, Ran, problem
+from spokeroute.http.framing import HOP
 
 DROPPED = HOP | {"expect", "http2-settings"}
 BAD_REQUESTS = {
--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -6,10 +6,10 @@
 
 from immutables import Map
 
-from spokeroute.dial.ids import Ms, NodeId
-from spokeroute.dispatch.floor import DRAINING, STARTING, Placed
+from spokeroute.common.ids import Ms, NodeId
+from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
-from spokeroute.trunk.messages import Forward
+from spokeroute.transport.messages import Forward
 
 CONNECT_WAIT_MS = 250
 RUN_SHARE = 0.2
--- a/spokeroute/exchange/silence.py
+++ b/spokeroute/exchange/silence.py
@@ -10,7 +10,7 @@
 
 from immutables import Map
 
-from spokeroute.dial.ids import Ms, NodeId
+from spokeroute.common.ids import Ms, NodeId
 from spokeroute.exchange.types import Call
 
 ASK_MS = 100  # an attempt without a word for this long: its holder is asked
--- a/spokeroute/dial/connections.py
+++ b/spokeroute/http/connections.py
@@ -14,8 +14,8 @@
 from absl import logging
 from waitress.channel import ClientDisconnected, HTTPChannel
 
-from spokeroute.dial.http import Limits
-from spokeroute.dial.parser import Parser
+from spokeroute.http.parser import Parser
+from spokeroute.http.wsgi import Limits
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 READ_BYTES = 64 * 1024
--- a/spokeroute/dial/framing.py
+++ b/spokeroute/http/framing.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from spokeroute.dial.answers import Answer
+from spokeroute.common.answers import Answer
 
 REASONS = {each.value: each.phrase for each in HTTPStatus} | {
     413: "Content Too Large",
--- a/spokeroute/dial/listener.py
+++ b/spokeroute/http/listener.py
@@ -16,8 +16,8 @@
 from waitress.adjustments import Adjustments
 from waitress.server import TcpWSGIServer
 
-from spokeroute.dial.connections import READ, Connection, Watched
-from spokeroute.dial.http import Limits
+from spokeroute.http.connections import READ, Connection, Watched
+from spokeroute.http.wsgi import Limits
 
 MOST_ACCEPTED = 64  # in one turn
 MOST_CONNECTIONS = 2_000
--- a/spokeroute/register/changes.py
+++ b/spokeroute/register/changes.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from spokeroute.register.cells import Roster
-from spokeroute.trunk.messages import Copy
+from spokeroute.transport.messages import Copy
 
 
 class Change(Protocol):
--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -1,195 +1,268 @@
-"""Membership: whose disks should count next, by what one member sees of the core.
+"""The steward: founding, signs of life, and the roster's changes.
 
-Pure functions over signs of life. The steward carries their answers out; the roster's
-register decides. Three things change a roster, in this order: a lost disk (another, blank
-member runs at a member's very address, and an address has one process), growth (the core
-has fewer members than it should, and blank ones wait), and a machine that went for good
-(silent for long, while a blank one waits elsewhere).
+Founding needs every seed to be a blank disk, so a lost disk can't found a second core.
+Blank disks that come later are taken in as ``membership`` says: the roster register changes
+at the old roster's majority, everyone moves to the new epoch, and a newcomer votes only
+after it copied a majority of the old members under that epoch.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
-from spokeroute.dial.ids import Address, Epoch, MemberId, Ms
-from spokeroute.register.cells import Roster
+from immutables import Map
 
-ALIVE_MS = 500
-CANDIDATE_MS = 1_500
-RECENT_MS = 2 * ALIVE_MS + 200
-TURN_MS = 150  # members propose one after the other, so that they don't duel
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
+from spokeroute.common.ids import ROSTER, Address, Epoch, MemberId, Ms, NodeId
+from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
+from spokeroute.register.cells import Roster, pack_roster, unpack_roster
+from spokeroute.register.membership_policy import ALIVE_MS, Sight, Sign, lost_disks, next_roster
+from spokeroute.register.proposer import Ask, RosterIs, Settled, Swap
+from spokeroute.transport.messages import Alive, CopyAsk, CopyPart, Probe, RosterNews, ViewEntry
+from spokeroute.transport.peers import ViewNow
 
-
-@dataclass(frozen=True, slots=True)
-class Sign:
-    """A core node's last sign of life."""
-
-    address: Address
-    at_ms: Ms
-    since_ms: Ms
-    epoch: int
-    votes: bool
-    blank: bool
-    hears: tuple[str, ...]
+ASK_MS = 2_000
+TURN_EVERY_MS = 50
+COPY_RETRY_MS = 1_000
 
 
 @dataclass(frozen=True, slots=True)
-class Sight:
-    """What one voting member sees."""
+class RosterChanged:
+    """To placement: the ledger should hear of it."""
 
-    me: MemberId
     roster: Roster
-    signs: Mapping[str, Sign]
-    zones: Mapping[str, str]
-    silent_ms: int
-    members: int
-    started_ms: Ms
-    now_ms: Ms
-
 
-def next_roster(sight: Sight) -> Roster | None:
-    """The roster that should come next; None where the present one should stay.
-
-    Example:
-        next_roster(sight) is None
-    """
-    lost = lost_disks(sight)
-    if lost:
-        return _changed(sight, lost) if _my_turn(sight, lost) else None
-    grown = _grown(sight)
-    if grown:
-        return _changed(sight, {}, grown)
-    gone = _gone(sight) if sight.now_ms - sight.started_ms >= sight.silent_ms else {}
-    return _changed(sight, gone) if gone else None
 
+@dataclass(frozen=True, slots=True)
+class State:
+    """What this member knows of the core."""
 
-def lost_disks(sight: Sight) -> dict[MemberId, MemberId]:
-    """Members whose disks are lost, and the blank member that runs at the address of each.
+    me: MemberId
+    address: Address
+    seeds: tuple[Address, ...]
+    found: bool
+    zone: str
+    roster: Roster | None = None
+    votes: bool = False
+    signs: Map[str, Sign] = field(default_factory=Map)
+    addresses: Map[str, Address] = field(default_factory=Map)
+    zones: Map[str, str] = field(default_factory=Map)
+    started_ms: Ms = Ms(0)
+    next_ms: Ms = Ms(0)
+    copied: Map[str, str] = field(default_factory=Map)  # old member -> next page, "." when whole
+    copy_asked_ms: Map[str, Ms] = field(default_factory=Map)
+    proposing: str = ""
+    turn_ms: Ms = Ms(-1)  # when a lost disk is looked at again
+    draws: int = 0
+    changes: tuple[str, ...] = ("placement", "ledger", "role")
+    bounds: Bounds = Bounds()
+
+
+def step(state: State, event: object, now_ms: Ms) -> tuple[State, Effects]:
+    """The steward's core.
 
     Example:
-        lost_disks(sight) == {}
+        state, effects = step(state, Tick(), now_ms)
     """
-    found: dict[MemberId, MemberId] = {}
-    for member, address in sight.roster.members:
-        old = sight.signs.get(member)
-        there = [
-            n
-            for n, s in sight.signs.items()
-            if _waits(sight, n, 0) and s.address == address and (old is None or old.at_ms < s.at_ms)
-        ]
-        if there and member != sight.me:
-            found[member] = MemberId(max(there, key=lambda n: (sight.signs[n].at_ms, n)))
-    return found
-
-
-def _my_turn(sight: Sight, lost: Mapping[MemberId, MemberId]) -> bool:
-    living = [m for m in sight.roster.ids if m not in lost]
-    since_ms = max(sight.signs[n].since_ms for n in lost.values())
-    return sight.now_ms - since_ms >= living.index(sight.me) * TURN_MS
-
-
-def _waits(sight: Sight, node: str, for_ms: int) -> bool:
-    """Whether a blank registry is here now, and was for a while."""
-    sign = sight.signs[node]
-    return (
-        sign.blank
-        and node not in sight.roster.ids
-        and sign.address != ""
-        and sight.now_ms - sign.at_ms < RECENT_MS
-        and sight.now_ms - sign.since_ms >= for_ms
+    match event:
+        case Tick() if now_ms >= state.next_ms:
+            return _round(state, now_ms)
+        case Tick() if 0 <= state.turn_ms <= now_ms:
+            return _replace(state, now_ms)
+        case ViewNow(known):
+            return _viewed(state, known, now_ms)
+        case From(node, _, Alive() as alive):
+            return _heard(state, node, alive, now_ms)
+        case From(_, _, RosterNews(value)):
+            return _news(state, unpack_roster(value))
+        case From(node, _, CopyPart() as part):
+            return _copied(state, node, part, now_ms)
+        case From(node, _, Probe(_, epoch)):
+            if state.roster and epoch < state.roster.epoch:
+                return state, (Send(node, RosterNews(pack_roster(state.roster))),)
+        case Adopted(roster, votes):
+            return _adopted(state, roster, votes, now_ms)
+        case Settled(op_id, _, outcome, version, value) if op_id == state.proposing:
+            return _proposed(state, outcome, version, value)
+    return state, ()
+
+
+def _round(state: State, now_ms: Ms) -> tuple[State, Effects]:
+    started_ms = state.started_ms or now_ms
+    state = replace(state, next_ms=Ms(now_ms + ALIVE_MS), started_ms=started_ms)
+    effects: list[Effect] = _greet(state, _everyone(state), now_ms)
+    if state.roster is None:
+        effects.extend(_found(state, now_ms))
+    state, more = _copy(state, now_ms)
+    effects.extend(more)
+    state, more = _replace(state, now_ms)
+    effects.extend(more)
+    return state, tuple(effects)
+
+
+def _everyone(state: State) -> tuple[str, ...]:
+    return tuple(sorted({*state.addresses, *(state.roster.ids if state.roster else ())}))
+
+
+def _greet(state: State, nodes: tuple[str, ...], now_ms: Ms) -> list[Effect]:
+    """A sign of life to others of the core."""
+    silent_ms = state.bounds.catch_up_ms
+    hears = tuple(n for n, s in sorted(state.signs.items()) if now_ms - s.at_ms < silent_ms)
+    roster = state.roster
+    alive = Alive(
+        roster.epoch if roster else 0, state.votes, roster is None, hears,
+        state.address if roster is None else "",
+    )  # fmt: skip
+    return [Send(NodeId(node), alive) for node in nodes if node != state.me]
+
+
+def _viewed(state: State, known: tuple[ViewEntry, ...], now_ms: Ms) -> tuple[State, Effects]:
+    """Whoever is new in the view is greeted at once."""
+    core = [e for e in known if e.role == "registry"]
+    new = tuple(e.node for e in core if e.node not in state.addresses)
+    state = replace(
+        state,
+        addresses=Map({e.node: Address(e.address) for e in core}),
+        zones=Map({state.me: state.zone, **{e.node: e.zone for e in core}}),
     )
+    return state, tuple(_greet(state, new, now_ms))
 
 
-def _silent(sight: Sight) -> list[MemberId]:
-    return [
+def _found(state: State, now_ms: Ms) -> list[Effect]:
+    """Found the core: every seed is a registry, alive, blank, and I am the least of them."""
+    if not state.found or state.address not in state.seeds:
+        return []
+    founders: dict[Address, MemberId] = {state.address: state.me}
+    for node, sign in state.signs.items():
+        if sign.address in state.seeds and now_ms - sign.at_ms < state.bounds.catch_up_ms:
+            if not sign.blank:
+                return []
+            founders[sign.address] = MemberId(node)
+    if len(founders) != len(state.seeds) or min(founders.values()) != state.me:
+        return []
+    roster = Roster(Epoch(1), tuple((founders[a], a) for a in state.seeds))
+    value = pack_roster(roster)
+    return [Send(m, RosterNews(value)) for m in roster.ids]
+
+
+def _heard(state: State, node: NodeId, alive: Alive, now_ms: Ms) -> tuple[State, Effects]:
+    old = state.signs.get(node)
+    known = state.addresses.get(node) or (old.address if old else Address(""))
+    address = Address(alive.address) or known
+    here = old is not None and now_ms - old.at_ms < state.bounds.catch_up_ms
+    since_ms = old.since_ms if old and here else now_ms
+    sign = Sign(address, now_ms, since_ms, alive.epoch, alive.votes, alive.blank, alive.hears)
+    state = replace(state, signs=state.signs.set(node, sign))
+    effects: list[Effect] = []
+    if state.roster and alive.epoch < state.roster.epoch:
+        effects.append(Send(node, RosterNews(pack_roster(state.roster))))
+    if alive.blank:
+        state, more = _replace(state, now_ms)
+    else:
+        state, more = _copy(state, now_ms)
+    return state, (*effects, *more)
+
+
+def _news(state: State, roster: Roster) -> tuple[State, Effects]:
+    if state.roster and roster.epoch <= state.roster.epoch:
+        return state, ()
+    if state.me not in roster.ids:
+        if state.roster is None or state.me not in state.roster.ids:
+            return state, ()
+        text = "this member was replaced in the roster: move its data folder away to join anew"
+        return state, (Tell("acceptor", Adopt(roster, False)), Note(text, alarm=True))
+    # A blank member that never joined was here when the core was founded: its empty disk tells
+    # the truth. One that joined has less than the member before it until it copied.
+    votes = state.votes if state.roster else state.me not in roster.joining
+    return state, (Tell("acceptor", Adopt(roster, votes)),)
+
+
+def _adopted(state: State, roster: Roster, votes: bool, now_ms: Ms) -> tuple[State, Effects]:
+    if state.roster and roster.epoch > state.roster.epoch:
+        state = replace(state, copied=Map(), copy_asked_ms=Map())
+    state = replace(state, roster=roster, votes=votes)
+    told = [Tell(name, RosterChanged(roster)) for name in state.changes]
+    greetings = _greet(state, _everyone(state), now_ms)  # newcomers wait for them to copy
+    state, asks = _copy(state, now_ms)
+    return state, (Tell("proposer", RosterIs(roster)), *told, *greetings, *asks)
+
+
+def _copy(state: State, now_ms: Ms) -> tuple[State, Effects]:
+    """Ask as many old members as are needed for their cells, those of this zone first; another
+    one where one is late."""
+    roster = state.roster
+    if roster is None or state.votes or state.me not in roster.ids:
+        return state, ()
+    asked_ms = state.copy_asked_ms
+    late_ms = Ms(now_ms - COPY_RETRY_MS)
+    sources = [
         m
-        for m in sight.roster.ids
-        if m != sight.me
-        and (m not in sight.signs or sight.now_ms - sight.signs[m].at_ms > sight.silent_ms)
+        for m in roster.previous
+        if m != state.me
+        and state.copied.get(m) != "."
+        and m in state.signs
+        and state.signs[m].epoch == roster.epoch
     ]
-
-
-def _free(sight: Sight) -> list[str]:
-    """Blank registries that wait at addresses of their own, in the order to be taken."""
-    taken = {a for _, a in sight.roster.members}
-    return sorted(
-        n
-        for n, s in sight.signs.items()
-        if _waits(sight, n, CANDIDATE_MS) and s.address not in taken
-    )
-
-
-def _healthy(sight: Sight, silent: list[MemberId]) -> bool:
-    """Whether all that are not silent vote, and are a majority: a newcomer copies from them."""
-    here = [m for m in sight.roster.ids if m != sight.me and m not in silent]
-    return all(sight.signs[m].votes for m in here) and len(here) + 1 >= sight.roster.majority
-
-
-def _gone(sight: Sight) -> dict[MemberId, MemberId]:
-    """One member that went for good, and the blank one that takes its place, of its own zone
-    if there is one.
-
-    None of the others hears it: a member behind a cut is not a lost one.
-    """
-    silent = _silent(sight)
-    if not _healthy(sight, silent):
-        return {}
-    unheard = [
-        m
-        for m in silent
-        if not any(
-            m in sight.signs[other].hears
-            for other in sight.roster.ids
-            if other in sight.signs and other not in silent
+    whole = sum(1 for m in roster.previous if state.copied.get(m) == ".")
+    busy = sum(1 for m in sources if state.signs[m].votes and asked_ms.get(m, late_ms) > late_ms)
+    idle = [m for m in sources if asked_ms.get(m, late_ms) <= late_ms]
+    idle.sort(
+        key=lambda m: (
+            asked_ms.get(m, -1), not state.signs[m].votes, state.zones.get(m) != state.zone, m,
         )
-    ]
-    blanks = _free(sight)
-    if not unheard or not blanks or len(unheard) < len(silent):
-        return {}
-    gone = min(unheard, key=lambda m: (sight.signs[m].at_ms if m in sight.signs else -1, m))
-    zone = sight.zones.get(gone, "")
-    blank = min(blanks, key=lambda n: (sight.zones.get(n, "") != zone, n))
-    return {gone: MemberId(blank)}
-
-
-def _grown(sight: Sight) -> list[MemberId]:
-    """Blank registries to be taken in so that the core has as many members as it should, an odd
-    number; from the zones that have the fewest."""
-    blanks = _free(sight)
-    size = len(sight.roster.members)
-    room = min(len(blanks), sight.members - size)
-    room -= (size + room + 1) % 2
-    if room <= 0 or _silent(sight) or not _healthy(sight, []):
-        return []
-    count: dict[str, int] = {}
-    for member in sight.roster.ids:
-        zone = sight.zones.get(member, "")
-        count[zone] = count.get(zone, 0) + 1
-    taken: list[MemberId] = []
-    for _ in range(room):
-        best = min(blanks, key=lambda n: (count.get(sight.zones.get(n, ""), 0), n))
-        blanks.remove(best)
-        zone = sight.zones.get(best, "")
-        count[zone] = count.get(zone, 0) + 1
-        taken.append(MemberId(best))
-    return taken
-
-
-def _changed(
-    sight: Sight, instead: Mapping[MemberId, MemberId], more: list[MemberId] | None = None
-) -> Roster:
-    """The next epoch. Whoever joins, or joined and is not yet known to vote, copies first."""
-    old = sight.roster
-    members: list[tuple[MemberId, Address]] = []
-    for member, address in old.members:
-        newcomer = instead.get(member)
-        members.append((newcomer, sight.signs[newcomer].address) if newcomer else (member, address))
-    members.extend((m, sight.signs[m].address) for m in more or ())
-    joining = [*instead.values(), *(more or ())]
-    ids = {m for m, _ in members}
-    for member in old.joining:
-        sign = sight.signs.get(member)
-        if member in ids and member != sight.me and not (sign is not None and sign.votes):
-            joining.append(member)
-    return Roster(Epoch(old.epoch + 1), tuple(members), old.ids, tuple(sorted(joining)))
+    )  # fmt: skip
+    chosen = idle[: max(0, len(roster.previous) // 2 + 1 - whole - busy)]
+    for member in chosen:
+        asked_ms = asked_ms.set(member, now_ms)
+    asks = tuple(Send(m, CopyAsk(roster.epoch, state.copied.get(m, ""))) for m in chosen)
+    return replace(state, copy_asked_ms=asked_ms), asks
+
+
+def _copied(state: State, node: NodeId, part: CopyPart, now_ms: Ms) -> tuple[State, Effects]:
+    roster = state.roster
+    if roster is None or state.votes or part.epoch != roster.epoch:
+        return state, ()
+    if state.copied.get(node, "") != part.after:
+        return state, ()
+    copied = state.copied.set(node, part.last or ".")
+    state = replace(state, copied=copied, copy_asked_ms=state.copy_asked_ms.set(node, now_ms))
+    effects: list[Effect] = [Tell("acceptor", TakeCells(part.cells))]
+    if part.last:
+        effects.append(Send(node, CopyAsk(part.epoch, part.last)))
+    whole = [m for m in roster.previous if copied.get(m) == "."]
+    if len(whole) >= len(roster.previous) // 2 + 1:
+        effects.append(Tell("acceptor", Adopt(roster, True)))
+        effects.append(Note(f"caught up from {', '.join(whole)}; voting in epoch {roster.epoch}"))
+    return state, tuple(effects)
+
+
+def _replace(state: State, now_ms: Ms) -> tuple[State, Effects]:
+    """Bring the next roster to its register, if this member sees that there should be one."""
+    state = replace(state, turn_ms=Ms(-1))
+    roster = state.roster
+    if roster is None or not state.votes or state.proposing:
+        return state, ()
+    sight = Sight(
+        state.me, roster, state.signs, state.zones, state.bounds.catch_up_ms,
+        state.bounds.members, state.started_ms, now_ms,
+    )  # fmt: skip
+    new = next_roster(sight)
+    if new is None:
+        if lost_disks(sight):
+            state = replace(state, turn_ms=Ms(now_ms + TURN_EVERY_MS))
+        return state, ()
+    op_id = f"roster/{state.me}/{state.draws + 1}"
+    # The register's version is the epoch less one: epoch 1 was founded, not written.
+    change = Swap(roster.epoch - 1, pack_roster(new))
+    state = replace(state, proposing=op_id, draws=state.draws + 1)
+    return state, (Tell("proposer", Ask(op_id, ROSTER, change, "membership", ASK_MS)),)
+
+
+def _proposed(state: State, outcome: str, version: int, value: bytes) -> tuple[State, Effects]:
+    state = replace(state, proposing="")
+    if outcome != "done" or not value:
+        return state, ()
+    roster = unpack_roster(value)
+    ids = sorted(set(roster.ids) | set(roster.previous))
+    return state, tuple(Send(m, RosterNews(value)) for m in ids)
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -12,25 +12,25 @@
 
 from absl import logging
 
+from spokeroute.common.ids import Address, Incarnation
+from spokeroute.common.settings import Settings, SettingsError
+from spokeroute.common.slab import Slab
 from spokeroute.daemon import RealWorld, http_fault, listen, on_signals
-from spokeroute.dial.http import WsgiApp, serve
-from spokeroute.dial.ids import Address, Incarnation
-from spokeroute.dial.settings import Settings, SettingsError
-from spokeroute.dial.slab import Slab
 from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformClient
 from spokeroute.dispatch.role import Resign
-from spokeroute.logbook.ledger import KEEP_ENTRIES, LedgerWrite, LedgerWritten
-from spokeroute.logbook.ring import Ring
+from spokeroute.http.wsgi import WsgiApp, serve
+from spokeroute.ledger.ring import Ring
+from spokeroute.ledger.writer import KEEP_ENTRIES, LedgerWrite, LedgerWritten
 from spokeroute.nodes import Start
+from spokeroute.register.acceptor import DiskDone, DiskFailed, DiskWrite
 from spokeroute.register.disk import Disk, DiskError
-from spokeroute.register.keeper import DiskDone, DiskFailed, DiskWrite
 from spokeroute.registry.api import Api
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
 from spokeroute.registry_node import build_registry
 from spokeroute.reread import Rereader
-from spokeroute.trunk.net import Loop
-from spokeroute.trunk.process import Me
+from spokeroute.transport.net import Loop
+from spokeroute.transport.process import Me
 
 API_THREADS = 16
 
@@ -124,7 +124,7 @@
         loop.report("role", Resign())
 
     def quiet() -> bool:
-        idle = process.actors["keeper"].state.writing is None
+        idle = process.actors["acceptor"].state.writing is None
         waited_s = time.monotonic() - stopped_at[0]
         return (waited_s > 0.3 and idle) or waited_s > 3.0
 
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -4,16 +4,16 @@
 
 from dataclasses import replace
 
-from spokeroute.dial.ids import Incarnation, MemberId
+from spokeroute.common.ids import Incarnation, MemberId
 from spokeroute.dispatch import placement, role
-from spokeroute.logbook import ledger
+from spokeroute.ledger import writer as ledger
 from spokeroute.nodes import Start
-from spokeroute.register import claims, copies, keeper, proposer, steward
+from spokeroute.register import acceptor, claims, membership, proposer, replica
 from spokeroute.register.disk import Loaded
 from spokeroute.registry import operator
-from spokeroute.trunk import messages as m
-from spokeroute.trunk import peers
-from spokeroute.trunk.process import Me, Process, World
+from spokeroute.transport import messages as m
+from spokeroute.transport import peers
+from spokeroute.transport.process import Me, Process, World
 
 
 def build_registry(me: Me, world: World, start: Start, loaded: Loaded) -> Process:
@@ -30,14 +30,14 @@
     seeds = tuple(dict.fromkeys((*start.seeds, *members)))
     process.add(
         "peers",
-        peers.State(me, seeds, start.seed, ("copies", "steward", "placement"), "copies"),
+        peers.State(me, seeds, start.seed, ("replica", "membership", "placement"), "replica"),
         peers.step,
         takes=(m.Shuffle,),
     )
     process.add(
-        "keeper",
-        keeper.start(member, loaded.roster, loaded.votes, loaded.cells),
-        keeper.step,
+        "acceptor",
+        acceptor.start(member, loaded.roster, loaded.votes, loaded.cells),
+        acceptor.step,
         takes=(m.Prepare, m.Accept, m.HandOver, m.Probe, m.FetchAsk, m.CopyAsk),
     )
     process.add(
@@ -47,8 +47,8 @@
         takes=(m.Promise, m.Accepted, m.Finish, m.Alive),
     )
     process.add(
-        "steward",
-        steward.State(
+        "membership",
+        membership.State(
             member,
             me.address,
             start.seeds,
@@ -58,19 +58,19 @@
             loaded.votes,
             bounds=start.bounds,
         ),
-        steward.step,
+        membership.step,
         takes=(m.Alive, m.RosterNews, m.CopyPart, m.Probe),
     )
     process.add(
-        "copies",
-        copies.State(
+        "replica",
+        replica.State(
             ("placement",),
             roster=loaded.roster,
             bounds=start.bounds,
             address=me.address,
             zone=me.zone,
         ),
-        copies.step,
+        replica.step,
         takes=(m.ProbeAck, m.FetchGot, m.RosterNews),
     )
     process.add("claims", claims.State(), claims.step, takes=(m.ClaimAsk,))
--- a/spokeroute/reread.py
+++ b/spokeroute/reread.py
@@ -6,11 +6,11 @@
 import time
 from collections.abc import Callable
 
-from spokeroute.dial.ids import Address
-from spokeroute.dial.settings import Settings, SettingsError
-from spokeroute.logbook.ring import Ring
-from spokeroute.trunk.peers import SeedsNow
-from spokeroute.trunk.process import Process
+from spokeroute.common.ids import Address
+from spokeroute.common.settings import Settings, SettingsError
+from spokeroute.ledger.ring import Ring
+from spokeroute.transport.peers import SeedsNow
+from spokeroute.transport.process import Process
 
 EVERY_S = 2.0
 
--- a/tests/calls_made.py
+++ b/tests/calls_made.py
@@ -4,8 +4,8 @@
 
 from immutables import Map
 
-from spokeroute.dial.effects import SlotId
-from spokeroute.dial.ids import CallId, Incarnation, InstanceId, Ms, NodeId, WorkerId
+from spokeroute.common.effects import SlotId
+from spokeroute.common.ids import CallId, Incarnation, InstanceId, Ms, NodeId, WorkerId
 from spokeroute.dispatch.configuration import Route, Service
 from spokeroute.exchange.types import Attempt, Call, CallIn
 
--- a/tests/door.py
+++ b/tests/door.py
@@ -7,17 +7,17 @@
 import threading
 from collections.abc import Callable
 
+from spokeroute.common.answers import Answer
+from spokeroute.common.effects import Effects, Reply, SlotId
+from spokeroute.common.ids import Address, Incarnation, Ms, NodeId
+from spokeroute.common.slab import Slots
 from spokeroute.daemon import RealWorld
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.dialect import CallerDialect
-from spokeroute.dial.effects import Effects, Reply, SlotId
-from spokeroute.dial.ids import Address, Incarnation, Ms, NodeId
-from spokeroute.dial.slab import Slots
 from spokeroute.exchange.front import Front
 from spokeroute.exchange.types import CallerGone, CallIn
-from spokeroute.logbook.ring import Ring
-from spokeroute.trunk.net import Loop
-from spokeroute.trunk.process import Me, Process
+from spokeroute.http.dialect import CallerDialect
+from spokeroute.ledger.ring import Ring
+from spokeroute.transport.net import Loop
+from spokeroute.transport.process import Me, Process
 
 OTHER = CallerDialect(
     wait_header="Time-Left", wait_required=False, attempt_header="Try-Id",
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -10,9 +10,9 @@
 
 import simpy
 
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.bounds import Bounds
-from spokeroute.dial.ids import CallId
+from spokeroute.common.answers import Answer
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.ids import CallId
 from spokeroute.dispatch.configuration import Configuration, pack_configuration, read_configuration
 from spokeroute.exchange.types import CallIn
 from spokeroute.register.cells import digest_of
@@ -161,7 +161,7 @@
         doc = doc or configuration(**changes)
         self.start()
         assert self.up_to(
-            lambda: all(r.state("keeper").synced_votes for r in self.registries), 8000
+            lambda: all(r.state("acceptor").synced_votes for r in self.registries), 8000
         )
         told = self.apply(doc)
         assert self.up_to(lambda: told.status == 200, 6000), told
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -13,7 +13,7 @@
 
 import simpy
 
-from spokeroute.dial.ids import Address, ServiceName, WorkerId, ZoneName
+from spokeroute.common.ids import Address, ServiceName, WorkerId, ZoneName
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
 from spokeroute.dispatch.scaler import WorkerSeat
 from spokeroute.dispatch.workbook import Listed
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -12,22 +12,22 @@
 import simpy
 from immutables import Map
 
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.effects import SlotId
-from spokeroute.dial.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
+from spokeroute.common.answers import Answer
+from spokeroute.common.effects import SlotId
+from spokeroute.common.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
-from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
+from spokeroute.ledger.writer import LedgerWrite, LedgerWritten
 from spokeroute.nodes import Start, build_exchange
+from spokeroute.register.acceptor import DiskDone, DiskFailed, DiskWrite
 from spokeroute.register.cells import Cell, Roster
-from spokeroute.register.copies import Compile, Compiled
 from spokeroute.register.disk import Loaded
-from spokeroute.register.keeper import DiskDone, DiskFailed, DiskWrite
+from spokeroute.register.replica import Compile, Compiled
 from spokeroute.registry_node import build_registry
-from spokeroute.trunk.process import Me, Process
+from spokeroute.transport.process import Me, Process
 from tools.log import Down
 
 TICK_MS = 20
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from spokeroute.dial.settings import SettingsError, check_settings
+from spokeroute.common.settings import SettingsError, check_settings
 from spokeroute.dispatch.configuration import Configuration, build_table, pack_configuration
 from spokeroute.dispatch.configuration import read_document as read
 
@@ -167,7 +167,7 @@
 
 def test_lists_and_starts_are_translated(monkeypatch: pytest.MonkeyPatch) -> None:
     import cloud
-    from spokeroute.dial.ids import Ms
+    from spokeroute.common.ids import Ms
     from spokeroute.dispatch.platform import PlatformCall
 
     pages = {
--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -4,19 +4,19 @@
 
 from dataclasses import replace
 
-from spokeroute.dial.effects import Send, Tick
-from spokeroute.dial.ids import Ms
-from spokeroute.logbook.ledger import pack_share, unpack_share
-from spokeroute.register import copies
-from spokeroute.register.copies import ALL_BRING_MS
-from spokeroute.trunk.messages import Probe, ViewEntry
-from spokeroute.trunk.peers import ViewNow
+from spokeroute.common.effects import Send, Tick
+from spokeroute.common.ids import Ms
+from spokeroute.ledger.writer import pack_share, unpack_share
+from spokeroute.register import replica
+from spokeroute.register.replica import ALL_BRING_MS
+from spokeroute.transport.messages import Probe, ViewEntry
+from spokeroute.transport.peers import ViewNow
 from tests.sim.cluster import Sim
 
 
-def asked(state: copies.State, now_ms: int) -> dict[str, Probe]:
+def asked(state: replica.State, now_ms: int) -> dict[str, Probe]:
     """The probes of one beat, by member."""
-    _, effects = copies.step(replace(state, next_ms=Ms(0)), Tick(), Ms(now_ms))
+    _, effects = replica.step(replace(state, next_ms=Ms(0)), Tick(), Ms(now_ms))
     out: dict[str, Probe] = {}
     for effect in effects:
         if isinstance(effect, Send) and isinstance(effect.message, Probe):
@@ -27,8 +27,8 @@
 def test_only_the_member_of_the_own_zone_brings_values() -> None:
     nodes = {"m1": "north", "m2": "centre", "m3": "south"}
     view = tuple(ViewEntry(n, 1, f"{n}:1", "registry", z, 0) for n, z in nodes.items())
-    state = copies.State((), address="ex:1", zone="centre")
-    state, _ = copies.step(state, ViewNow(view), Ms(1_000))
+    state = replica.State((), address="ex:1", zone="centre")
+    state, _ = replica.step(state, ViewNow(view), Ms(1_000))
     assert {p.values for p in asked(state, 1_000).values()} == {True}  # no proof yet
     proved = replace(state, proved_ms=Ms(1_000))
     got = asked(proved, 1_300)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -185,7 +185,7 @@
     assert "calls refused" not in point.notes
     assert point.cpu["exchange"]["calls CallIn"][1] > 0
     assert point.notes["applies acknowledged"] == 0.5
-    assert point.cpu["desk"]["desk apply"][1] == 0.5
+    assert point.cpu["client"]["client apply"][1] == 0.5
 
 
 def test_hardly_any_work_is_of_no_known_mechanism(points: tuple[Point, Point]) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -26,7 +26,7 @@
         node.kill()
         sim.run(500)
         node.start(blank=True)
-        assert sim.up_to(lambda n=node: n.state("keeper").synced_votes, 20_000)  # type: ignore[misc]
+        assert sim.up_to(lambda n=node: n.state("acceptor").synced_votes, 20_000)  # type: ignore[misc]
         sim.run(1_500)
     shown = sim.show(0)
     clean(sim)
@@ -48,7 +48,7 @@
         new.seeds = [old[(i + 1) % 3].address, sim.registries[0].address, "10.1.0.1:1"]
         sim.registries[i] = new
         new.start()
-        ready = sim.up_to(lambda n=new: n.state("keeper").synced_votes, 20_000)  # type: ignore[misc]
+        ready = sim.up_to(lambda n=new: n.state("acceptor").synced_votes, 20_000)  # type: ignore[misc]
         assert ready
         told = sim.apply(configuration(name=f"after-{i}"), registry=i)
         assert sim.up_to(lambda t=told: t.status == 200, 8_000)  # type: ignore[misc]
@@ -56,7 +56,7 @@
     old[0].machine_up = True
     old[0].start()  # it comes back, and is not let in
     sim.run(4_000)
-    assert not old[0].state("keeper").synced_votes
+    assert not old[0].state("acceptor").synced_votes
     sim.exchanges[2].kill()
     sim.exchanges[2].seeds = [sim.registries[2].address, "10.1.0.2:1"]
     sim.exchanges[2].start()
@@ -78,8 +78,8 @@
     sim.registries[2].start(blank=True)
     sim.run(7_000)
     sim.net.cuts.clear()
-    assert sim.up_to(lambda: sim.registries[2].state("keeper").synced_votes, 15_000)
-    assert all(r.state("keeper").synced_votes for r in sim.registries)
+    assert sim.up_to(lambda: sim.registries[2].state("acceptor").synced_votes, 15_000)
+    assert all(r.state("acceptor").synced_votes for r in sim.registries)
     told = sim.apply(configuration(name="whole again"), registry=2)
     sim.run(2_000)
     assert told.status == 200
@@ -276,7 +276,7 @@
     told = sim.apply(configuration(name="on two"), registry=1)
     sim.run(6_000)
     assert told.status == 200
-    assert sim.registries[0].state("keeper").failed
+    assert sim.registries[0].state("acceptor").failed
     for registry in sim.registries:
         sim.net.cuts |= {(registry.name, "ex1"), ("ex2", registry.name)}
     sim.run(6_000)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -88,7 +88,7 @@
     their unchanged settings, whose seeds are all dead, and the first machines never return."""
     for index in range(3):
         new = swap_registry(day, index, f"new{index + 1}")
-        ready = day.up_to(lambda n=new: n.state("keeper").synced_votes, 20_000)  # type: ignore[misc]
+        ready = day.up_to(lambda n=new: n.state("acceptor").synced_votes, 20_000)  # type: ignore[misc]
         assert ready
     day.run(16_000)
     exchange, registry = day.exchanges[4], day.registries[0]
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -14,10 +14,10 @@
 
 import pytest
 
-from spokeroute.dial.ids import Address, Ballot, Epoch, MemberId
+from spokeroute.common.ids import Address, Ballot, Epoch, MemberId
+from spokeroute.register.acceptor import DiskWrite
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.disk import Disk, DiskError, Loaded
-from spokeroute.register.keeper import DiskWrite
 
 PAGE = 4096
 META_PAGES = (0, 1)
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -88,7 +88,7 @@
     sim.run(1_000)
     assert "blank" in kinds(sim, blank)
     sim.registries[0].kill()
-    assert sim.up_to(lambda: blank.state("keeper").synced_votes, 15_000)
+    assert sim.up_to(lambda: blank.state("acceptor").synced_votes, 15_000)
     sim.registries[0].start()
     sim.run(2_000)
     assert "not-voting" in kinds(sim, blank)
@@ -102,7 +102,7 @@
     sim.apply(configuration(name="x"), registry=1)
     blank = Node(sim, "new", "registry", "centre", "10.0.9.1:1", False)
     blank.start()
-    assert sim.up_to(lambda: blank.state("keeper").synced_votes, 15_000)
+    assert sim.up_to(lambda: blank.state("acceptor").synced_votes, 15_000)
     assert {"versions-differ", "epochs-differ"} <= kinds(sim)
     blank.kill()
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -15,17 +15,17 @@
 
 import pytest
 
-from spokeroute.dial.ids import Ms
-from spokeroute.dial.settings import SettingsError, check_settings, read_settings
+from spokeroute.common.ids import Ms
+from spokeroute.common.settings import SettingsError, check_settings, read_settings
 from spokeroute.dispatch.configuration import Configuration, read_configuration
 from spokeroute.exchange.sender import Sender
 from spokeroute.exchange.types import AttemptDone, SendAttempt
+from spokeroute.register.acceptor import DiskWrite
 from spokeroute.register.cells import Cell
 from spokeroute.register.disk import Disk, DiskError
-from spokeroute.register.keeper import DiskWrite
-from spokeroute.trunk.frames import MAX_FRAME_BYTES, Envelope, FrameError, cut, decode, encode
-from spokeroute.trunk.messages import Finish
-from spokeroute.trunk.net import monotonic_ms
+from spokeroute.transport.frames import MAX_FRAME_BYTES, Envelope, FrameError, cut, decode, encode
+from spokeroute.transport.messages import Finish
+from spokeroute.transport.net import monotonic_ms
 
 WHO = b'{"service":"readings","instance":"r-1"}'
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -30,9 +30,9 @@
     made.stop()
 
 
-def desk(fleet: Fleet, *words: str) -> subprocess.CompletedProcess[str]:
+def client(fleet: Fleet, *words: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "spokeroute", "desk", *words, "--registry", fleet.registries],
+        [sys.executable, "-m", "spokeroute", "client", *words, "--registry", fleet.registries],
         capture_output=True, text=True, timeout=60, check=False,
     )  # fmt: skip
 
@@ -97,29 +97,29 @@
     doc["routes"].append(slow)  # one call in 100 s
     wanted = tmp_path / "wanted.json"
     wanted.write_text(json.dumps(doc))
-    applied = desk(fleet, "apply", str(wanted))
+    applied = client(fleet, "apply", str(wanted))
     assert applied.returncode == 0, applied.stderr
     assert json.loads(applied.stdout)["version"] == 1
-    stale = desk(fleet, "apply", str(EXAMPLE), "--if-version", "0")
+    stale = client(fleet, "apply", str(EXAMPLE), "--if-version", "0")
     assert stale.returncode == 1 and "--if-version 1" in stale.stderr
     bad = tmp_path / "bad.json"
     bad.write_text('{"routes": [], "services": [], "zones": ["moon"], "colour": 1}')
-    refused = desk(fleet, "apply", str(bad))
+    refused = client(fleet, "apply", str(bad))
     assert refused.returncode == 1 and "colour: unknown field" in refused.stderr
-    checked = desk(fleet, "apply", str(bad), "--check")
+    checked = client(fleet, "apply", str(bad), "--check")
     assert checked.returncode == 1 and "colour: unknown field" in checked.stderr
     del doc["routes"][-1]
     doc["services"][0]["limit"] = 5
     other = tmp_path / "other.json"
     other.write_text(json.dumps(doc))
-    checked = desk(fleet, "apply", str(other), "--check")
+    checked = client(fleet, "apply", str(other), "--check")
     assert checked.returncode == 0, checked.stderr
     assert checked.stdout.splitlines() == [
         "no faults; against version 1: 2 changes, nothing applied",
         "- routes /slow",
         "~ services port-ins limit: 4 -> 5",
     ]
-    assert json.loads(desk(fleet, "show").stdout)["version"] == 1
+    assert json.loads(client(fleet, "show").stdout)["version"] == 1
     assert fleet.wait_ready(exs, 60) == []
     for name in exs:
         assert b"instance" in until_served(fleet, name, "/port-ins")
@@ -146,19 +146,19 @@
 
     fleet.signal("reg1", signal.SIGKILL)
     fleet.signal("ex2", signal.SIGKILL)
-    again = desk(fleet, "apply", str(EXAMPLE))
+    again = client(fleet, "apply", str(EXAMPLE))
     assert again.returncode == 0 and json.loads(again.stdout)["version"] == 2
     until_served(fleet, "ex1", "/port-ins")
     fleet.start("reg1")
     fleet.start("ex2")
     assert fleet.wait_ready(["reg1", "ex2"], 60) == []
     until_served(fleet, "ex2", "/port-ins")
-    shown = desk(fleet, "show")
+    shown = client(fleet, "show")
     assert json.loads(shown.stdout)["version"] == 2
-    assert desk(fleet, "evacuate", "north").returncode == 0
-    assert desk(fleet, "restore", "north").returncode == 0
-    assert desk(fleet, "evacuate", "moon").returncode == 1
-    replayed = desk(fleet, "replay")
+    assert client(fleet, "evacuate", "north").returncode == 0
+    assert client(fleet, "restore", "north").returncode == 0
+    assert client(fleet, "evacuate", "moon").returncode == 1
+    replayed = client(fleet, "replay")
     assert replayed.returncode == 0 and "no difference" in replayed.stdout, replayed.stderr
     codes = fleet.stop()
     assert {n: c for n, c in codes.items() if n != "platform" and c != 0} == {}
@@ -167,14 +167,14 @@
 def test_a_herd_of_registries_comes_back(fleet: Fleet) -> None:
     regs = [n for n in fleet.commands if n.startswith("reg")]
     assert fleet.wait_ready(regs, 60) == []
-    assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
+    assert client(fleet, "apply", str(EXAMPLE)).returncode == 0
     until_served(fleet, "ex1", "/port-ins")
     for name in regs:
         fleet.signal(name, signal.SIGKILL)
-    gone = desk(fleet, "show")
+    gone = client(fleet, "show")
     assert gone.returncode == 3 and "does not answer" in gone.stderr
     for name in regs:
         fleet.start(name)
     assert fleet.wait_ready(regs, 60) == []
-    assert json.loads(desk(fleet, "show").stdout)["version"] == 1
+    assert json.loads(client(fleet, "show").stdout)["version"] == 1
     until_served(fleet, "ex3", "/port-ins")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from spokeroute.dial.answers import Answer
+from spokeroute.common.answers import Answer
 from spokeroute.exchange.types import CallIn
 from tests.door import GET, LONG, Caller, Door
 
--- a/tests/test_going_on.py
+++ b/tests/test_going_on.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from spokeroute.dial.bounds import Bounds
+from spokeroute.common.bounds import Bounds
 from tests.sim.acts import swap_registry
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
@@ -31,7 +31,7 @@
 
 
 def versions(node: Node) -> dict[str, int]:
-    return {name: got.copy.version for name, got in node.state("copies").ruling.items()}
+    return {name: got.copy.version for name, got in node.state("replica").ruling.items()}
 
 
 def watched(sim: Sim) -> Generator[Any, Any, None]:
@@ -56,7 +56,7 @@
 
 
 def proved_ago_ms(node: Node) -> int:
-    return int(node.now_ms() - node.state("copies").proved_ms)
+    return int(node.now_ms() - node.state("replica").proved_ms)
 
 
 def resumed(sim: Sim, nodes: list[Node]) -> bool:
@@ -137,7 +137,7 @@
     for index in range(3):
         new = swap_registry(going, index, f"new{index + 1}")
         cut_off(going, lone, [new])
-        ready = going.up_to(lambda n=new: n.state("keeper").synced_votes, 12_000)  # type: ignore[misc]
+        ready = going.up_to(lambda n=new: n.state("acceptor").synced_votes, 12_000)  # type: ignore[misc]
         assert ready
         going.run(500)
     going.net.cuts.clear()
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -9,9 +9,9 @@
 import pytest
 from immutables import Map
 
-from spokeroute.dial.bounds import Bounds
-from spokeroute.dial.effects import From, Send, SlotId, Tick
-from spokeroute.dial.ids import (
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.effects import From, Send, SlotId, Tick
+from spokeroute.common.ids import (
     Address,
     Incarnation,
     InstanceId,
@@ -23,12 +23,12 @@
     ZoneName,
 )
 from spokeroute.dispatch.configuration import Configuration, build_table, pack_configuration
-from spokeroute.dispatch.floor import UP, Placed
+from spokeroute.dispatch.placement_table import UP, Placed
 from spokeroute.exchange import calls, entry, holder
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.calls import _lost_holders
 from spokeroute.exchange.types import NOT_HELD, Tables
-from spokeroute.trunk.messages import Forward, Forwarded
+from spokeroute.transport.messages import Forward, Forwarded
 from tests.calls_made import call_to
 from tests.sim.acts import fall_and_return
 from tests.sim.cluster import Sim, configuration
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.effects import SlotId
+from spokeroute.common.answers import Answer
+from spokeroute.common.effects import SlotId
 from spokeroute.dispatch import listing, placement, plan, scaler, scaling, upkeep
 from spokeroute.exchange import budget, holder, types
 from spokeroute.exchange.types import AttemptDone
-from spokeroute.register import copies
+from spokeroute.register import replica
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
 from tools import judges
@@ -38,7 +38,7 @@
 
 def never_stale(monkeypatch: pytest.MonkeyPatch) -> None:
     """A lease without end: copies decide although nothing proves them."""
-    monkeypatch.setattr(copies, "LEASE_MS", 10**9)
+    monkeypatch.setattr(replica, "LEASE_MS", 10**9)
     monkeypatch.setattr(holder, "FRESH_MARGIN_MS", -(10**9))
     monkeypatch.setattr(types.Tables, "fresh", lambda self, now_ms: self.table is not None)
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from spokeroute.dial.answers import Answer
+from spokeroute.common.answers import Answer
 from tests.door import GET, LONG, Caller, Door
 
 READY = b"GET /health/up HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/tests/test_leaving_fleet.py
+++ b/tests/test_leaving_fleet.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.test_fleet import EXAMPLE, desk, until_served
+from tests.test_fleet import EXAMPLE, client, until_served
 from tools.fleet import Fleet
 
 # Real processes draw free ports: two fleets at once may draw the same one.
@@ -80,7 +80,7 @@
 
 def test_a_stop_under_calls_cuts_nobody(fleet: Fleet) -> None:
     assert fleet.wait_ready([n for n in fleet.commands if n.startswith("reg")], 90) == []
-    assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
+    assert client(fleet, "apply", str(EXAMPLE)).returncode == 0
     until_served(fleet, "ex1", "/port-ins")
     callers = [Regular(fleet.http["ex1"]) for _ in range(CALLERS)]
     until_s = time.monotonic() + 60
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.http import Limits
+from spokeroute.common.answers import Answer
+from spokeroute.http.wsgi import Limits
 from tests.door import CHUNKED, GET, LONG, Caller, Door
 
 
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from spokeroute.dial.bounds import Bounds
+from spokeroute.common.bounds import Bounds
 from tests.sim.cluster import Sim, configuration
 from tests.test_scenarios import SEEDS
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from spokeroute.dial.bounds import Bounds
-from spokeroute.dial.ids import Address, Ballot, Epoch, MemberId, Ms
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.ids import Address, Ballot, Epoch, MemberId, Ms
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.membership import Sight, Sign, lost_disks, next_roster
+from spokeroute.register.membership_policy import Sight, Sign, lost_disks, next_roster
 from tests.sim.acts import swap_registry
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
@@ -36,14 +36,14 @@
     rng = sim.rng
     cells: dict[str, Cell] = {}
     for number in range(count):
-        ballot = Ballot(1, sim.registries[0].state("keeper").me)
+        ballot = Ballot(1, sim.registries[0].state("acceptor").me)
         value = rng.randbytes(150)
         name = f"claim/{rng.randrange(10**12)}-{number}"
         cells[name] = Cell(ballot, ballot, 1, digest_of(value), value)
     for node in sim.registries:
         assert node.process is not None and node.disk is not None
         node.disk.cells.update(cells)
-        actor = node.process.actors["keeper"]
+        actor = node.process.actors["acceptor"]
         state = actor.state
         actor.state = replace(
             state, cells=state.cells.update(cells), synced=state.synced.update(cells)
@@ -57,7 +57,7 @@
 
 
 def votes(node: Node) -> bool:
-    return node.alive and bool(node.state("keeper").synced_votes)
+    return node.alive and bool(node.state("acceptor").synced_votes)
 
 
 def acked(sim: Sim, doc: dict[str, object], registry: int) -> Told:
@@ -122,7 +122,7 @@
 @pytest.mark.parametrize("core", [(1, 5, 5.0), (2, 5, 0.5)], indirect=True)
 def test_five_members_bear_two_lost_disks_again_and_again(core: Sim) -> None:
     core.settle()
-    assert all(len(r.state("keeper").roster.members) == 5 for r in core.registries)
+    assert all(len(r.state("acceptor").roster.members) == 5 for r in core.registries)
     laden(core)
     for pair in ((0, 1), (2, 3), (4, 0)):
         name = f"kept-{pair}"
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from tests.test_fleet import EXAMPLE, desk, post, until_served
+from tests.test_fleet import EXAMPLE, client, post, until_served
 from tools.fleet import Fleet, free_ports
 from tools.relay import Relay
 
@@ -63,7 +63,7 @@
     for name in fleet.commands:
         fleet.start(name)
     assert fleet.wait_ready([n for n in fleet.commands if n.startswith("reg")], 90) == []
-    assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
+    assert client(fleet, "apply", str(EXAMPLE)).returncode == 0
     for name in ("ex1", "ex2", "ex3"):
         until_served(fleet, name, "/port-ins")
 
@@ -95,8 +95,8 @@
             assert answer_on(sock).startswith(b"HTTP/1.1 200 ")
             status, body = post(fleet, "ex2", "/port-ins", key="before")
             assert status == 409 and b"ended 200" in body
-            assert desk(fleet, "apply", str(EXAMPLE)).returncode == 0
-    replayed = desk(fleet, "replay")
+            assert client(fleet, "apply", str(EXAMPLE)).returncode == 0
+    replayed = client(fleet, "replay")
     assert replayed.returncode == 0, replayed.stderr
 
 
--- a/tests/test_own_names.py
+++ b/tests/test_own_names.py
@@ -8,24 +8,24 @@
 
 import pytest
 
-from spokeroute.dial.bounds import Bounds
-from spokeroute.dial.effects import From, Launch, Send, Tell, Tick
-from spokeroute.dial.ids import Incarnation, Ms, NodeId, Term, Version
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.effects import From, Launch, Send, Tell, Tick
+from spokeroute.common.ids import Incarnation, Ms, NodeId, Term, Version
 from spokeroute.dispatch.configuration import (
     Configuration,
     Service,
     build_table,
     pack_configuration,
 )
-from spokeroute.dispatch.floor import STARTING, UP, Floor, Placed, pack_floor
+from spokeroute.dispatch.placement_table import STARTING, UP, Floor, Placed, pack_floor
 from spokeroute.exchange import holder
 from spokeroute.exchange.connect import Connect, ConnectDone
 from spokeroute.exchange.entry import HeldNow
 from spokeroute.exchange.seat import CONNECT_WAIT_MS
 from spokeroute.exchange.types import SendAttempt
-from spokeroute.register.copies import Fresh
-from spokeroute.trunk.messages import Forward, Forwarded, HeldWord, ViewEntry
-from spokeroute.trunk.peers import ViewNow
+from spokeroute.register.replica import Fresh
+from spokeroute.transport.messages import Forward, Forwarded, HeldWord, ViewEntry
+from spokeroute.transport.peers import ViewNow
 from tests.sim.acts import fall_and_return
 from tests.sim.cluster import Sim
 from tests.test_parts import placed
--- a/tests/test_parser.py
+++ b/tests/test_parser.py
@@ -8,7 +8,7 @@
 from waitress.adjustments import Adjustments
 from waitress.parser import HTTPRequestParser
 
-from spokeroute.dial.parser import Parser
+from spokeroute.http.parser import Parser
 
 SEEDS = 300
 SWAPS = 40
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -10,19 +10,19 @@
 import pytest
 from immutables import Map
 
-from spokeroute.desk.gateway import lay
-from spokeroute.dial.effects import From, SlotId
-from spokeroute.dial.ids import CallId, Incarnation, Ms, NodeId
+from spokeroute.client.gateway import lay
+from spokeroute.common.effects import From, SlotId
+from spokeroute.common.ids import CallId, Incarnation, Ms, NodeId
 from spokeroute.dispatch.configuration import Configuration, Route, Service, read_configuration
 from spokeroute.dispatch.flare import Function, Picture, Site
-from spokeroute.dispatch.floor import UP, Placed
+from spokeroute.dispatch.placement_table import UP, Placed
 from spokeroute.exchange import calls, entry
 from spokeroute.exchange.budget import WINDOW_MS, Budget
 from spokeroute.exchange.pick import pick
 from spokeroute.exchange.types import LISTS_AGE_MS, Attempt, Call, CallIn, Tables
-from spokeroute.logbook.entries import Record, entry_text, picture_doc
-from spokeroute.logbook.replay import replay
-from spokeroute.trunk.messages import Lists, Successors
+from spokeroute.ledger.entries import Record, entry_text, picture_doc
+from spokeroute.ledger.replay import replay
+from spokeroute.transport.messages import Lists, Successors
 from tests.sim.cluster import Sim, configuration
 
 ASK = CallIn(SlotId(0, 1), CallId("c1"), "a", "POST", "/x", "", (), b"", "5000", "", 0)
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from spokeroute.dial.ids import Address, InstanceId, Ms
+from spokeroute.common.ids import Address, InstanceId, Ms
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformDone, PlatformListed
 from spokeroute.exchange.connect import Connect, ConnectDone, Connector, connect
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
-from spokeroute.trunk.net import monotonic_ms
+from spokeroute.transport.net import monotonic_ms
 from tests.test_edge import Scripted
 
 
--- a/tests/test_readback.py
+++ b/tests/test_readback.py
@@ -25,7 +25,7 @@
     for node in sim.registries:
         node.kill()
         node.start()
-    assert sim.up_to(lambda: sim.registries[0].state("keeper").synced_votes, 3_000)
+    assert sim.up_to(lambda: sim.registries[0].state("acceptor").synced_votes, 3_000)
     sim.run(2_000)
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -11,19 +11,19 @@
 
 import pytest
 
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.bounds import Bounds
-from spokeroute.dial.effects import Effects, From, Send, SendAddress, SlotId, Tell, Tick
-from spokeroute.dial.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId, Term
+from spokeroute.common.answers import Answer
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.effects import Effects, From, Send, SendAddress, SlotId, Tell, Tick
+from spokeroute.common.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId, Term
 from spokeroute.dispatch import role
 from spokeroute.dispatch.role import Holder, Resign, pack_role
 from spokeroute.register import proposer
 from spokeroute.register.cells import Roster
 from spokeroute.register.changes import Ask, Read, Settled, Swap
-from spokeroute.trunk.frames import Envelope, encode
-from spokeroute.trunk.messages import Alive, Finish, Prepare, RoleFree
-from spokeroute.trunk.net import Loop, monotonic_ms, parse_address
-from spokeroute.trunk.process import Me, Process
+from spokeroute.transport.frames import Envelope, encode
+from spokeroute.transport.messages import Alive, Finish, Prepare, RoleFree
+from spokeroute.transport.net import Loop, monotonic_ms, parse_address
+from spokeroute.transport.process import Me, Process
 from tests.sim.acts import holder_of
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from spokeroute.dial.effects import From, Send, Tell, Tick
-from spokeroute.dial.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
+from spokeroute.common.effects import From, Send, Tell, Tick
+from spokeroute.common.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
 from spokeroute.register import proposer
 from spokeroute.register.cells import Roster, digest_of
 from spokeroute.register.proposer import Ask, Settled, Swap
-from spokeroute.trunk.messages import Accept, Copy, Prepare, Promise
+from spokeroute.transport.messages import Accept, Copy, Prepare, Promise
 from tests.sim.cluster import Sim, configuration
 
 MEMBERS = tuple(MemberId(f"m{i}") for i in range(3))
--- a/tests/test_reread.py
+++ b/tests/test_reread.py
@@ -12,12 +12,12 @@
 import pytest
 
 from spokeroute import reread
-from spokeroute.dial.effects import SendAddress, Tick
-from spokeroute.dial.ids import Address, Ms, NodeId
-from spokeroute.dial.settings import Settings, SettingsError
-from spokeroute.logbook.ring import Ring
-from spokeroute.trunk import peers
-from spokeroute.trunk.process import Me
+from spokeroute.common.effects import SendAddress, Tick
+from spokeroute.common.ids import Address, Ms, NodeId
+from spokeroute.common.settings import Settings, SettingsError
+from spokeroute.ledger.ring import Ring
+from spokeroute.transport import peers
+from spokeroute.transport.process import Me
 from tests.sim.cluster import Sim
 
 # Real processes draw free ports: two fleets at once may draw the same one.
@@ -62,7 +62,7 @@
 
 def test_seeds_change_whom_it_asks() -> None:
     me = Me(NodeId("a"), 1, Address("10.0.0.9:1"), "exchange", "north")  # type: ignore[arg-type]
-    state = peers.State(me, (Address("10.0.0.1:1"),), 1, (), "copies")
+    state = peers.State(me, (Address("10.0.0.1:1"),), 1, (), "replica")
     state, _ = peers.step(state, peers.SeedsNow((Address("10.0.0.5:1"),)), Ms(0))
     _, effects = peers.step(state, Tick(), Ms(1))
     assert [e.address for e in effects if isinstance(e, SendAddress)] == ["10.0.0.5:1"]
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -7,7 +7,7 @@
 import pytest
 
 from spokeroute.dispatch.configuration import Service
-from spokeroute.dispatch.floor import UP
+from spokeroute.dispatch.placement_table import UP
 from spokeroute.dispatch.scaler import Demand, boot_fits, wanted_of
 from tests.sim.acts import holder_of
 from tests.sim.cluster import Sim, configuration
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -315,7 +315,8 @@
     sim = Sim(4, start_ms=900.0)
     try:
         sim.start()
-        assert sim.up_to(lambda: all(r.state("keeper").synced_votes for r in sim.registries), 8_000)
+        registries = sim.registries
+        assert sim.up_to(lambda: all(r.state("acceptor").synced_votes for r in registries), 8_000)
         doc = configuration(name="sleepers")
         for number in range(75):
             doc["services"].append({"name": f"rare-{number}", "memoryMb": 128, "limit": 1,
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from spokeroute.dial.effects import SlotId
-from spokeroute.dial.ids import Ms
+from spokeroute.common.effects import SlotId
+from spokeroute.common.ids import Ms
 from spokeroute.exchange.silence import AGAIN_MS, ASK_MS, SILENT_MS, Silence, look
 from tests.calls_made import call_to
 from tests.sim.cluster import Sim
--- a/tests/test_tolerance.py
+++ b/tests/test_tolerance.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from spokeroute.dial.bounds import Bounds
-from spokeroute.register.keeper import State as Keeper
+from spokeroute.common.bounds import Bounds
+from spokeroute.register.acceptor import State as Keeper
 from tests.sim.cluster import Sim, configuration
 from tests.test_losses import acked, shown
 
@@ -41,9 +41,9 @@
     sim = Sim(3, 3, sync_ms=1.5, registries=5, bounds=replace(told(2), stale_ms=2_000))
     sim.start()
     sim.run(8_000)
-    keeper: Keeper = sim.registries[0].state("keeper")
+    keeper: Keeper = sim.registries[0].state("acceptor")
     assert keeper.roster is not None
-    lost = [r for r in sim.registries if r.state("keeper").me in keeper.roster.ids][:2]
+    lost = [r for r in sim.registries if r.state("acceptor").me in keeper.roster.ids][:2]
     acked(sim, configuration(name="kept"), sim.registries.index(lost[0]))
     for node in sim.nodes:
         node.kill()
--- a/tools/capacity_caps.py
+++ b/tools/capacity_caps.py
@@ -6,9 +6,9 @@
 from collections.abc import Mapping
 
 from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
-from spokeroute.register.keeper import INLINE_BYTES
+from spokeroute.register.acceptor import INLINE_BYTES
 from spokeroute.registry.platform_edge import MAX_LISTING_BYTES
-from spokeroute.trunk.frames import MAX_FRAME_BYTES
+from spokeroute.transport.frames import MAX_FRAME_BYTES
 from tools.capacity_aim import AIM, CORES_A_NODE, MB_A_NODE
 from tools.capacity_rows import BYTES_IN, CPU, MEMORY, Fitted, Row
 
@@ -48,7 +48,7 @@
          "bytes", MAX_FRAME_BYTES),
         (f"a listing ({MAX_LISTING_BYTES // MIB} MB)", "registry", "platform lists and starts",
          "bytes", MAX_LISTING_BYTES),
-        (f"a configuration as it is sent ({MAX_CONFIGURATION_BYTES // MIB} MB)", "desk",
+        (f"a configuration as it is sent ({MAX_CONFIGURATION_BYTES // MIB} MB)", "client",
          "configuration", "bytes", MAX_CONFIGURATION_BYTES),
         (f"the lists in one frame ({MAX_FRAME_BYTES // MIB} MB)", "exchange", "LAAF lists",
          BYTES_IN, MAX_FRAME_BYTES),
--- a/tools/capacity_cold.py
+++ b/tools/capacity_cold.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from spokeroute.dispatch.floor import UP
+from spokeroute.dispatch.placement_table import UP
 from tools.capacity_fleet import Run, rounded
 from tools.capacity_size import Size, service_name
 from tools.capacity_world import HollowNode
--- a/tools/capacity_faults.py
+++ b/tools/capacity_faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from spokeroute.dial.bounds import Bounds
+from spokeroute.common.bounds import Bounds
 from tools.capacity_aim import (
     CHANGES_A_DAY,
     INSTANCES,
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -10,11 +10,11 @@
 from pathlib import Path
 from typing import Any
 
-from spokeroute.desk.difference import difference
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.bounds import Bounds
-from spokeroute.dial.effects import SlotId
-from spokeroute.dial.ids import CONFIGURATION, FLOOR, CallId, Incarnation, NodeId
+from spokeroute.client.difference import difference
+from spokeroute.common.answers import Answer
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.effects import SlotId
+from spokeroute.common.ids import CONFIGURATION, FLOOR, CallId, Incarnation, NodeId
 from spokeroute.dispatch.configuration import (
     Configuration,
     pack_configuration,
@@ -24,7 +24,7 @@
 from spokeroute.nodes import Start
 from spokeroute.register.cells import digest_of
 from spokeroute.registry.operator import Apply
-from spokeroute.trunk.process import Me
+from spokeroute.transport.process import Me
 from tools.capacity_meter import Meter
 from tools.capacity_size import (
     HUBS,
@@ -45,7 +45,7 @@
 )
 from tools.capacity_world import Fleet, HollowNode
 
-ROLES = ("exchange", "hub", "registry", "holder", "desk")
+ROLES = ("exchange", "hub", "registry", "holder", "client")
 SETTLE_MOST_S = 12.0
 BODY = b'{"meter":1234567,"reading":42.5}'
 
@@ -191,7 +191,7 @@
         self.applied += 1
         node = self.registries[self.applied % len(self.registries)]
         body = document(self.size, f"change {self.applied}")
-        self._desk(body)
+        self._client(body)
         self.meter.node = node.me.node
         self.meter.passed(node.me.node, "in", "apply", "zone", len(body))
         self.meter.enter()
@@ -209,14 +209,14 @@
 
         node.ask("operator", lambda s: Apply(s, value, digest_of(value), -1), told)
 
-    def _desk(self, body: bytes) -> None:
-        """What the operator's client does with it: ``desk apply --check``, then ``desk apply``."""
-        self.meter.node = "desk"
-        self.meter.passed("desk", "out", "apply", "zone", len(body))
+    def _client(self, body: bytes) -> None:
+        """What the operator's client does with it: ``apply --check``, then ``apply``."""
+        self.meter.node = "client"
+        self.meter.passed("client", "out", "apply", "zone", len(body))
         self.meter.enter()
         sent = json.loads(body)
         difference(sent, {**sent, "name": "another"})
-        self.meter.leave("desk apply")
+        self.meter.leave("client apply")
 
     def _churn(self) -> None:
         self.fleet.platform.fail(self.rng.randrange(10**6))
@@ -261,7 +261,7 @@
     def _point(self, rss_mb: float, took_s: float) -> Point:
         size, holder = self.size, self.holder()
         role_of: dict[str, str] = {n.me.node: "registry" for n in self.registries}
-        role_of["desk"] = "desk"
+        role_of["client"] = "client"
         if holder is not None:
             role_of[holder.me.node] = "holder"
         for number, node in enumerate(self.exchanges):
@@ -298,7 +298,7 @@
 
     def _sizes(self) -> dict[str, float]:
         """Bytes of what is handed round whole."""
-        cells = self.registries[0].state("keeper").synced
+        cells = self.registries[0].state("acceptor").synced
         return {
             "floor bytes": float(len(cells[FLOOR].value)),
             "configuration bytes": float(len(cells[CONFIGURATION].value)),
--- a/tools/capacity_meter.py
+++ b/tools/capacity_meter.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from spokeroute.dial.effects import From
-from spokeroute.register.copies import Fresh
+from spokeroute.common.effects import From
+from spokeroute.register.replica import Fresh
 from tools.capacity_clock import NANOSECONDS, counter
 
 FUNCTIONS = (
@@ -41,7 +41,7 @@
     """How an event is named in the counts.
 
     Example:
-        >>> from spokeroute.dial.effects import Tick
+        >>> from spokeroute.common.effects import Tick
         >>> kind_of(Tick())
         'Tick'
     """
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -26,7 +26,7 @@
 )
 from tools.capacity_verdicts import verdict_of
 
-ROLES = ("exchange", "registry", "holder", "desk")
+ROLES = ("exchange", "registry", "holder", "client")
 PREDICTED = (
     ("registry", "freshness proofs", IN), ("registry", "freshness proofs and reports", CPU),
     ("registry", "platform lists and starts", CPU), ("exchange", "floor and holds", CPU),
--- a/tools/capacity_rows.py
+++ b/tools/capacity_rows.py
@@ -150,22 +150,28 @@
 
 
 GOSSIP = (
-    "peers Tick", "peers Shuffle", "peers CopiesNow", "copies ViewNow", "steward ViewNow",
-    "copies GossipHeard", "encode Shuffle", "decode Shuffle",
+    "peers Tick", "peers Shuffle", "peers CopiesNow", "replica ViewNow", "membership ViewNow",
+    "replica GossipHeard", "encode Shuffle", "decode Shuffle",
 )  # fmt: skip
 SHUFFLE, PROOF = ("Shuffle",), ("Probe", "ProbeAck")
 ROUND = ("Accept", "Accepted", "Prepare", "Promise", "HandOver")
 LEDGER = ("LedgerShare", "LedgerAck")
 CLAIM = ("ClaimAsk", "ClaimGot")
 FORWARD = ("Forward", "Forwarded")
-ON_PROBE = ("decode Probe", "keeper Probe", "steward Probe", "placement Probe", "encode ProbeAck")
+ON_PROBE = (
+    "decode Probe",
+    "acceptor Probe",
+    "membership Probe",
+    "placement Probe",
+    "encode ProbeAck",
+)
 ON_LISTING = ("edge read_listing", "placement PlatformListed", "fn.take_listing", "fn.sightings_of",
               "fn.absent_from")  # fmt: skip
 ON_FLOOR = ("fn.unpack_floor", "calls Fresh changed", "holder Fresh changed",
-            "decode FetchGot", "copies FetchGot")  # fmt: skip
+            "decode FetchGot", "replica FetchGot")  # fmt: skip
 ON_ROUND = (
-    "keeper Accept", "keeper Prepare", "keeper DiskDone", "decode Accept", "encode Promise",
-    "fn.unpack_floor", "placement Fresh changed", "decode HandOver", "keeper HandOver",
+    "acceptor Accept", "acceptor Prepare", "acceptor DiskDone", "decode Accept", "encode Promise",
+    "fn.unpack_floor", "placement Fresh changed", "decode HandOver", "acceptor HandOver",
 )  # fmt: skip
 
 
@@ -258,9 +264,9 @@
         ("memory holder",), slope_only=True),
     Row("holder", "memory by nodes", MEMORY, ("memory nodes",), "nodes",
         ("memory holder",), slope_only=True),
-    Row("desk", "configuration", CPU, ("functions",), "functions", ("desk apply",), "desk apply",
-        "configurations"),
-    Row("desk", "configuration", "bytes", ("functions",), "functions", ("document bytes",),
+    Row("client", "configuration", CPU, ("functions",), "functions", ("client apply",),
+        "client apply", "configurations"),
+    Row("client", "configuration", "bytes", ("functions",), "functions", ("document bytes",),
         rate="configurations"),
     Row("holder", "scaler", CPU, ("instances", "functions"), "functions x instances",
         ("fn.plan", "fn.room_of", "fn.best_worker", "fn.sleepers_mb"),
--- a/tools/capacity_size.py
+++ b/tools/capacity_size.py
@@ -8,7 +8,7 @@
 
 from immutables import Map
 
-from spokeroute.dial.ids import (
+from spokeroute.common.ids import (
     CONFIGURATION,
     FLOOR,
     Address,
@@ -25,8 +25,8 @@
     ZoneName,
 )
 from spokeroute.dispatch.configuration import pack_configuration
-from spokeroute.dispatch.floor import UP, Floor, Placed, pack_floor
 from spokeroute.dispatch.models import Configuration, Route, Service
+from spokeroute.dispatch.placement_table import UP, Floor, Placed, pack_floor
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.disk import Loaded
 
--- a/tools/capacity_world.py
+++ b/tools/capacity_world.py
@@ -9,21 +9,21 @@
 from dataclasses import dataclass
 from typing import Any
 
-from spokeroute.dial.answers import Answer
-from spokeroute.dial.effects import Send, SlotId
-from spokeroute.dial.ids import Address, Ms, NodeId, Version
+from spokeroute.common.answers import Answer
+from spokeroute.common.effects import Send, SlotId
+from spokeroute.common.ids import Address, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.types import AttemptDone, Revoke, SendAttempt
-from spokeroute.logbook.ledger import LedgerWrite, LedgerWritten
+from spokeroute.ledger.writer import LedgerWrite, LedgerWritten
 from spokeroute.nodes import Start, build_exchange
-from spokeroute.register.copies import Compile, Compiled
+from spokeroute.register.acceptor import DiskDone, DiskWrite
 from spokeroute.register.disk import Loaded
-from spokeroute.register.keeper import DiskDone, DiskWrite
+from spokeroute.register.replica import Compile, Compiled
 from spokeroute.registry.platform_edge import read_listing
 from spokeroute.registry_node import build_registry
-from spokeroute.trunk.process import Me, Process
+from spokeroute.transport.process import Me, Process
 from tools.capacity_meter import Meter
 from tools.capacity_platform import HollowPlatform
 from tools.capacity_size import REGION_OF
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -142,7 +142,7 @@
     def _others(self, lost: Node) -> bool:
         """Whether this one may go for good: the others vote."""
         others = [r for r in self.sim.registries if r is not lost]
-        return lost.alive and all(r.alive and r.state("keeper").synced_votes for r in others)
+        return lost.alive and all(r.alive and r.state("acceptor").synced_votes for r in others)
 
     def _blank(self, later: float) -> None:
         lost = self.rng.choice(self.sim.registries)
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -35,7 +35,7 @@
         time.time_ns = lambda: honest_ns() + int(jumped_by(path) * 1e9)
     if "--listen" in options:
         import spokeroute.daemon
-        from spokeroute.dial.ids import Address
+        from spokeroute.common.ids import Address
 
         daemon: Any = spokeroute.daemon
         honest = daemon.Loop
