--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -17,9 +17,15 @@
 from spokeroute.common.ids import ROSTER, Address, Epoch, MemberId, Ms, NodeId
 from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
 from spokeroute.register.cells import Roster, pack_roster, unpack_roster
-from spokeroute.register.membership_policy import ALIVE_MS, Sight, Sign, lost_disks, next_roster
+from spokeroute.register.membership_policy import (
+    HEARTBEAT_MS,
+    CoreView,
+    PeerStatus,
+    lost_disks,
+    next_roster,
+)
 from spokeroute.register.proposer import Ask, RosterIs, Settled, Swap
-from spokeroute.transport.messages import Alive, CopyAsk, CopyPart, Probe, RosterNews, ViewEntry
+from spokeroute.transport.messages import CopyAsk, CopyPart, Heartbeat, Probe, RosterNews, ViewEntry
 from spokeroute.transport.peers import ViewNow
 
 ASK_MS = 2_000
@@ -45,7 +51,7 @@
     zone: str
     roster: Roster | None = None
     votes: bool = False
-    signs: Map[str, Sign] = field(default_factory=Map)
+    signs: Map[str, PeerStatus] = field(default_factory=Map)
     addresses: Map[str, Address] = field(default_factory=Map)
     zones: Map[str, str] = field(default_factory=Map)
     started_ms: Ms = Ms(0)
@@ -57,6 +63,8 @@
     draws: int = 0
     changes: tuple[str, ...] = ("placement", "ledger", "role")
     bounds: Bounds = Bounds()
+    writable: bool = True  # whether this member's store takes writes
+    leaving: bool = False  # whether this process was asked to stop
 
 
 def step(state: State, event: object, now_ms: Ms) -> tuple[State, Effects]:
@@ -72,7 +80,7 @@
             return _replace(state, now_ms)
         case ViewNow(known):
             return _viewed(state, known, now_ms)
-        case From(node, _, Alive() as alive):
+        case From(node, _, Heartbeat() as alive):
             return _heard(state, node, alive, now_ms)
         case From(_, _, RosterNews(value)):
             return _news(state, unpack_roster(value))
@@ -90,7 +98,7 @@
 
 def _round(state: State, now_ms: Ms) -> tuple[State, Effects]:
     started_ms = state.started_ms or now_ms
-    state = replace(state, next_ms=Ms(now_ms + ALIVE_MS), started_ms=started_ms)
+    state = replace(state, next_ms=Ms(now_ms + HEARTBEAT_MS), started_ms=started_ms)
     effects: list[Effect] = _greet(state, _everyone(state), now_ms)
     if state.roster is None:
         effects.extend(_found(state, now_ms))
@@ -110,9 +118,9 @@
     silent_ms = state.bounds.catch_up_ms
     hears = tuple(n for n, s in sorted(state.signs.items()) if now_ms - s.at_ms < silent_ms)
     roster = state.roster
-    alive = Alive(
+    alive = Heartbeat(
         roster.epoch if roster else 0, state.votes, roster is None, hears,
-        state.address if roster is None else "",
+        state.address if roster is None else "", state.writable, state.leaving,
     )  # fmt: skip
     return [Send(NodeId(node), alive) for node in nodes if node != state.me]
 
@@ -146,13 +154,16 @@
     return [Send(m, RosterNews(value)) for m in roster.ids]
 
 
-def _heard(state: State, node: NodeId, alive: Alive, now_ms: Ms) -> tuple[State, Effects]:
+def _heard(state: State, node: NodeId, alive: Heartbeat, now_ms: Ms) -> tuple[State, Effects]:
     old = state.signs.get(node)
     known = state.addresses.get(node) or (old.address if old else Address(""))
     address = Address(alive.address) or known
     here = old is not None and now_ms - old.at_ms < state.bounds.catch_up_ms
     since_ms = old.since_ms if old and here else now_ms
-    sign = Sign(address, now_ms, since_ms, alive.epoch, alive.votes, alive.blank, alive.hears)
+    sign = PeerStatus(
+        address, now_ms, since_ms, alive.epoch, alive.votes, alive.blank, alive.hears,
+        alive.writable, alive.leaving,
+    )  # fmt: skip
     state = replace(state, signs=state.signs.set(node, sign))
     effects: list[Effect] = []
     if state.roster and alive.epoch < state.roster.epoch:
@@ -243,7 +254,7 @@
     roster = state.roster
     if roster is None or not state.votes or state.proposing:
         return state, ()
-    sight = Sight(
+    sight = CoreView(
         state.me, roster, state.signs, state.zones, state.bounds.catch_up_ms,
         state.bounds.members, state.started_ms, now_ms,
     )  # fmt: skip
--- a/spokeroute/register/membership_policy.py
+++ b/spokeroute/register/membership_policy.py
@@ -15,15 +15,15 @@
 from spokeroute.common.ids import Address, Epoch, MemberId, Ms
 from spokeroute.register.cells import Roster
 
-ALIVE_MS = 500
+HEARTBEAT_MS = 500
 CANDIDATE_MS = 1_500
-RECENT_MS = 2 * ALIVE_MS + 200
+RECENT_MS = 2 * HEARTBEAT_MS + 200
 TURN_MS = 150  # members propose one after the other, so that they don't duel
 
 
 @dataclass(frozen=True, slots=True)
-class Sign:
-    """A core node's last sign of life."""
+class PeerStatus:
+    """A core node's last heartbeat."""
 
     address: Address
     at_ms: Ms
@@ -32,15 +32,17 @@
     votes: bool
     blank: bool
     hears: tuple[str, ...]
+    writable: bool = True
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Sight:
+class CoreView:
     """What one voting member sees."""
 
     me: MemberId
     roster: Roster
-    signs: Mapping[str, Sign]
+    signs: Mapping[str, PeerStatus]
     zones: Mapping[str, str]
     silent_ms: int
     members: int
@@ -48,7 +50,7 @@
     now_ms: Ms
 
 
-def next_roster(sight: Sight) -> Roster | None:
+def next_roster(sight: CoreView) -> Roster | None:
     """The roster that should come next; None where the present one should stay.
 
     Example:
@@ -64,7 +66,7 @@
     return _changed(sight, gone) if gone else None
 
 
-def lost_disks(sight: Sight) -> dict[MemberId, MemberId]:
+def lost_disks(sight: CoreView) -> dict[MemberId, MemberId]:
     """Members whose disks are lost, and the blank member that runs at the address of each.
 
     Example:
@@ -83,13 +85,13 @@
     return found
 
 
-def _my_turn(sight: Sight, lost: Mapping[MemberId, MemberId]) -> bool:
+def _my_turn(sight: CoreView, lost: Mapping[MemberId, MemberId]) -> bool:
     living = [m for m in sight.roster.ids if m not in lost]
     since_ms = max(sight.signs[n].since_ms for n in lost.values())
     return sight.now_ms - since_ms >= living.index(sight.me) * TURN_MS
 
 
-def _waits(sight: Sight, node: str, for_ms: int) -> bool:
+def _waits(sight: CoreView, node: str, for_ms: int) -> bool:
     """Whether a blank registry is here now, and was for a while."""
     sign = sight.signs[node]
     return (
@@ -101,7 +103,7 @@
     )
 
 
-def _silent(sight: Sight) -> list[MemberId]:
+def _silent(sight: CoreView) -> list[MemberId]:
     return [
         m
         for m in sight.roster.ids
@@ -110,7 +112,7 @@
     ]
 
 
-def _free(sight: Sight) -> list[str]:
+def _free(sight: CoreView) -> list[str]:
     """Blank registries that wait at addresses of their own, in the order to be taken."""
     taken = {a for _, a in sight.roster.members}
     return sorted(
@@ -120,13 +122,13 @@
     )
 
 
-def _healthy(sight: Sight, silent: list[MemberId]) -> bool:
+def _healthy(sight: CoreView, silent: list[MemberId]) -> bool:
     """Whether all that are not silent vote, and are a majority: a newcomer copies from them."""
     here = [m for m in sight.roster.ids if m != sight.me and m not in silent]
     return all(sight.signs[m].votes for m in here) and len(here) + 1 >= sight.roster.majority
 
 
-def _gone(sight: Sight) -> dict[MemberId, MemberId]:
+def _gone(sight: CoreView) -> dict[MemberId, MemberId]:
     """One member that went for good, and the blank one that takes its place, of its own zone
     if there is one.
 
@@ -153,7 +155,7 @@
     return {gone: MemberId(blank)}
 
 
-def _grown(sight: Sight) -> list[MemberId]:
+def _grown(sight: CoreView) -> list[MemberId]:
     """Blank registries to be taken in so that the core has as many members as it should, an odd
     number; from the zones that have the fewest."""
     blanks = _free(sight)
@@ -177,7 +179,7 @@
 
 
 def _changed(
-    sight: Sight, instead: Mapping[MemberId, MemberId], more: list[MemberId] | None = None
+    sight: CoreView, instead: Mapping[MemberId, MemberId], more: list[MemberId] | None = None
 ) -> Roster:
     """The next epoch. Whoever joins, or joined and is not yet known to vote, copies first."""
     old = sight.roster
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -44,7 +44,7 @@
         "proposer",
         proposer.State(member, start.seed, loaded.roster),
         proposer.step,
-        takes=(m.Promise, m.Accepted, m.Finish, m.Alive),
+        takes=(m.Promise, m.Accepted, m.Finish, m.Heartbeat),
     )
     process.add(
         "membership",
@@ -59,7 +59,7 @@
             bounds=start.bounds,
         ),
         membership.step,
-        takes=(m.Alive, m.RosterNews, m.CopyPart, m.Probe),
+        takes=(m.Heartbeat, m.RosterNews, m.CopyPart, m.Probe),
     )
     process.add(
         "replica",
@@ -80,7 +80,7 @@
         "role",
         role.State(me.node, me.incarnation, ids),
         role.step,
-        takes=(m.Alive, m.RoleFree),
+        takes=(m.Heartbeat, m.RoleFree),
     )
     process.add(
         "placement",
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from spokeroute.doctor.checks import Sight, examine
+from spokeroute.doctor.checks import FleetView, examine
 from spokeroute.registry.status import status_doc
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
@@ -33,7 +33,7 @@
         n.address: bool(n.state("calls").tables.fresh(n.now_ms())) if n.alive else None
         for n in sim.exchanges
     }
-    return {f.kind for f in examine(Sight(registries, exchanges))}
+    return {f.kind for f in examine(FleetView(registries, exchanges))}
 
 
 def test_a_healthy_cluster_has_no_finding(sim: Sim) -> None:
@@ -148,7 +148,7 @@
         "platform": {"listedAgoMs": 5, "startTokens": 9.0}, "noRoomFor": [],
         "workersPct": {"w1": 91.0}, "versions": {},
     }  # fmt: skip
-    found = {f.kind for f in examine(Sight({"a": doc}, {}))}
+    found = {f.kind for f in examine(FleetView({"a": doc}, {}))}
     assert found == {"worker-overloaded", "lists-old"}
 
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -11,7 +11,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Address, Ballot, Epoch, MemberId, Ms
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.membership_policy import Sight, Sign, lost_disks, next_roster
+from spokeroute.register.membership_policy import CoreView, PeerStatus, lost_disks, next_roster
 from tests.sim.acts import swap_registry
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
@@ -162,15 +162,15 @@
 MEMBERS = tuple((MemberId(f"m{i}"), Address(f"10.0.0.{i}:1")) for i in range(3))
 
 
-def sight(signs: dict[str, Sign], now_ms: int = 20_000, members: int = 3) -> Sight:
+def sight(signs: dict[str, PeerStatus], now_ms: int = 20_000, members: int = 3) -> CoreView:
     roster = Roster(Epoch(4), MEMBERS)
     zones = {"m0": "a", "m1": "b", "m2": "c", "b1": "a", "b2": "b", "b3": "a"}
-    return Sight(MemberId("m0"), roster, signs, zones, CATCH_UP_MS, members, Ms(0), Ms(now_ms))
+    return CoreView(MemberId("m0"), roster, signs, zones, CATCH_UP_MS, members, Ms(0), Ms(now_ms))
 
 
-def sign(node: str, at_ms: int, blank: bool = False, address: str = "") -> Sign:
+def sign(node: str, at_ms: int, blank: bool = False, address: str = "") -> PeerStatus:
     there = address or dict(MEMBERS).get(MemberId(node), Address(f"10.9.0.{node[1]}:1"))
-    return Sign(
+    return PeerStatus(
         Address(there), Ms(at_ms), Ms(at_ms - 3_000 if blank else 0), 4, not blank, blank, ()
     )
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -21,7 +21,7 @@
 from spokeroute.register.cells import Roster
 from spokeroute.register.changes import Ask, Read, Settled, Swap
 from spokeroute.transport.frames import Envelope, encode
-from spokeroute.transport.messages import Alive, Finish, Prepare, RoleFree
+from spokeroute.transport.messages import Finish, Heartbeat, Prepare, RoleFree
 from spokeroute.transport.net import Loop, monotonic_ms, parse_address
 from spokeroute.transport.process import Me, Process
 from tests.sim.acts import holder_of
@@ -221,7 +221,7 @@
     state, effects = role.step(state, Tick(), Ms(10))
     state, _ = told(state, asked(effects), Holder(OTHER, 7, 3), 9, 12)
     for life, wanted in ((6, False), (7, False), (8, True)):
-        alive = From(OTHER, Incarnation(life), Alive(1, True, False, (), ""))
+        alive = From(OTHER, Incarnation(life), Heartbeat(1, True, False, (), "", True, False))
         state, _ = role.step(state, alive, Ms(20))
         state, effects = role.step(state, Tick(), Ms(30))
         state, effects = role.step(state, Tick(), Ms(400))
@@ -249,7 +249,7 @@
     state = proposer.State(MemberId("m0"), 1, Roster(Epoch(1), members))
     state, effects = proposer.step(state, Ask("op", "floor", Read(), ""), Ms(0))
     assert len(effects) == 3
-    alive = From(NodeId("m1"), Incarnation(4), Alive(1, True, False, (), ""))
+    alive = From(NodeId("m1"), Incarnation(4), Heartbeat(1, True, False, (), "", True, False))
     state, _ = proposer.step(state, alive, Ms(100))
     prepares: list[Send] = []
     for now_ms in range(110, 180, 10):
--- a/tools/capacity_aim.py
+++ b/tools/capacity_aim.py
@@ -136,7 +136,7 @@
     "budget shares": ("fn.Budget.*",),
     "loop and beats": (
         "loop", "acceptor Tick", "membership *", "claims Tick", "operator Tick", "ledger Tick",
-        "encode Alive", "decode Alive", "encode RosterNews", "decode RosterNews",
+        "encode Heartbeat", "decode Heartbeat", "encode RosterNews", "decode RosterNews",
     ),
 }  # fmt: skip
 """Which parts of the counts are whose. A part that nobody names is 'other'."""
