--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -99,9 +99,11 @@
         self.started = 0
 
     def say(self, kind: str, inputs: dict[str, object], output: object) -> None:
+        """Add a decision to the ledger entries of this pass."""
         self.decisions.append(Decision(kind, inputs, output))
 
     def of(self, service: str) -> list[Placed]:
+        """A service's instances, as this pass has them."""
         return [p for p in self.now.values() if p.service == service]
 
 
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -48,6 +48,7 @@
         self.pool = ThreadPoolExecutor(1, thread_name_prefix="disk")
 
     def write(self, actor: str, job: DiskWrite) -> None:
+        """Queue a batch of cells for the disk thread."""
         self.pool.submit(self._write, actor, job)
 
     def _write(self, actor: str, job: DiskWrite) -> None:
@@ -59,6 +60,7 @@
         self.loop.report(actor, DiskDone(job.batch))
 
     def ledger(self, actor: str, job: LedgerWrite) -> None:
+        """Queue ledger entries for the disk thread."""
         self.pool.submit(self._ledger, actor, job)
 
     def _ledger(self, actor: str, job: LedgerWrite) -> None:
--- a/tools/aimed_days.py
+++ b/tools/aimed_days.py
@@ -295,6 +295,8 @@
 @cappa.command(name="aimed_days", help="Draw days aimed at the control plane, and play them.")
 @dataclass
 class AimedDays:
+    """The command's arguments."""
+
     site: Annotated[str, cappa.Arg(long="site", help="the bench's site file")]
     out: Annotated[str, cappa.Arg(long="out", help="folder for the days and their logs")]
     first: Annotated[int, cappa.Arg(long="first", help="the first seed")] = 1
@@ -305,6 +307,7 @@
     why: Annotated[str, cappa.Arg(long="why", help="a line for the journal")] = "aimed days"
 
     def __call__(self) -> None:
+        """Carry the command out."""
         if self.profile and self.profile not in PROFILES:
             print(f"no profile {self.profile!r}: choose {', '.join(PROFILES)}", file=sys.stderr)
             sys.exit(EXIT_USAGE)
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -58,6 +58,8 @@
 @cappa.command(name="capacity", help="Measure hollow fleets, alone or swept.")
 @dataclass
 class Capacity:
+    """The command's arguments."""
+
     nodes: Annotated[int, cappa.Arg(long="nodes", help="exchanges, each on a worker")] = 8
     registries: Annotated[int, cappa.Arg(long="registries", help="core nodes")] = 5
     functions: Annotated[int, cappa.Arg(long="functions", help="services")] = 200
@@ -85,6 +87,7 @@
     ] = False
 
     def __call__(self) -> None:
+        """Carry the command out."""
         if self.sweep:
             _sweep(self)
         if self.cold:
@@ -168,6 +171,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     cappa.invoke(Capacity)
 
 
--- a/tools/capacity_platform.py
+++ b/tools/capacity_platform.py
@@ -20,7 +20,9 @@
 
     now_ms: float
 
-    def after(self, wait_ms: float, act: Callable[[], None]) -> None: ...
+    def after(self, wait_ms: float, act: Callable[[], None]) -> None:
+        """Carry an act out later, on the simulated clock."""
+        ...
 
 
 @dataclass
--- a/tools/capacity_world.py
+++ b/tools/capacity_world.py
@@ -150,9 +150,11 @@
     # the world that the product's process stands on
 
     def now_ms(self) -> Ms:
+        """Milliseconds of this world's monotonic clock."""
         return Ms(int(self.clock.now_ms))
 
     def send(self, address: Address, frame: bytes) -> None:
+        """Send a frame to an address; it may be lost."""
         self.meter.leave(f"encode {self.kind}")
         self.meter.enter()
         self.fleet.net.send(self, address, frame, self.kind)
@@ -162,6 +164,7 @@
         """Every connection here came to be."""
 
     def launch(self, actor: str, job: object) -> None:
+        """Start a job at the edge; its report goes to the actor."""
         self.meter.enter()
         self._launch(actor, job)
         self.meter.leave("")
@@ -198,14 +201,17 @@
                 self.later(2.0, actor, lambda: self.fleet.platform.call(job))
 
     def reply(self, slot: SlotId, answer: Answer) -> None:
+        """Give a waiting request its answer."""
         told = self.slots.pop(slot.index, None)
         if told is not None:
             told(answer)
 
     def note(self, text: str, alarm: bool) -> None:
+        """Keep a line in the ring log; an alarm writes the ring out."""
         self.fleet.noted(text)
 
     def fatal(self, fault: BaseException) -> None:
+        """A core failed: the process ends."""
         raise fault
 
     # the edges
--- a/tools/compare.py
+++ b/tools/compare.py
@@ -69,6 +69,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     table1 = Picture(
         (("TANGO", 70.0), ("LAMBADA", 50.0), ("CHARLIE", 50.0), ("ALPHA", 20.0), ("BETA", 10.0)),
         (Function("A", "TANGO", 40.0), Function("B", "TANGO", 30.0)),
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -42,6 +42,7 @@
         self.per_s = 120.0 if shape else 40.0
 
     def apply(self) -> None:
+        """Send the next configuration."""
         up = [i for i, r in enumerate(self.sim.registries) if r.alive and not r.frozen]
         if up:
             self.sim.apply({**self.doc, "name": f"v{self.sim.draw()}"}, self.rng.choice(up))
@@ -189,6 +190,7 @@
 
 
 def revive(node: Node) -> None:
+    """Start a killed process, or wake a frozen one."""
     if not node.alive and node.machine_up:
         node.start()
 
@@ -221,6 +223,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--count", type=int, default=20)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -148,6 +148,7 @@
 
     @property
     def registries(self) -> str:
+        """The registries' operator addresses, joined by commas."""
         return ",".join(self.http[f"reg{i + 1}"] for i in range(3))
 
     def signal(self, name: str, number: int) -> None:
@@ -185,6 +186,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     parser = argparse.ArgumentParser(description="Run a whole fleet on loopback until Ctrl-C.")
     parser.add_argument("--folder", default="fleet-data", help="data, logs and words")
     parser.add_argument("--exchanges", type=int, default=9)
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -27,6 +27,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     at = sys.argv.index("--")
     options = dict(zip(sys.argv[1:at:2], sys.argv[2:at:2], strict=True))
     if "--clock" in options:
--- a/tools/load.py
+++ b/tools/load.py
@@ -35,6 +35,7 @@
 
 
 def now_ms() -> float:
+    """Monotonic milliseconds."""
     return time.monotonic_ns() / 1e6
 
 
@@ -251,6 +252,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
     parser.add_argument("--deployment", choices=("tooluur", "organismo"), default="tooluur")
     parser.add_argument("--seconds", type=float, default=120)
--- a/tools/make_examples.py
+++ b/tools/make_examples.py
@@ -16,6 +16,7 @@
     start_busy_ms: int,
     start_small_ms: int,
 ) -> dict[str, Any]:
+    """A deployment's configuration."""
     services: list[dict[str, Any]] = []
     routes: list[dict[str, Any]] = []
     for service, path, methods, repeatable in busy:
@@ -41,6 +42,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     tooluur = configuration(
         "Tsagaan Tooluur",
         [
--- a/tools/make_site.py
+++ b/tools/make_site.py
@@ -310,11 +310,14 @@
 @cappa.command(name="make_site", help="Write the bench's site file of a deployment of our own.")
 @dataclass
 class MakeSite:
+    """The command's arguments."""
+
     description: Annotated[str, cappa.Arg(help="TOML file that describes the deployment")]
     wire: Annotated[str, cappa.Arg(long="wire", help="the bench's file with the platform's words")]
     out: Annotated[str, cappa.Arg(long="out", help="the site file to write, untracked")]
 
     def __call__(self) -> None:
+        """Carry the command out."""
         site = read_site(Path(self.description))
         wire, out = Path(self.wire).resolve(), Path(self.out)
         if not wire.is_file():
--- a/tools/sites.py
+++ b/tools/sites.py
@@ -34,6 +34,8 @@
     """A part of a description. Unknown fields are refused."""
 
     class Config(BaseConfig):
+        """Names in the file, and no others."""
+
         forbid_extra_keys = True
 
 
--- a/tools/standin.py
+++ b/tools/standin.py
@@ -19,10 +19,13 @@
 
 
 def now_ms() -> int:
+    """Monotonic milliseconds."""
     return time.monotonic_ns() // 1_000_000
 
 
 class QuietServer(ThreadingHTTPServer):
+    """An HTTP server that writes no access log."""
+
     daemon_threads = True
     request_queue_size = 128
 
@@ -32,6 +35,8 @@
 
 @dataclass
 class Instance:
+    """One started instance and what it runs."""
+
     id: str
     service: str
     worker: str
@@ -46,6 +51,8 @@
 
 
 class Standin:
+    """The platform: its workers and their instances."""
+
     def __init__(self, args: argparse.Namespace) -> None:
         self.args = args
         self.lock = threading.Lock()
@@ -61,11 +68,13 @@
         self.snapshots: list[tuple[int, dict[str, Any]]] = []
 
     def write(self, kind: str, **fields: Any) -> None:
+        """Append an event to the log."""
         line = json.dumps({"atMs": now_ms(), "kind": kind, **fields})
         with self.lock:
             self.log.write(line + "\n")
 
     def workers(self) -> list[dict[str, Any]]:
+        """The list of workers that are up."""
         names = self.args.zones.split(",")
         return [
             {
@@ -100,6 +109,7 @@
             time.sleep(0.1)
 
     def capped(self) -> bool:
+        """Whether this second has had all its starts and stops."""
         with self.lock:
             edge = now_ms() - 1000
             self.calls = [t for t in self.calls if t > edge]
@@ -109,6 +119,7 @@
             return False
 
     def start(self, raw: dict[str, Any]) -> int:
+        """Start an instance; the HTTP status."""
         if self.capped():
             return 429
         with self.lock:
@@ -123,6 +134,7 @@
         return 202
 
     def boot(self, instance: Instance) -> None:
+        """Let an instance boot, then listen."""
         base = self.args.start_busy_ms if instance.limit > 1 else self.args.start_small_ms
         time.sleep(base / 1000 * self.rng.uniform(0.9, 1.2))
         server = QuietServer(("127.0.0.1", 0), handler_of(self, instance))
@@ -138,6 +150,7 @@
         server.serve_forever(poll_interval=0.2)
 
     def stop(self, name: str, why: str) -> int:
+        """Stop an instance; the HTTP status."""
         with self.lock:
             instance = self.instances.pop(name, None)
             if instance is None:
@@ -156,6 +169,7 @@
         return 202
 
     def crash(self, worker: str) -> int:
+        """Crash a worker with its instances; the HTTP status."""
         with self.lock:
             self.down.add(worker)
             names = [i.id for i in self.instances.values() if i.worker == worker]
@@ -165,6 +179,7 @@
         return 200
 
     def empty(self, worker: str, out: bool) -> int:
+        """Drain a worker, or end that; the HTTP status."""
         with self.lock:
             (self.emptied.add if out else self.emptied.discard)(worker)
         self.write("empty" if out else "fill", worker=worker)
@@ -183,6 +198,7 @@
         return self.listing
 
     def revive(self, worker: str) -> int:
+        """Bring a crashed worker back, empty; the HTTP status."""
         with self.lock:
             self.down.discard(worker)
         self.write("revive", worker=worker)
@@ -190,6 +206,8 @@
 
 
 def handler_of(standin: Standin, instance: Instance) -> type[BaseHTTPRequestHandler]:
+    """The request handler of one instance's server."""
+
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
@@ -250,6 +268,8 @@
 
 
 def platform_handler(standin: Standin) -> type[BaseHTTPRequestHandler]:
+    """The request handler of the platform's own interface."""
+
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
@@ -285,6 +305,7 @@
 
 
 def main() -> None:
+    """The program's entry."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--listen", required=True)
     parser.add_argument("--log", required=True)
--- a/tools/system_packages.py
+++ b/tools/system_packages.py
@@ -167,9 +167,12 @@
 @cappa.command(name="system_packages", help="Compare deploy/system.toml with what is needed.")
 @dataclass
 class SystemPackages:
+    """The command's arguments."""
+
     deps: Annotated[str, cappa.Arg(long="deps", help="folder of the installed libraries")] = ""
 
     def __call__(self) -> None:
+        """Carry the command out."""
         deps = Path(self.deps or sysconfig.get_path("purelib"))
         try:
             found = check(deps)
