A full disk makes a member read-only, and it votes again once its store is open anew

Cause: a failed write set a flag that was never left; lmdb's environment, unusable after MDB_PANIC, was not opened again; signs of life went on saying that the member votes. Two such in a row, with other members lost between, took acknowledged configurations away. A ledger write that fails leads to a reopen too, and its entries are sent again before later ones count. Ruled out: restarting the process (its memory is sound, and a full disk would end it again); voting on from memory (what was promised there and not synced may be forgotten).

--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -25,6 +25,7 @@
     next_roster,
 )
 from spokeroute.register.proposer import Ask, RosterIs, Settled, Swap
+from spokeroute.register.store import StoreWritable
 from spokeroute.transport.messages import CopyAsk, CopyPart, Heartbeat, Probe, RosterNews, ViewEntry
 from spokeroute.transport.peers import ViewNow
 
@@ -82,9 +83,11 @@
             return _viewed(state, known, now_ms)
         case From(node, _, Heartbeat() as alive):
             return _heard(state, node, alive, now_ms)
-        case From(_, _, RosterNews(value)):
+        case StoreWritable(writable):
+            return _store(state, writable, now_ms)
+        case From(_, _, RosterNews(value)) if state.writable:
             return _news(state, unpack_roster(value))
-        case From(node, _, CopyPart() as part):
+        case From(node, _, CopyPart() as part) if state.writable:
             return _copied(state, node, part, now_ms)
         case From(node, _, Probe(_, epoch)):
             if state.roster and epoch < state.roster.epoch:
@@ -109,6 +112,15 @@
     return state, tuple(effects)
 
 
+def _store(state: State, writable: bool, now_ms: Ms) -> tuple[State, Effects]:
+    """The others hear at once whether this member's store takes writes. What was copied and not
+    yet voted with may be lost with a failed write: copying begins anew."""
+    state = replace(state, writable=writable, copied=Map(), copy_asked_ms=Map())
+    effects = _greet(state, _everyone(state), now_ms)
+    state, asks = _copy(state, now_ms)
+    return state, (*effects, *asks)
+
+
 def _everyone(state: State) -> tuple[str, ...]:
     return tuple(sorted({*state.addresses, *(state.roster.ids if state.roster else ())}))
 
@@ -160,9 +172,10 @@
     address = Address(alive.address) or known
     here = old is not None and now_ms - old.at_ms < state.bounds.catch_up_ms
     since_ms = old.since_ms if old and here else now_ms
+    unwritable_ms = old.unwritable_ms if old and here and not old.writable else now_ms
     sign = PeerStatus(
         address, now_ms, since_ms, alive.epoch, alive.votes, alive.blank, alive.hears,
-        alive.writable, alive.leaving,
+        alive.writable, alive.leaving, Ms(-1) if alive.writable else unwritable_ms,
     )  # fmt: skip
     state = replace(state, signs=state.signs.set(node, sign))
     effects: list[Effect] = []
@@ -203,7 +216,7 @@
     """Ask as many old members as are needed for their cells, those of this zone first; another
     one where one is late."""
     roster = state.roster
-    if roster is None or state.votes or state.me not in roster.ids:
+    if roster is None or state.votes or not state.writable or state.me not in roster.ids:
         return state, ()
     asked_ms = state.copy_asked_ms
     late_ms = Ms(now_ms - COPY_RETRY_MS)
@@ -252,7 +265,7 @@
     """Bring the next roster to its register, if this member sees that there should be one."""
     state = replace(state, turn_ms=Ms(-1))
     roster = state.roster
-    if roster is None or not state.votes or state.proposing:
+    if roster is None or not state.votes or not state.writable or state.proposing:
         return state, ()
     sight = CoreView(
         state.me, roster, state.signs, state.zones, state.bounds.catch_up_ms,
--- a/spokeroute/register/membership_policy.py
+++ b/spokeroute/register/membership_policy.py
@@ -3,8 +3,8 @@
 Pure functions over signs of life. The steward carries their answers out; the roster's
 register decides. Three things change a roster, in this order: a lost disk (another, blank
 member runs at a member's very address, and an address has one process), growth (the core
-has fewer members than it should, and blank ones wait), and a machine that went for good
-(silent for long, while a blank one waits elsewhere).
+has fewer members than it should, and blank ones wait), and a member that went for good
+(silent for long, or its store takes no writes for as long, while a blank one waits elsewhere).
 """
 
 from __future__ import annotations
@@ -34,6 +34,7 @@
     hears: tuple[str, ...]
     writable: bool = True
     leaving: bool = False
+    unwritable_ms: Ms = Ms(-1)  # since when it says that its store takes no writes
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +97,7 @@
     sign = sight.signs[node]
     return (
         sign.blank
+        and sign.writable
         and node not in sight.roster.ids
         and sign.address != ""
         and sight.now_ms - sign.at_ms < RECENT_MS
@@ -112,6 +114,19 @@
     ]
 
 
+def _unwritable(sight: CoreView) -> list[MemberId]:
+    """Members that are here, and whose stores have taken no writes for long."""
+    signs = sight.signs
+    return [
+        m
+        for m in sight.roster.ids
+        if m != sight.me
+        and m in signs
+        and not signs[m].writable
+        and sight.now_ms - signs[m].unwritable_ms > sight.silent_ms
+    ]
+
+
 def _free(sight: CoreView) -> list[str]:
     """Blank registries that wait at addresses of their own, in the order to be taken."""
     taken = {a for _, a in sight.roster.members}
@@ -122,20 +137,24 @@
     )
 
 
-def _healthy(sight: CoreView, silent: list[MemberId]) -> bool:
-    """Whether all that are not silent vote, and are a majority: a newcomer copies from them."""
-    here = [m for m in sight.roster.ids if m != sight.me and m not in silent]
-    return all(sight.signs[m].votes for m in here) and len(here) + 1 >= sight.roster.majority
+def _healthy(sight: CoreView, away: list[MemberId]) -> bool:
+    """Whether all that are not away vote and take writes, and are a majority: a newcomer copies
+    from them."""
+    here = [sight.signs[m] for m in sight.roster.ids if m != sight.me and m not in away]
+    whole = all(sign.votes and sign.writable for sign in here)
+    return whole and len(here) + 1 >= sight.roster.majority
 
 
 def _gone(sight: CoreView) -> dict[MemberId, MemberId]:
     """One member that went for good, and the blank one that takes its place, of its own zone
     if there is one.
 
-    None of the others hears it: a member behind a cut is not a lost one.
+    None of the others hears it: a member behind a cut is not a lost one. One whose store takes
+    no writes says so itself.
     """
     silent = _silent(sight)
-    if not _healthy(sight, silent):
+    unwritable = [m for m in _unwritable(sight) if m not in silent]
+    if not _healthy(sight, silent + unwritable):
         return {}
     unheard = [
         m
@@ -147,9 +166,10 @@
         )
     ]
     blanks = _free(sight)
-    if not unheard or not blanks or len(unheard) < len(silent):
+    away = unheard + unwritable
+    if not away or not blanks or len(unheard) < len(silent):
         return {}
-    gone = min(unheard, key=lambda m: (sight.signs[m].at_ms if m in sight.signs else -1, m))
+    gone = min(away, key=lambda m: (sight.signs[m].at_ms if m in sight.signs else -1, m))
     zone = sight.zones.get(gone, "")
     blank = min(blanks, key=lambda n: (sight.zones.get(n, "") != zone, n))
     return {gone: MemberId(blank)}
--- /dev/null
+++ b/spokeroute/registry/disk_edge.py
@@ -0,0 +1,107 @@
+"""The disk's one thread, and what it reports to the cores."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import lmdb
+from absl import logging
+
+from spokeroute.ledger.writer import KEEP_ENTRIES, LedgerFailed, LedgerWrite, LedgerWritten
+from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.store import (
+    DiskDone,
+    DiskFailed,
+    DiskWrite,
+    ReopenFailed,
+    ReopenStore,
+    StoreReopened,
+)
+
+Report = Callable[[str, object], None]
+
+
+def _text(fault: Exception) -> str:
+    return f"{type(fault).__name__}: {fault}"
+
+
+class DiskEdge:
+    """The disk's one thread: batches of cells, ledger entries between them, and the opening of
+    the store anew after a write that failed. Reports come in the order of the jobs.
+
+    Example:
+        edge = DiskEdge(disk, loaded.member, loop.report)
+    """
+
+    def __init__(self, disk: Disk, member: str, report: Report) -> None:
+        self.disk = disk
+        self.member = member
+        self.report = report
+        self.pool = ThreadPoolExecutor(1, thread_name_prefix="disk")
+
+    def write(self, actor: str, job: DiskWrite) -> None:
+        """Have a batch of cells written and synced.
+
+        Example:
+            edge.write("acceptor", job)
+        """
+        self.pool.submit(self._write, actor, job)
+
+    def _write(self, actor: str, job: DiskWrite) -> None:
+        try:
+            self.disk.write(job)
+        except Exception as fault:  # lmdb raises many kinds
+            self.report(actor, DiskFailed(_text(fault)))
+            return
+        self.report(actor, DiskDone(job.batch))
+
+    def ledger(self, actor: str, job: LedgerWrite) -> None:
+        """Have ledger entries written and synced.
+
+        Example:
+            edge.ledger("ledger", job)
+        """
+        self.pool.submit(self._ledger, actor, job)
+
+    def _ledger(self, actor: str, job: LedgerWrite) -> None:
+        low, high = job.entries[0][0], job.entries[-1][0]
+        try:
+            self.disk.append(job.entries, KEEP_ENTRIES)
+        except lmdb.MapFullError as fault:
+            # The environment is sound: only the ledger has no room left.
+            logging.error("the ledger has no room (%s): raise disk_mb", fault)
+            self.report(actor, LedgerFailed(low, high, job.ack_to))
+        except Exception as fault:
+            # The registers share the environment, which may be unusable from now on.
+            self.report(actor, LedgerFailed(low, high, job.ack_to))
+            self.report("acceptor", DiskFailed(_text(fault)))
+        else:
+            self.report(actor, LedgerWritten(low, high, job.ack_to))
+
+    def reopen(self, actor: str, job: ReopenStore) -> None:
+        """Have the store opened anew and read back.
+
+        Example:
+            edge.reopen("acceptor", ReopenStore(0))
+        """
+        self.pool.submit(self._reopen, actor, job)
+
+    def _reopen(self, actor: str, job: ReopenStore) -> None:
+        try:
+            found = self.disk.reopen(self.member, job.probe_bytes)
+        except DiskError as fault:
+            self.report(actor, ReopenFailed(str(fault)))
+        except Exception as fault:
+            self.report(actor, ReopenFailed(_text(fault)))
+        else:
+            self.report(actor, StoreReopened(found.roster, found.votes, found.cells))
+
+    def close(self) -> None:
+        """Carry out what was asked for, then close the store.
+
+        Example:
+            edge.close()
+        """
+        self.pool.shutdown(wait=True)
+        self.disk.close()
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -6,12 +6,9 @@
 import threading
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
-from absl import logging
-
 from spokeroute.common.ids import Address, Incarnation
 from spokeroute.common.settings import Settings, SettingsError
 from spokeroute.common.slab import Slab
@@ -21,15 +18,15 @@
 from spokeroute.dispatch.role import Resign
 from spokeroute.http.wsgi import WsgiApp, serve
 from spokeroute.ledger.ring import Ring
-from spokeroute.ledger.writer import KEEP_ENTRIES, LedgerWrite, LedgerWritten
+from spokeroute.ledger.writer import LedgerWrite
 from spokeroute.nodes import Start
-from spokeroute.register.acceptor import DiskDone, DiskFailed, DiskWrite
 from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.store import DiskWrite, ReopenStore
 from spokeroute.registry.api import Api
+from spokeroute.registry.disk_edge import DiskEdge
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
 from spokeroute.registry_node import build_registry
 from spokeroute.reread import Rereader
-from spokeroute.transport.net import Loop
 from spokeroute.transport.process import Me
 
 API_THREADS = 16
@@ -39,37 +36,6 @@
     threading.Thread(target=server.run, name="http", daemon=True).start()
 
 
-class DiskEdge:
-    """The disk's one thread: batches of cells, and ledger entries between them."""
-
-    def __init__(self, disk: Disk, loop: Loop) -> None:
-        self.disk = disk
-        self.loop = loop
-        self.pool = ThreadPoolExecutor(1, thread_name_prefix="disk")
-
-    def write(self, actor: str, job: DiskWrite) -> None:
-        self.pool.submit(self._write, actor, job)
-
-    def _write(self, actor: str, job: DiskWrite) -> None:
-        try:
-            self.disk.write(job)
-        except Exception as fault:  # lmdb raises many kinds
-            self.loop.report(actor, DiskFailed(f"{type(fault).__name__}: {fault}"))
-            return
-        self.loop.report(actor, DiskDone(job.batch))
-
-    def ledger(self, actor: str, job: LedgerWrite) -> None:
-        self.pool.submit(self._ledger, actor, job)
-
-    def _ledger(self, actor: str, job: LedgerWrite) -> None:
-        try:
-            self.disk.append(job.entries, KEEP_ENTRIES)
-        except Exception as fault:
-            logging.error("ledger entries were not kept: %s; free the disk", fault)
-            return
-        self.loop.report(actor, LedgerWritten(job.entries[-1][0], job.ack_to))
-
-
 def run_registry(
     settings: Settings,
     platform: PlatformClient | None = None,
@@ -104,8 +70,9 @@
         Start(seeds, secrets.randbits(30), settings.found, rank, settings.bounds),
         loaded,
     )
-    edge = DiskEdge(disk, loop)
+    edge = DiskEdge(disk, loaded.member, loop.report)
     world.jobs[DiskWrite] = edge.write
+    world.jobs[ReopenStore] = edge.reopen
     world.jobs[LedgerWrite] = edge.ledger
     platforms = PlatformEdge(platform or HttpPlatform(settings.platform), loop.report)
     world.jobs[ListPlatform] = platforms.list
@@ -133,6 +100,5 @@
     loop.before_stop = quiet
     on_signals(loop, first, rereader)
     loop.run(process)
-    edge.pool.shutdown(wait=True)
-    disk.close()
+    edge.close()
     return 0
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -6,7 +6,6 @@
 
 import random
 from collections.abc import Callable, Generator
-from dataclasses import dataclass, field
 from typing import Any
 
 import simpy
@@ -20,36 +19,28 @@
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
-from spokeroute.ledger.writer import LedgerWrite, LedgerWritten
+from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
 from spokeroute.nodes import Start, build_exchange
-from spokeroute.register.acceptor import DiskDone, DiskFailed, DiskWrite
-from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.disk import Loaded
 from spokeroute.register.replica import Compile, Compiled
+from spokeroute.register.store import (
+    DiskDone,
+    DiskFailed,
+    DiskWrite,
+    ReopenFailed,
+    ReopenStore,
+    StoreReopened,
+)
 from spokeroute.registry_node import build_registry
 from spokeroute.transport.process import Me, Process
+from tests.sim.disk import SimDisk
 from tools.log import Down
 
 TICK_MS = 20
+WHOLLY_THERE = 0.3  # of the batches whose write failed
 Steps = Generator[Any, Any, None]
 
 
-@dataclass
-class SimDisk:
-    """A member's disk. ``cells`` is what is synced."""
-
-    member: MemberId
-    cells: dict[str, Cell] = field(default_factory=dict)
-    roster: Roster | None = None
-    votes: bool = False
-    ledger: dict[str, str] = field(default_factory=dict)
-    starts: int = 0
-    sync_ms: float = 0.5
-    stalled_until_ms: float = 0.0
-    full: bool = False
-    loses_writes: bool = False  # a planted fault: says synced, and is not
-
-
 class Net:
     """Who hears whom, and how late."""
 
@@ -165,6 +156,8 @@
         match job:
             case DiskWrite():
                 self.env.process(self._disk(actor, job, born))
+            case ReopenStore():
+                self.env.process(self._reopen(actor, born))
             case LedgerWrite():
                 self.env.process(self._ledger(actor, job, born))
             case Compile():
@@ -189,32 +182,53 @@
     def _disk(self, actor: str, job: DiskWrite, born: int) -> Steps:
         disk = self.disk
         assert disk is not None
+        disk.writing += 1
         yield self.env.timeout(disk.sync_ms)
         while self.env.now < disk.stalled_until_ms:
             yield self.env.timeout(disk.stalled_until_ms - self.env.now)
+        disk.writing -= 1
         if self.births != born:
             return  # killed before the sync: the tail is gone
-        if disk.full:
+        if disk.full and not disk.broken and self.sim.rng.random() < WHOLLY_THERE:
+            disk.put(job)  # its last step failed, and it is there nevertheless
+        if disk.full or disk.broken:
+            disk.broken = True
             self.report(actor, DiskFailed("full"), born)
             return
         if not disk.loses_writes:
-            for name, cell in job.cells:
-                disk.cells[name] = cell
-            for name in job.drops:
-                disk.cells.pop(name, None)
-            if job.roster is not None:
-                disk.roster, disk.votes = job.roster, job.votes
+            disk.put(job)
         self.report(actor, DiskDone(job.batch), born)
 
+    def _reopen(self, actor: str, born: int) -> Steps:
+        disk = self.disk
+        assert disk is not None
+        yield self.env.timeout(disk.sync_ms)
+        while disk.writing or self.env.now < disk.stalled_until_ms:
+            yield self.env.timeout(1)
+        if self.births != born:
+            return
+        if disk.full:
+            self.report(actor, ReopenFailed("still full"), born)
+            return
+        disk.broken = False
+        self.report(actor, StoreReopened(disk.roster, disk.votes, Map(disk.cells)), born)
+
     def _ledger(self, actor: str, job: LedgerWrite, born: int) -> Steps:
         disk = self.disk
         assert disk is not None
         yield self.env.timeout(disk.sync_ms)
-        if self.births == born:
-            disk.ledger.update(job.entries)
-            for key, _ in job.entries:
-                self.sim.entered.setdefault(key, self.env.now)
-            self.report(actor, LedgerWritten(job.entries[-1][0], job.ack_to), born)
+        if self.births != born:
+            return
+        low, high = job.entries[0][0], job.entries[-1][0]
+        if disk.full or disk.broken:
+            disk.broken = True
+            self.report(actor, LedgerFailed(low, high, job.ack_to), born)
+            self.report("acceptor", DiskFailed("full"), born)
+            return
+        disk.ledger.update(job.entries)
+        for key, _ in job.entries:
+            self.sim.entered.setdefault(key, self.env.now)
+        self.report(actor, LedgerWritten(low, high, job.ack_to), born)
 
     def _compile(self, actor: str, job: Compile, born: int) -> Steps:
         yield self.env.timeout(5)
@@ -268,6 +282,7 @@
                 self.disk = SimDisk(member, sync_ms=self.sim.sync_ms)
             disk = self.disk
             disk.starts += 1
+            disk.broken = False
             loaded = Loaded(disk.member, disk.roster, disk.votes, Map(disk.cells), disk.starts)
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
--- /dev/null
+++ b/tests/test_store_full.py
@@ -0,0 +1,286 @@
+"""A real store that takes no writes: what it has, what is said, and how it is opened anew."""
+
+from __future__ import annotations
+
+import random
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import lmdb
+import pytest
+
+from spokeroute.common.ids import Address, Ballot, Epoch, MemberId, NodeId
+from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
+from spokeroute.register.cells import Cell, Roster, digest_of
+from spokeroute.register.disk import Disk, DiskBusyError, DiskError
+from spokeroute.register.store import (
+    DiskDone,
+    DiskFailed,
+    DiskWrite,
+    ReopenFailed,
+    ReopenStore,
+    StoreReopened,
+)
+from spokeroute.registry.disk_edge import DiskEdge
+
+SMALL_MB = 1
+ME = NodeId("m-1")
+
+
+class Refusing:
+    """An environment whose commits fail, as on a full disk: before anything of a batch is there,
+    or when all of it is."""
+
+    def __init__(self, env: lmdb.Environment, there: bool) -> None:
+        self.env = env
+        self.there = there
+
+    def begin(self, write: bool = False) -> RefusingTxn | lmdb.Transaction:
+        if not write:
+            raise lmdb.PanicError("MDB_PANIC: Update of meta page failed")
+        return RefusingTxn(self.env.begin(write=True), self.there)
+
+    def close(self) -> None:
+        self.env.close()
+
+
+class RefusingTxn:
+    """A transaction of such an environment."""
+
+    def __init__(self, txn: lmdb.Transaction, there: bool) -> None:
+        self.txn = txn
+        self.there = there
+
+    def __enter__(self) -> lmdb.Transaction:
+        return self.txn
+
+    def __exit__(self, *fault: object) -> None:
+        if self.there:
+            self.txn.commit()
+        else:
+            self.txn.abort()
+        raise lmdb.DiskError("mdb_txn_commit: No space left on device")
+
+
+@pytest.fixture
+def store(tmp_path: Path) -> Iterator[tuple[Disk, str]]:
+    """An open store and its member."""
+    disk = Disk(tmp_path / "store", 16)
+    yield disk, disk.load().member
+    disk.close()
+
+
+def cell(number: int, value: bytes) -> Cell:
+    ballot = Ballot(number, MemberId(ME))
+    return Cell(ballot, ballot, number, digest_of(value), value)
+
+
+def batch(number: int, name: str = "configuration", value: bytes = b"") -> DiskWrite:
+    roster = Roster(Epoch(1), ((MemberId(ME), Address("10.0.0.1:1")),))
+    kept = cell(number, value or f"value {number}".encode())
+    return DiskWrite(number, ((name, kept),), (), roster, True)
+
+
+@pytest.mark.parametrize("there", [False, True])
+def test_a_failed_batch_is_there_wholly_or_not_at_all(store: tuple[Disk, str], there: bool) -> None:
+    disk, member = store
+    disk.write(batch(1))
+    disk.append((("k1", "{}"),), 1_000)
+    disk.env = Refusing(disk.env, there)  # type: ignore[assignment]
+    with pytest.raises(lmdb.DiskError):
+        disk.write(batch(2))
+    with pytest.raises(DiskBusyError, match="ask again"):
+        disk.entries("", 10)
+    found = disk.reopen(member, 10)
+    assert (found.member, found.votes) == (member, True)
+    assert found.cells["configuration"].version == (2 if there else 1)
+    assert disk.entries("", 10) == [("k1", "{}")]
+    disk.write(batch(3))
+    disk.close()
+    again = Disk(disk.folder, 16)
+    loaded = again.load()
+    assert loaded.cells["configuration"].version == 3
+    assert (loaded.member, loaded.starts) == (member, 2)
+    again.close()
+
+
+def test_a_reopen_draws_no_member(store: tuple[Disk, str]) -> None:
+    disk, member = store
+    with pytest.raises(DiskError, match="no longer that of member"):
+        disk.reopen("m-another", 0)
+    assert disk.reopen(member, 0).member == member
+    (disk.folder / "data.mdb").unlink()
+    with pytest.raises(DiskError, match=r"no longer|can't be opened"):
+        disk.reopen(member, 0)
+    with pytest.raises(DiskError, match=r"no longer|can't be opened"):
+        disk.reopen(member, 0)
+
+
+def test_a_damaged_register_is_named_with_its_remedy(store: tuple[Disk, str]) -> None:
+    disk, member = store
+    for raw in (b"", b"\0\0\0\x05[1,2]", b"\xff\xff\xff\xff", b"\0\0\0\x02{}x"):
+        with disk.env.begin(write=True) as txn:
+            txn.put(b"floor", raw, db=disk.cells)
+        with pytest.raises(DiskError, match=r"register 'floor'.*move the data folder away"):
+            disk.reopen(member, 0)
+
+
+def test_the_edge_reports_in_the_order_of_its_jobs(store: tuple[Disk, str]) -> None:
+    """A ledger write that broke the environment has the registers' store opened anew too."""
+    disk, member = store
+    reports: list[tuple[str, object]] = []
+    edge = DiskEdge(disk, member, lambda actor, event: reports.append((actor, event)))
+    entries = (("k1", "{}"), ("k2", "{}"))
+    edge.write("acceptor", batch(1))
+    edge.pool.submit(lambda: setattr(disk, "env", Refusing(disk.env, False)))
+    edge.ledger("ledger", LedgerWrite(entries, ME))
+    edge.write("acceptor", batch(2))
+    edge.reopen("acceptor", ReopenStore(100))
+    edge.ledger("ledger", LedgerWrite(entries, ME))
+    edge.write("acceptor", batch(3))
+    edge.pool.submit(lambda: (disk.folder / "data.mdb").unlink())
+    edge.reopen("acceptor", ReopenStore(0))
+    edge.close()
+    kinds = [(actor, type(event)) for actor, event in reports]
+    assert kinds == [
+        ("acceptor", DiskDone), ("ledger", LedgerFailed), ("acceptor", DiskFailed),
+        ("acceptor", DiskFailed), ("acceptor", StoreReopened), ("ledger", LedgerWritten),
+        ("acceptor", DiskDone), ("acceptor", ReopenFailed),
+    ]  # fmt: skip
+    assert reports[1][1] == LedgerFailed("k1", "k2", ME)
+    found = reports[4][1]
+    assert isinstance(found, StoreReopened) and found.cells["configuration"].version == 1
+
+
+def test_the_ledger_is_read_while_the_store_is_opened_anew(store: tuple[Disk, str]) -> None:
+    """Readers of other threads get entries or are told to ask again; none meets a closed one."""
+    disk, member = store
+    entries = tuple((f"k{n:04d}", "{}") for n in range(500))
+    disk.append(entries, 1_000)
+    done = threading.Event()
+    faults: list[BaseException] = []
+
+    def read() -> None:
+        while not done.is_set():
+            try:
+                assert disk.entries("", 1_000) == list(entries)
+            except DiskBusyError:
+                continue
+            except BaseException as fault:
+                faults.append(fault)
+
+    readers = [threading.Thread(target=read) for _ in range(4)]
+    for reader in readers:
+        reader.start()
+    for _ in range(60):
+        disk.reopen(member, 100)
+    done.set()
+    for reader in readers:
+        reader.join(10)
+    assert faults == []
+
+
+def filled(disk: Disk) -> int:
+    """Write registers until the store is at its map size; how many there are."""
+    rng = random.Random(3)
+    for number in range(1, 10_000):
+        try:
+            disk.write(batch(number, f"claim/{number}", rng.randbytes(3_000)))
+        except lmdb.MapFullError:
+            return number - 1
+    raise AssertionError("the store takes more than its map size")
+
+
+def test_a_store_at_its_map_size_loses_nothing_and_says_so(tmp_path: Path) -> None:
+    disk = Disk(tmp_path / "small", SMALL_MB)
+    member = disk.load().member
+    count = filled(disk)
+    assert count > 100
+    with pytest.raises(DiskError, match="raise disk_mb"):
+        disk.reopen(member, 50_000)
+    disk.close()
+    larger = Disk(tmp_path / "small", 2 * SMALL_MB)
+    loaded = larger.load()
+    assert loaded.member == member and len(loaded.cells) == count
+    larger.close()
+
+
+def test_registers_get_the_ledgers_room_when_the_store_is_full(tmp_path: Path) -> None:
+    """The ledger has its share; registers then fill the rest. Opened anew, the store lets go of
+    old entries, and takes the batch that it refused."""
+    disk = Disk(tmp_path / "small", SMALL_MB)
+    member = disk.load().member
+    rng = random.Random(1)
+    for number in range(200):
+        disk.append(((f"{number:06d}", rng.randbytes(3_000).hex()),), 200_000)
+    before = len(disk.entries("", 1_000))
+    count = filled(disk)
+    found = disk.reopen(member, 3_000)
+    assert len(found.cells) == count
+    disk.write(batch(count + 1, f"claim/{count + 1}", rng.randbytes(3_000)))
+    kept = disk.entries("", 1_000)
+    assert 0 < len(kept) < before and kept[-1][0] == "000199"
+    disk.close()
+
+
+def test_registers_are_written_on_while_the_ledger_has_its_share(tmp_path: Path) -> None:
+    disk = Disk(tmp_path / "small", SMALL_MB)
+    disk.load()
+    rng = random.Random(2)
+    for number in range(1, 600):
+        disk.append(((f"{number:06d}", rng.randbytes(2_000).hex()),), 200_000)
+        disk.write(batch(number, f"r{number % 20}", rng.randbytes(6_000)))
+    assert disk.entries("", 1_000)[-1][0] == "000599"
+    disk.close()
+
+
+LIMITED = """
+import resource, signal, sys
+from pathlib import Path
+from spokeroute.register.disk import Disk, DiskError
+from tests.test_store_full import batch
+
+signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+disk = Disk(Path(sys.argv[1]), 16)
+member = disk.load().member
+disk.write(batch(1))
+words = []
+
+def limited(size_bytes):
+    resource.setrlimit(resource.RLIMIT_FSIZE, (size_bytes, resource.RLIM_INFINITY))
+
+def attempt(what):
+    try:
+        return f"{what()}"
+    except DiskError as fault:
+        return f"refused {fault}"
+    except Exception as fault:
+        return f"failed {fault}"
+
+for size_bytes in (0, 4096, 40_960):
+    limited(size_bytes)
+    words.append(attempt(lambda: disk.write(batch(2, value=b"x" * 200_000))))
+    words.append(attempt(lambda: disk.reopen(member, 200_000).member))
+    limited(resource.RLIM_INFINITY)
+    found = disk.reopen(member, 200_000)
+    words.append(f"{found.member == member} {found.cells['configuration'].version}")
+disk.write(batch(3))
+words.append(f"{disk.reopen(member, 0).cells['configuration'].version}")
+print("\\n".join(words))
+"""
+
+
+def test_a_file_that_may_not_grow_and_then_may(tmp_path: Path) -> None:
+    """Writes of a real process that the system refuses, at three sizes of the file."""
+    got = subprocess.run(
+        [sys.executable, "-c", LIMITED, str(tmp_path / "store")],
+        capture_output=True, timeout=60, check=True, text=True,
+    )  # fmt: skip
+    words = got.stdout.splitlines()
+    for refused, reopened, freed in (words[0:3], words[3:6], words[6:9]):
+        assert refused.startswith("failed") and reopened.startswith("refused"), words
+        assert freed == "True 1"
+    assert words[9:] == ["3"]
--- a/tools/capacity_world.py
+++ b/tools/capacity_world.py
@@ -175,8 +175,8 @@
             case LedgerWrite():
                 size_bytes = sum(len(text) for _, text in job.entries)
                 self.meter.passed(self.me.node, "disk", "LedgerWrite", "zone", size_bytes)
-                high = job.entries[-1][0]
-                self.later(SYNC_MS, actor, lambda: LedgerWritten(high, job.ack_to))
+                low, high = job.entries[0][0], job.entries[-1][0]
+                self.later(SYNC_MS, actor, lambda: LedgerWritten(low, high, job.ack_to))
             case Compile():
                 self.later(COMPILE_MS, actor, lambda: self._compiled(job))
             case SendAttempt():
