An operator's number means one content: bound at a majority before the configuration changes

A PUT of number 70 was acknowledged, and three other documents under 70 were each answered 200: HighestWins compares numbers only, and whatever it lost to was acknowledged. Now a write-once register a number (number/<n>) holds the digest of the content that was first sent under it; it is bound by compare-and-set before the configuration register is changed. The same content goes on and is acknowledged, other content gets 409 `number_taken`, which names the number and what stands.

--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -64,7 +64,7 @@
     process.add(
         "replica",
         replica.State(
-            ("placement",),
+            ("placement", "acceptor"),
             roster=loaded.roster,
             bounds=start.bounds,
             address=me.address,
--- a/tools/log.py
+++ b/tools/log.py
@@ -60,6 +60,7 @@
     doc: dict[str, Any] = field(default_factory=dict)
     detail: str = ""
     sent: dict[str, Any] = field(default_factory=dict)
+    number: int = 0  # an operator's own, of a configuration
 
 
 @dataclass
--- a/tools/readback.py
+++ b/tools/readback.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import json
+from collections import defaultdict
+from typing import Any
+
 from tools.log import Log, Told
-from tools.ruling import NOTHING_DONE, holds, unsure
+from tools.ruling import NOTHING_DONE, holds, overtaken, unsure
 
 
 def acked_reads_back(log: Log) -> list[str]:
@@ -19,11 +23,11 @@
             continue
         if not version:
             continue
-        there = [t for t in acked if t.doc["version"] == version]
+        there = [t for t in acked if t.doc["version"] == version and not overtaken(t)]
         maybe = [t for t in applies if unsure(t) and t.at_ms <= show.done_ms]
         if not any(holds(t.sent, show.doc["configuration"]) for t in there or maybe):
             found.append(f"version {version} reads back as another configuration")
-    versions = [int(t.doc["version"]) for t in acked]
+    versions = [int(t.doc["version"]) for t in acked if not t.number]
     if len(versions) != len(set(versions)):
         found.append(f"one version was acknowledged twice: {sorted(versions)}")
     return [*found, *_evacuations(log)]
@@ -72,3 +76,28 @@
         and show.status == 200
         and show.doc["configuration"].get("name") in names
     ]
+
+
+def one_content_a_number(log: Log) -> list[str]:
+    """Of all orders under one number those that were confirmed have one content, it alone reads
+    back under the number, and that content's order is never refused."""
+    found: list[str] = []
+    orders: dict[int, list[Told]] = defaultdict(list)
+    for told in log.told:
+        if told.what == "apply" and told.number:
+            orders[told.number].append(told)
+    shown = [t.doc for t in log.told if t.what == "show" and t.status == 200]
+    for number, sent in orders.items():
+        confirmed = {_text(t.sent) for t in sent if t.status == 200}
+        if len(confirmed) > 1:
+            found.append(f"{len(confirmed)} contents were confirmed under number {number}")
+        if any(t.status == 409 and _text(t.sent) in confirmed for t in sent):
+            found.append(f"number {number} was refused to the content that it was confirmed for")
+        for doc in (d for d in shown if d.get("number") == number):
+            if confirmed and not any(holds(json.loads(c), doc["configuration"]) for c in confirmed):
+                found.append(f"number {number} reads back as what was not confirmed under it")
+    return found
+
+
+def _text(sent: dict[str, Any]) -> str:
+    return json.dumps(sent, sort_keys=True)
--- a/tools/ruling.py
+++ b/tools/ruling.py
@@ -16,6 +16,22 @@
     return told.status != 200 and told.status not in NOTHING_DONE
 
 
+def overtaken(told: Told) -> bool:
+    """Whether an order under a number was acknowledged while a higher one stood."""
+    return told.status == 200 and int(told.doc.get("number", 0)) != told.number
+
+
+def _firsts(acked: list[Told]) -> list[Told]:
+    """Without the later acknowledgements of an order that was sent again."""
+    seen: set[int] = set()
+    firsts: list[Told] = []
+    for told in sorted(acked, key=lambda t: t.at_ms):
+        if not told.number or told.number not in seen:
+            firsts.append(told)
+        seen.add(told.number)
+    return sorted(firsts, key=lambda t: int(t.doc["version"]))
+
+
 @dataclass
 class Ruling:
     """One configuration: from when it may rule, and until when at most."""
@@ -31,8 +47,9 @@
 
     def __init__(self, log: Log) -> None:
         applies = [t for t in log.told if t.what == "apply"]
-        acked = sorted((t for t in applies if t.status == 200), key=lambda t: t.doc["version"])
-        self.all: list[Ruling] = []
+        acked = _firsts([t for t in applies if t.status == 200 and not overtaken(t)])
+        # One that was overtaken may have ruled until its acknowledgement, or never.
+        self.all = [Ruling(t, t.at_ms, t.done_ms + RULES_MS) for t in applies if overtaken(t)]
         over_ms = float("inf")
         for told in reversed(acked):
             self.all.append(Ruling(told, told.at_ms, over_ms))
