A call whose turn comes too late is refused at once: holders reckon their queues

Cause: an entry reckoned a queue by the mean over all instances and its own answers, the holder kept each call until the end of its wait, an entry without any answer took everything in, and what a holder turned away was tried again until the end. Ruled out: the scaler (as many instances were up as fit), the cost of the walk over open calls (same figures without it). The open calls of a service are counted as they come and go.

--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -7,20 +7,25 @@
 from spokeroute.common.answers import Answer, Kind, Ran, refusal
 from spokeroute.common.effects import Effect, Effects, Reply, Send
 from spokeroute.common.ids import Ms, NodeId
-from spokeroute.exchange.claiming import ask_claim
+from spokeroute.exchange.claiming import ask_claim, not_run
 from spokeroute.exchange.entry import (
     State,
     adopt,
     end_attempt,
+    expect_ms,
     lost_to,
     overdue_ms,
     pressed,
     put,
     shun,
+    starting,
+    take_off,
     took_note,
 )
+from spokeroute.exchange.filters import queue_too_long
 from spokeroute.exchange.pick import GUEST, pick
 from spokeroute.exchange.types import (
+    WAIT_SHARE,
     Attempt,
     Call,
 )
@@ -33,6 +38,8 @@
 END_MARGIN_MS = 40
 SECOND_MIN_MS = 100
 SHUN_MS = 60
+TURNED_MS = 500  # within it, a start for what waits is decided
+TURNED_HOLD_MS = 90
 
 
 def ask_core(state: State, call: Call, to: str, now_ms: Ms) -> tuple[State, Effects]:
@@ -146,6 +153,29 @@
     return put(state, held), ()
 
 
+def turned_away(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
+    """A holder has no room for a call in time. It goes to another, unless the service's backlog
+    is too long as well, or holders had none for as long as a start takes to be decided and nothing
+    starts: then it is refused at once, and told when to come back.
+
+    Example:
+        state, effects = turned_away(state, call, now_ms)
+    """
+    if call.touched:
+        return go_on(state, call, now_ms)
+    if call.turned_since_ms < 0:
+        call = replace(call, turned_since_ms=now_ms)
+    service, left_ms = call.service.name, call.deadline_ms - now_ms
+    backlog_ms = expect_ms(state, service, now_ms)
+    if now_ms - call.turned_since_ms >= TURNED_MS and not starting(state.tables, service):
+        backlog_ms = max(backlog_ms, left_ms)
+    if backlog_ms > WAIT_SHARE * left_ms:
+        why, back_s = queue_too_long(backlog_ms, left_ms)
+        return refuse(state, replace(call, back_s=back_s), Kind.NO_ROOM, why, now_ms)
+    held = replace(call, phase="waiting", next_ms=Ms(now_ms + TURNED_HOLD_MS))
+    return put(state, held), ()
+
+
 def unknown(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
     """The truth where it may have run.
 
@@ -170,7 +200,7 @@
     if call.ask.key and call.phase != "freeing" and (call.claimed or call.phase == "claiming"):
         call = replace(call, phase="freeing", why=f"{kind.name}|{why}", next_ms=now_ms)
         return ask_core(state, call, "free", now_ms)
-    return answer_call(state, call, refusal(kind, Ran.NO, why), now_ms)
+    return answer_call(state, call, not_run(call, kind, why), now_ms)
 
 
 def end_call(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
@@ -203,12 +233,7 @@
         known = "may have run" if answer.status in (502, 504) else f"ended {answer.status}"
         op_id = f"{call.ask.call_id}/end/{state.draws}"
         effects.append(Send(state.registries[0], ask_claim(call, op_id, known, now_ms)))
-    state = replace(
-        state,
-        calls=state.calls.delete(call.ask.slot.index),
-        answers=state.answers + 1,
-        draws=state.draws + 1,
-    )
+    state = replace(take_off(state, call), answers=state.answers + 1, draws=state.draws + 1)
     return state, (Reply(call.ask.slot, answer), *effects)
 
 
--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -9,10 +9,14 @@
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
+from spokeroute.exchange.types import WAIT_SHARE
 from spokeroute.transport.messages import Forward
 
 CONNECT_WAIT_MS = 250
 RUN_SHARE = 0.2
+QUEUE_FACTOR = 4
+QUEUE_PLUS = 8
+COLD_SPAN_MS = 1_050  # a second, and what sends may crowd together on their way
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +117,40 @@
             return float(max(1, took_ms))
         return self.run_ms + RUN_SHARE * (took_ms - self.run_ms)
 
+    def turn_ms(self, position: int) -> float:
+        """In how long the call at this position of the queue gets its turn, by how long calls
+        usually take here; half of each run that is under way has passed. 0 before any ended.
+
+        Example:
+            Seat(placed).turn_ms(3) == 0.0
+        """
+        return self.run_ms * (position + len(self.handed) / 2) / max(1, self.placed.limit)
+
+    def takes_last(self, wait_ms: int) -> bool:
+        """Whether the last call of the queue may stay: the queue is within its bound, and the
+        call's turn comes well within its wait.
+
+        Example:
+            Seat(placed).takes_last(500)
+        """
+        most = QUEUE_FACTOR * self.placed.limit + QUEUE_PLUS
+        if len(self.line) > most:
+            return False
+        return self.turn_ms(len(self.line) - 1) <= WAIT_SHARE * wait_ms
+
+    def handing(self, waiting: Waiting, now_ms: Ms) -> Seat:
+        """With a call handed to the instance.
+
+        Example:
+            Seat(placed).handing(waiting, Ms(20)).handed
+        """
+        attempt_id = waiting.forward.attempt_id
+        handed = Handed(attempt_id, waiting.origin, now_ms)
+        kept = [t for t in self.cold_ms if now_ms - t < COLD_SPAN_MS]
+        cold_ms = () if self.placed.warm else (*kept, now_ms)
+        seat = self.sampled(now_ms)
+        return replace(seat, handed=seat.handed.set(attempt_id, handed), cold_ms=cold_ms)
+
     def look(self) -> Connect:
         """The job that looks whether anything listens at its address.
 
