--- /dev/null
+++ b/tools/model/__init__.py
@@ -0,0 +1,1 @@
+"""The model checker: the real register and membership cores, over orders of events."""
