--- a/tools/model/__main__.py
+++ b/tools/model/__main__.py
@@ -24,6 +24,8 @@
 @cappa.command(name="model", help="Explore the register and membership cores, over all orders.")
 @dataclass
 class Model:
+    """The command's arguments."""
+
     scenario: Annotated[
         str, cappa.Arg(long="scenario", help="one of those of tools/model/scenarios.py, or all")
     ] = "all"
@@ -38,6 +40,7 @@
     faults: Annotated[bool, cappa.Arg(long="faults", help="name the faults to plant")] = False
 
     def __call__(self) -> None:
+        """Carry the command out."""
         if self.faults:
             print("\n".join(f"{f.name:24s} {f.about} (in {f.scenario})" for f in FAULTS.values()))
             return
