Calls leave a holder's queue for an instance of their service that has room

Cause: an entry chose an instance once, did not know whether its call waited or ran, and the core did not hear that it waited. A holder now tells of queued calls, and of room when it is asked; the entry asks calls back, and only what is still queued comes back, so nothing is charged and nothing runs twice.

--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -23,7 +23,7 @@
     took_note,
 )
 from spokeroute.exchange.filters import queue_too_long
-from spokeroute.exchange.pick import GUEST, pick
+from spokeroute.exchange.pick import GUEST, pick, with_room
 from spokeroute.exchange.types import (
     WAIT_SHARE,
     Attempt,
@@ -72,6 +72,9 @@
         call, state.tables, state.lists, state.lists_ms, state.outstanding, state.shunned_ms,
         state.me, now_ms, state.zone, lost_to(state, now_ms),
     )  # fmt: skip
+    if call.bound_for and not call.touched:
+        picked = with_room(call, state.tables) or picked
+        call = replace(call, bound_for="")
     if picked is None and state.bounds.rejection_safe:
         picked = adopt(state, call, now_ms)
     if picked is None:
--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -9,7 +9,7 @@
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
-from spokeroute.exchange.types import WAIT_SHARE
+from spokeroute.exchange.types import WAIT_SHARE, AttemptDone
 from spokeroute.transport.messages import Forward
 
 CONNECT_WAIT_MS = 250
@@ -26,6 +26,8 @@
     forward: Forward
     origin: NodeId
     deadline_ms: Ms
+    since_ms: Ms = Ms(0)
+    told: bool = False  # its entry knows that it waits
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +153,49 @@
         seat = self.sampled(now_ms)
         return replace(seat, handed=seat.handed.set(attempt_id, handed), cold_ms=cold_ms)
 
+    def ended(self, done: AttemptDone, handed: Handed, run_ms: int, now_ms: Ms) -> Seat:
+        """After an attempt's end. One that may still run keeps its place until it can't.
+
+        Example:
+            Seat(placed).ended(done, handed, 1_000, Ms(20)).handed
+        """
+        if done.ran == "maybe":
+            free_at_ms = Ms(max(now_ms, handed.sent_ms + run_ms))
+            kept = replace(handed, reported=True, free_at_ms=free_at_ms)
+            seat = replace(self, handed=self.handed.set(done.attempt_id, kept))
+        else:
+            seat = replace(self, handed=self.handed.delete(done.attempt_id))
+        if done.ran == "yes":
+            return replace(
+                seat, answered=seat.answered + 1, answered_ms=(*seat.answered_ms, now_ms)[-200:],
+                confirmed=True, down_ms=0, run_ms=seat.usual(now_ms - handed.sent_ms),
+            )  # fmt: skip
+        if done.reason.startswith(("unreached", "bad answer", "lost")):
+            return replace(seat, failures=seat.failures + 1, confirmed=done.confirmed)
+        return seat
+
+    def freed(self, now_ms: Ms) -> Seat:
+        """Without the attempts that can't run any more, whose places were kept till now.
+
+        Example:
+            Seat(placed).freed(Ms(20)).handed
+        """
+        over = [h for h in self.handed.values() if h.reported and now_ms >= h.free_at_ms]
+        if not over:
+            return self
+        left = self.handed
+        for each in over:
+            left = left.delete(each.attempt_id)
+        return replace(self.sampled(now_ms), handed=left)
+
+    def down(self, now_ms: Ms) -> str:
+        """Why nothing is sent after it could not be reached; empty where it may be.
+
+        Example:
+            Seat(placed).down(Ms(20)) == ""
+        """
+        return "down: it could not be reached lately" if now_ms < self.down_until_ms else ""
+
     def look(self) -> Connect:
         """The job that looks whether anything listens at its address.
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -7,20 +7,22 @@
 
 from immutables import Map
 
-from spokeroute.common.effects import From, Reply, SlotId
-from spokeroute.common.ids import Incarnation, Ms, NodeId
+from spokeroute.common.effects import From, Launch, Reply, Send, SlotId
+from spokeroute.common.ids import Incarnation, Ms, NodeId, Version
+from spokeroute.dispatch.configuration import Programs, Table, Thresholds
 from spokeroute.dispatch.placement_table import STARTING, UP, Placed
-from spokeroute.exchange import calls, entry
+from spokeroute.exchange import calls, entry, holder, requeue
 from spokeroute.exchange.backlog import CROWD_CALLS, CROWD_MS, Backlog
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.moves import TURNED_MS
 from spokeroute.exchange.seat import Handed, Seat, Waiting
-from spokeroute.exchange.types import BUSY, NO_ROOM_IN_TIME, Call, Tables
-from spokeroute.transport.messages import Forward, Forwarded
+from spokeroute.exchange.types import BUSY, LEFT_QUEUE, NO_ROOM_IN_TIME, Call, Revoke, Tables
+from spokeroute.transport.messages import Forward, ForwardDrop, Forwarded, RoomAsk, RoomTold
 from tests.calls_made import call_to
 
 ENTRY = NodeId("ex1")
 HOLDER = NodeId("ex2")
+ONE = Map({"i": 1})  # the call's own attempt
 
 
 def placed(name: str, limit: int = 1, **changes: Any) -> Placed:
@@ -39,11 +41,11 @@
     return Seat(placed("i"), line=queue, handed=handed, run_ms=run_ms)
 
 
-def entry_with(call: Call, *instances: Placed) -> entry.State:
+def entry_with(call: Call, *instances: Placed, outstanding: Map[str, int] = ONE) -> entry.State:
     tables = Tables(by_service=Map({"s": instances}), by_id=Map({p.id: p for p in instances}))
     attempt_of = Map({name: call.ask.slot.index for name in call.attempts})
     state = entry.State(ENTRY, 1, Budget(0), tables=tables, attempt_of=attempt_of)
-    return entry.put(replace(state, outstanding=Map({"i": 1})), call)
+    return entry.put(replace(state, outstanding=outstanding), call)
 
 
 def no(reason: str) -> From:
@@ -58,6 +60,84 @@
     assert held(*five, run_ms=0.0).takes_last(200)  # no run ended yet: taken in on trust
 
 
+def test_only_what_is_still_in_the_queue_is_given_back() -> None:
+    state = holder.State(HOLDER, 1, seats=Map({"i": held(waiting("queued"))}))
+    same, effects = holder.step(
+        state, From(ENTRY, Incarnation(1), ForwardDrop("runs", queued_only=True)), Ms(300)
+    )
+    assert (same, effects) == (state, ())
+    _, effects = holder.step(state, From(ENTRY, Incarnation(1), ForwardDrop("runs")), Ms(300))
+    assert isinstance(effects[0], Launch) and isinstance(effects[0].job, Revoke)
+    after, effects = holder.step(
+        state, From(ENTRY, Incarnation(1), ForwardDrop("queued", queued_only=True)), Ms(300)
+    )
+    assert effects == (Send(ENTRY, Forwarded("queued", "no", LEFT_QUEUE, 0, (), b"")),)
+    assert after.seats["i"].line == () and "runs" in after.seats["i"].handed
+
+
+def test_room_is_asked_for_only_where_it_may_be_and_not_at_every_tick() -> None:
+    call = call_to(HOLDER, sent_ms=Ms(0), slot=SlotId(1, 1))
+    here = (placed("i"), placed("other"))
+    at_ms = Ms(250)
+    full = entry_with(call, *here, outstanding=Map({"i": 1, "other": 1}))
+    full = requeue.queued(full, "c1.0", at_ms)
+    assert requeue.ask_room(full, at_ms) == (full, ())
+    spare = entry_with(call, here[0], placed("other", routed=False))
+    spare = requeue.queued(spare, "c1.0", at_ms)
+    assert requeue.ask_room(spare, at_ms) == (spare, ())
+    free = entry_with(call, *here)
+    assert requeue.ask_room(free, at_ms) == (free, ())  # it may as well run
+    free = requeue.queued(free, "c1.0", at_ms)
+    asked, effects = requeue.ask_room(free, at_ms)
+    assert effects == (Send(HOLDER, RoomAsk("other")),)
+    again_ms = Ms(at_ms + requeue.ROOM_ASK_MS)
+    assert requeue.ask_room(asked, Ms(again_ms - 1))[1] == ()
+    assert requeue.ask_room(asked, again_ms)[1] == effects
+
+
+def test_a_holder_tells_of_room_only_where_a_call_would_not_wait() -> None:
+    def told(seat: Seat, tables: Tables) -> object:
+        state = holder.State(HOLDER, 1, tables=tables, seats=Map({"i": seat}))
+        return holder.step(state, From(ENTRY, Incarnation(1), RoomAsk("i")), Ms(300))[1]
+
+    here = placed("i", limit=2)
+    table = Table(Version(1), "", {}, {}, Thresholds(), Programs())
+    fresh = Tables(Ms(300), table=table, by_id=Map({"i": here}))
+    one = replace(held(), placed=here)
+    assert told(one, fresh) == (Send(ENTRY, RoomTold("i", 1)),)
+    assert told(replace(one, line=(waiting("c"),)), fresh) == ()
+    assert told(replace(one, placed=placed("i")), fresh) == ()  # its one slot is taken
+    assert told(one, replace(fresh, proved_ms=Ms(-(10**6)))) == ()
+
+
+def test_a_call_is_asked_back_once_for_each_place_that_is_told() -> None:
+    first = call_to(HOLDER, sent_ms=Ms(0), slot=SlotId(1, 1))
+    at_ms = Ms(250)
+    runs = entry_with(first, placed("i"), placed("other"))
+    assert requeue.ask_back(runs, "other", 1) == (runs, ())
+    state = requeue.queued(runs, "c1.0", at_ms)
+    assert requeue.ask_back(state, "other", 0) == (state, ())
+    assert requeue.ask_back(state, "i", 1) == (state, ())
+    asked, effects = calls.step(state, From(HOLDER, Incarnation(1), RoomTold("other", 1)), at_ms)
+    assert effects == (Send(HOLDER, ForwardDrop("c1.0", queued_only=True)),)
+    assert asked.calls[1].bound_for == "other"
+    assert requeue.ask_back(asked, "other", 1) == (asked, ())
+
+
+def test_a_call_that_left_a_queue_goes_to_the_room_and_costs_no_second_send() -> None:
+    call = call_to(HOLDER, sent_ms=Ms(0), slot=SlotId(1, 1))
+    call = replace(call, draws=1, bound_for="other")
+    state = entry_with(call, placed("i"), placed("other"))
+    table = Table(Version(1), "", {}, {}, Thresholds(), Programs())
+    state = replace(state, tables=replace(state.tables, proved_ms=Ms(300), table=table))
+    after, effects = calls.step(state, no(LEFT_QUEUE), Ms(300))
+    assert isinstance(effects[0], Send) and isinstance(effects[0].message, Forward)
+    assert effects[0].message.instance == "other"
+    moved = after.calls[1]
+    assert (moved.touched, moved.failed, moved.resend) == (frozenset(), (), False)
+    assert after.budget == Budget(0)
+
+
 def test_an_entry_without_any_answer_gives_up_on_what_holders_turn_away() -> None:
     """Its own callers got nothing of the service lately: that is no sign of room."""
     for reason in (BUSY, NO_ROOM_IN_TIME):
