A registry without a majority says so within 0.1 s; answers to an earlier life are void

Cause: an order at a cut-off registry was held for 4 s while its caller leaves after one second of silence; and an order that was asked again after another overtook it could end in "nothing changed" although its first value may have been chosen. The proposer now knows whom it has contact with both ways (heartbeats that name it, promises, acceptances), and gives up what the operator asked once it knows none of a majority. Redirecting was measured too, and left: it needs the others' HTTP addresses.

Late frames of an earlier life: promises and acceptances name the life that they answer, probes are numbered by life, a ledger's acknowledgement of an earlier life's entries counts for nothing, and no ballot is drawn twice in a life (the role's and claims' counters were forgotten between rounds). A voting member takes no copied cells any more, and no value that is not its copy's. Platform calls carry the present term, also while the floor is of the term before. Frames have schema version 3.

tests/test_edge.py wrote version 1 as a literal and was red since: it takes the frame's own.

--- a/spokeroute/register/changes.py
+++ b/spokeroute/register/changes.py
@@ -56,13 +56,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """From an actor: bring this change to a register."""
+    """From an actor: bring this change to a register. Where ``alone_ms`` is given, it is given up
+    after that long if the proposer has contact with no majority of the roster."""
 
     op_id: str
     register: str
     change: Change
     reply_to: str
     wait_ms: int = 3000
+    alone_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -7,7 +7,7 @@
 from spokeroute.common.ids import Incarnation, MemberId
 from spokeroute.dispatch import placement, role
 from spokeroute.ledger import writer as ledger
-from spokeroute.nodes import Start
+from spokeroute.nodes import Start, first_nonce
 from spokeroute.register import acceptor, claims, membership, proposer, replica
 from spokeroute.register.disk import Loaded
 from spokeroute.registry import operator
@@ -42,7 +42,7 @@
     )
     process.add(
         "proposer",
-        proposer.State(member, start.seed, loaded.roster),
+        proposer.State(member, start.seed, loaded.roster, life=me.incarnation),
         proposer.step,
         takes=(m.Promise, m.Accepted, m.Finish, m.Heartbeat),
     )
@@ -69,6 +69,7 @@
             bounds=start.bounds,
             address=me.address,
             zone=me.zone,
+            nonce=first_nonce(me.incarnation),
         ),
         replica.step,
         takes=(m.ProbeAck, m.FetchGot, m.RosterNews),
--- a/tests/sim/acts.py
+++ b/tests/sim/acts.py
@@ -65,6 +65,16 @@
     return new
 
 
+def cut(sim: Sim, some: Sequence[Node], others: Sequence[Node], back: bool = True) -> None:
+    """Nothing gets from some nodes to others; nor, but for a one-way cut, back from them."""
+    for node in some:
+        for other in others:
+            if other is not node:
+                sim.net.cuts.add((node.name, other.name))
+                if back:
+                    sim.net.cuts.add((other.name, node.name))
+
+
 def read_back(sim: Sim) -> list[Told]:
     """Ask every registry for what was acknowledged."""
     asked: list[Told] = []
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -48,7 +48,8 @@
         self.env = env
         self.rng = rng
         self.nodes: dict[Address, Node] = {}
-        self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "zone:x"
+        self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "zone:x", one way
+        self.again_ms = 0.0  # each frame comes a second time, so much later, also to a later life
         self.last_ms: dict[tuple[str, str], float] = {}
         self.linked: set[tuple[str, int, str]] = set()  # connections that came to be
 
@@ -76,6 +77,15 @@
 
     def send(self, sender: Node, address: Address, frame: bytes) -> None:
         self.env.process(self._carry(sender, address, frame))
+        if self.again_ms:
+            self.env.process(self._again(address, frame))
+
+    def _again(self, address: Address, frame: bytes) -> Steps:
+        """A late double of a frame, to whoever runs at the address by then."""
+        yield self.env.timeout(self.again_ms * self.rng.uniform(0.9, 1.1))
+        there = self.nodes.get(address)
+        if there is not None and there.alive:
+            there.frame(frame)
 
     def _carry(self, sender: Node, address: Address, frame: bytes) -> Steps:
         born = sender.births
--- /dev/null
+++ b/tests/test_cut_off.py
@@ -0,0 +1,238 @@
+"""Members and exchanges that are cut off for 5, 20 or 40 s, also one way only: what they may
+still answer and do, and for how long."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+from functools import partial
+
+import pytest
+
+from spokeroute.register import proposer
+from spokeroute.registry import operator
+from tests.sim.cluster import Sim, configuration
+from tests.sim.sides import STALE_MS, Cut, made, sever
+from tests.sim.world import Node
+from tests.test_judges import never_stale
+from tools import judges, readback, ruling
+from tools.log import Log, Told
+
+SLACK_MS = 1_000  # of the judges' own bounds over the lease
+QUICK_MS = 800
+KNOWN_MS = proposer.CONTACT_MS + 50  # after a cut, until a member knows that it is alone
+NO_CONFIRMATION = (503, 504)
+
+
+@pytest.fixture
+def each(request: pytest.FixtureRequest) -> Iterator[Cut]:
+    got = made(*request.param)
+    yield got
+    got.sim.close()
+
+
+RUNS = pytest.mark.parametrize("each", [(1, 3), (2, 3), (3, 5)], indirect=True)
+ONE = pytest.mark.parametrize("each", [(1, 3)], indirect=True)
+WAYS = pytest.mark.parametrize("way", ["both", "out", "in"])
+
+
+def an_order(sim: Sim, registry: int, rng: random.Random) -> Told:
+    """A configuration, an evacuation, its end, or a read-back."""
+    match rng.randrange(4):
+        case 0:
+            return sim.apply(changed(sim, rng), registry)
+        case 1:
+            return sim.evacuate("south", rng.random() < 0.5, registry)
+        case 2:
+            return sim.evacuated(registry)
+        case _:
+            return sim.show(registry)
+
+
+def changed(sim: Sim, rng: random.Random) -> dict[str, object]:
+    """A configuration that moves one route to another service, and has another or not."""
+    doc = configuration(name=f"change-{sim.draw()}")
+    small = rng.choice(("small-1", "small-2"))
+    doc["routes"][2]["service"] = small
+    doc["routes"] = doc["routes"][: rng.choice((3, 4))]
+    return doc
+
+
+def orders(each: Cut, rng: random.Random, for_ms: float) -> tuple[list[Told], list[Told]]:
+    """Orders and read-backs at both sides for a while."""
+    lone, rest = [], []
+    until_ms = each.sim.env.now + for_ms
+    while each.sim.env.now < until_ms:
+        lone.append(an_order(each.sim, rng.choice(each.side(each.lone)), rng))
+        rest.append(an_order(each.sim, rng.choice(each.side(each.rest)), rng))
+        each.sim.run(rng.uniform(300, 900))
+    return lone, rest
+
+
+@WAYS
+@RUNS
+def test_a_cut_off_side_confirms_nothing(each: Cut, way: str) -> None:
+    """For 20 s it gives no 200 and no 4xx, and where it hears nobody says so before its caller
+    goes on; the other side answers all; afterwards each reads back what was acknowledged."""
+    sim, rng = each.sim, random.Random(5)
+    sever(each, way)
+    cut_ms = sim.env.now
+    lone, rest = orders(each, rng, 20_000)
+    sim.run(4_500)
+    assert {t.status for t in lone} <= set(NO_CONFIRMATION), [(t.what, t.status) for t in lone]
+    assert {t.status for t in rest} == {200}, [(t.what, t.status, t.doc) for t in rest]
+    assert max(t.done_ms - t.at_ms for t in rest) < 1_000
+    quick = [t for t in lone if t.at_ms >= cut_ms + KNOWN_MS + (6_500 if way == "out" else 0)]
+    assert quick and max(t.done_ms - t.at_ms for t in quick) < QUICK_MS
+    sim.net.cuts.clear()
+    sim.run(1_500)
+    shown = [sim.show(i) for i in range(len(sim.registries))]
+    shown += [sim.evacuated(i) for i in range(len(sim.registries))]
+    sim.run(4_500)
+    assert {t.status for t in shown} == {200}
+    assert readback.acked_reads_back(sim.log()) == []
+    assert readback.refused_never_rules(sim.log()) == []
+
+
+@RUNS
+def test_orders_under_way_at_the_cut_and_at_its_end(each: Cut) -> None:
+    """Cuts of a moment, in the middle of rounds: what is answered is true, whichever it is."""
+    sim, rng = each.sim, random.Random(9)
+    for _ in range(25):
+        told = [an_order(sim, rng.randrange(len(sim.registries)), rng) for _ in range(4)]
+        sim.run(rng.uniform(0, 6))
+        sever(each, rng.choice(("both", "out", "in")))
+        sim.run(rng.uniform(100, 2_500))
+        sim.net.cuts.clear()
+        sim.run(rng.uniform(100, 700))
+        assert not [t for t in told if 400 <= t.status < 500 and t.what != "apply"]
+    sim.run(9_000)
+    told = [sim.show(i) for i in range(len(sim.registries))]
+    sim.run(4_500)
+    assert {t.status for t in told} == {200}
+    assert readback.acked_reads_back(sim.log()) == []
+    assert readback.refused_never_rules(sim.log()) == []
+
+
+def local_reads(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The planted fault: a read-back is answered from the member's own cell."""
+    honest = Node.ask
+
+    def ask(self: Node, actor: str, make, told) -> None:  # type: ignore[no-untyped-def]
+        honest(self, actor, make, told)
+        for op_id, asked in self.state("operator").open.items():
+            if isinstance(asked, operator.Show):
+                cell = self.state("acceptor").synced["configuration"]
+                got = proposer.Settled(
+                    op_id, "configuration", "done", cell.version, cell.value, False
+                )
+                self._now(partial(self._post, "operator", got))
+
+    monkeypatch.setattr(Node, "ask", ask)
+
+
+@ONE
+def test_a_read_from_the_local_cell_is_found(each: Cut, monkeypatch: pytest.MonkeyPatch) -> None:
+    local_reads(monkeypatch)
+    sever(each, "both")
+    lone, _ = orders(each, random.Random(5), 20_000)
+    each.sim.run(4_500)
+    assert not {t.status for t in lone} <= set(NO_CONFIRMATION)
+    assert readback.acked_reads_back(each.sim.log())
+
+
+@ONE
+def test_without_the_quick_answer_callers_wait(each: Cut, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator, "ALONE_MS", 0)
+    sever(each, "both")
+    each.sim.run(KNOWN_MS)
+    told = each.sim.show(0)
+    each.sim.run(4_500)
+    assert told.done_ms - told.at_ms > QUICK_MS
+
+
+# exchanges
+
+
+def within_stale(log: Log, monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """The judges of what rules, with the bound of an exchange that goes on by its last proof."""
+    late = {name: at_ms + STALE_MS for name, at_ms in log.stop_ms.items()}
+    with monkeypatch.context() as patched:
+        patched.setattr(ruling, "RULES_MS", STALE_MS + SLACK_MS)
+        patched.setattr(judges, "EVACUATE_MS", STALE_MS + SLACK_MS)
+        patched.setattr(judges, "DRAIN_MS", STALE_MS + SLACK_MS)
+        return rules(replace(log, stop_ms=late))
+
+
+def rules(log: Log) -> list[str]:
+    each = (
+        judges.newest_rules, judges.right_service, judges.evacuated_get_nothing,
+        judges.drained_get_nothing, judges.vanished_get_nothing, judges.once_never_twice,
+        judges.not_run_holds,
+    )  # fmt: skip
+    return [f"{judge.__name__}: {text}" for judge in each for text in judge(log)[:3]]
+
+
+def of_entries(log: Log, names: set[str]) -> Log:
+    """What came of the calls that these exchanges took."""
+    calls = {a.call for a in log.asked if a.exchange in names}
+    return replace(
+        log,
+        asked=[a for a in log.asked if a.call in calls],
+        runs=[r for r in log.runs if r.call in calls],
+        dials=[d for d in log.dials if d.call in calls],
+    )
+
+
+def changes(each: Cut, rng: random.Random, for_ms: float) -> None:
+    """Configurations, evacuations and drains at the side of the majority."""
+    sim = each.sim
+    until_ms = sim.env.now + for_ms
+    number = 0
+    while sim.env.now < until_ms:
+        number += 1
+        registry = rng.choice(each.side(each.rest))
+        if number % 3 == 0:
+            sim.evacuate("south", number % 2 == 0, registry)
+        elif number % 5 == 0:
+            worker = rng.choice(sim.platform.seats).id
+            sim.platform.emptied ^= {worker}
+        else:
+            sim.apply(changed(sim, rng), registry)
+        sim.run(rng.uniform(400, 2_000))
+
+
+@pytest.mark.parametrize("for_ms", [5_000, 20_000, 40_000])
+@WAYS
+@RUNS
+def test_no_older_version_rules_after_the_bound(
+    each: Cut, way: str, for_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """At either side of a cut; and the side of the majority keeps the bound of the lease."""
+    sim, rng = each.sim, random.Random(for_ms)
+    sim.traffic(40, for_ms + 8_000)
+    sim.run(2_000)
+    sever(each, way)
+    changes(each, rng, for_ms)
+    sim.net.cuts.clear()
+    changes(each, rng, 4_000)
+    sim.run(9_000)
+    log = sim.log()
+    assert within_stale(log, monkeypatch) == []
+    lone = each.lone[-1].name
+    in_cut = [a for a in log.asked if a.exchange == lone and a.status == 200]
+    assert in_cut, "the cut-off exchange served nothing: nothing was shown"
+    strict = of_entries(log, {n.name for n in each.rest if n.role == "exchange"})
+    assert judges.newest_rules(strict) == []
+
+
+@ONE
+def test_a_proof_without_end_is_found(each: Cut, monkeypatch: pytest.MonkeyPatch) -> None:
+    never_stale(monkeypatch)
+    sim = each.sim
+    sim.traffic(40, 28_000)
+    sever(each, "both")
+    changes(each, random.Random(20_000), 20_000)
+    sim.run(9_000)
+    assert within_stale(sim.log(), monkeypatch)
--- /dev/null
+++ b/tests/test_cut_off_role.py
@@ -0,0 +1,160 @@
+"""A registry that held the placement role: cut off, or frozen and woken under an older term."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+
+from spokeroute.dispatch import placement, role
+from spokeroute.dispatch.platform import PlatformCall
+from tests.sim.acts import cut, holder_of
+from tests.sim.cluster import Sim
+from tests.sim.sides import Cut, made
+from tests.sim.world import Node
+from tools import judges
+
+LEASE_MS = role.TERM_LEASE_MS
+
+
+@pytest.fixture
+def each(request: pytest.FixtureRequest) -> Iterator[Cut]:
+    got = made(*request.param)
+    yield got
+    got.sim.close()
+
+
+RUNS = pytest.mark.parametrize("each", [(1, 3), (2, 3), (3, 5)], indirect=True)
+ONE = pytest.mark.parametrize("each", [(1, 3)], indirect=True)
+WAYS = pytest.mark.parametrize("way", ["both", "out", "in"])
+
+
+def calls_of(sim: Sim, node: Node, since_ms: float) -> list[tuple[float, str, str, str]]:
+    return [c for c in sim.platform.calls if c[1] == node.name and c[0] > since_ms]
+
+
+def drains(holder: Node) -> bool:
+    return any(p.state == "draining" for p in holder.state("placement").floor.instances)
+
+
+def alone_with_the_role(each: Cut, way: str, for_ms: float) -> tuple[Node, float, int]:
+    """Cut the holder of the role off, alone, while there is much to start and to stop: what it
+    marked as draining right before comes due after its lease."""
+    sim = each.sim
+    holder = holder_of(sim)
+    term = holder.state("role").term
+    sim.evacuate("south", True)
+    assert sim.up_to(lambda: drains(holder), 3_000)
+    others = [n for n in sim.nodes if n is not holder]
+    if way == "in":
+        cut(sim, others, [holder], back=False)
+    else:
+        cut(sim, [holder], others, back=way == "both")
+    cut_ms = sim.env.now
+    registry = next(i for i, r in enumerate(sim.registries) if r is not holder)
+    until_ms = cut_ms + for_ms
+    out = True
+    while sim.env.now < until_ms:
+        sim.evacuate("north", out, registry)
+        out = not out
+        sim.run(2_500)
+    return holder, cut_ms, term
+
+
+@WAYS
+@RUNS
+def test_a_cut_off_holder_of_the_role_stops_with_its_lease(each: Cut, way: str) -> None:
+    sim = each.sim
+    sim.traffic(60, 30_000)
+    sim.run(1_000)
+    holder, cut_ms, term = alone_with_the_role(each, way, 20_000)
+    assert calls_of(sim, holder, cut_ms + LEASE_MS + 50) == []
+    assert any(c[1] != holder.name and c[0] > cut_ms + LEASE_MS for c in sim.platform.calls)
+    new = [f for at_ms, t, f in sim.floors if t > term]
+    assert new, "nobody took the role"
+    first_ms = min(at_ms for at_ms, t, _ in sim.floors if t > term)
+    assert not [f for at_ms, t, f in sim.floors if at_ms > first_ms and t <= term]
+    sim.net.cuts.clear()
+    sim.run(3_000)
+    assert holder.state("placement").floor.term > term
+    assert judges.vanished_get_nothing(sim.log()) == []
+
+
+def endless(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The planted fault: a lease without end, and a floor that counts as known although a write
+    of it failed. Either check alone keeps a cut-off holder from the platform."""
+    honest = placement._floor_settled
+
+    def kept(state, outcome, *rest):  # type: ignore[no-untyped-def]
+        if outcome != "done":
+            return replace(state, floor_op=""), ()
+        return honest(state, outcome, *rest)
+
+    monkeypatch.setattr(role, "TERM_LEASE_MS", 10**9)
+    monkeypatch.setattr(placement, "_floor_settled", kept)
+
+
+@ONE
+def test_a_lease_without_end_is_found(each: Cut, monkeypatch: pytest.MonkeyPatch) -> None:
+    endless(monkeypatch)
+    sim = each.sim
+    sim.traffic(60, 30_000)
+    sim.run(1_000)
+    holder, cut_ms, _ = alone_with_the_role(each, "both", 20_000)
+    assert calls_of(sim, holder, cut_ms + LEASE_MS + 50)
+
+
+def frozen_at_a_call(sim: Sim) -> Node:
+    """The holder of the role, frozen between the launch of a platform call and its sending."""
+    holder = holder_of(sim)
+    honest = holder.launch
+
+    def launch(actor: str, job: object) -> None:
+        honest(actor, job)
+        if isinstance(job, PlatformCall):
+            holder.freeze()
+
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(holder, "launch", launch)
+        worker = next(s.worker for s in sim.platform.servers.values() if s.service == "readings")
+        sim.platform.crash(worker)
+        assert sim.up_to(lambda: holder.frozen, 8_000)
+        sim.platform.down_workers.clear()
+    return holder
+
+
+def woken_calls(each: Cut) -> list[tuple[float, str, str, str]]:
+    """Freeze a holder at a platform call until another holds the role, and wake it."""
+    sim = each.sim
+    holder = frozen_at_a_call(sim)
+    term = holder.state("role").term
+    frozen_ms = sim.env.now
+    sim.run(4_000)
+    assert max(t for _, t, _ in sim.floors) > term
+    holder.wake()
+    sim.run(60)
+    return calls_of(sim, holder, frozen_ms)
+
+
+@RUNS
+def test_a_frozen_holder_wakes_under_an_older_term(each: Cut) -> None:
+    """Its platform call, and whatever round was under way, count for nothing."""
+    sim = each.sim
+    sim.traffic(60, 50_000)
+    sim.run(2_000)
+    for _ in range(3):
+        assert woken_calls(each) == []
+        sim.run(6_000)
+    terms = [t for _, t, _ in sorted(sim.floors, key=lambda x: x[0])]
+    assert terms == sorted(terms)
+    sim.run(9_000)
+    assert judges.vanished_get_nothing(sim.log()) == []
+
+
+@ONE
+def test_a_woken_call_is_found(each: Cut, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(role, "TERM_LEASE_MS", 10**9)
+    each.sim.traffic(60, 20_000)
+    each.sim.run(2_000)
+    assert woken_calls(each)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -159,7 +159,7 @@
     with pytest.raises(FrameError, match="schema version"):
         cut(frame[:4] + b"\x63" + frame[5:])
     with pytest.raises(FrameError, match="over"):
-        cut((MAX_FRAME_BYTES + 1).to_bytes(4, "big") + b"\x01")
+        cut((MAX_FRAME_BYTES + 1).to_bytes(4, "big") + frame[4:5])
 
 
 def test_bad_configurations_list_every_fault() -> None:
--- a/tools/model/faults.py
+++ b/tools/model/faults.py
@@ -51,8 +51,8 @@
 def _prepare_any_epoch() -> tuple[Patch, ...]:
     real = acceptor._prepare
 
-    def faulty(state: Any, node: Any, ask: Any, now_ms: Any) -> Any:
-        after = real(state, node, replace(ask, epoch=state.epoch), now_ms)
+    def faulty(state: Any, node: Any, life: int, ask: Any, now_ms: Any) -> Any:
+        after = real(state, node, life, replace(ask, epoch=state.epoch), now_ms)
         return _with_epoch(state, after, ask.epoch)
 
     return ((acceptor, "_prepare", faulty),)
@@ -61,8 +61,8 @@
 def _accept_any_epoch() -> tuple[Patch, ...]:
     real = acceptor._accept
 
-    def faulty(state: Any, node: Any, ask: Any, now_ms: Any) -> Any:
-        after = real(state, node, replace(ask, epoch=state.epoch), now_ms)
+    def faulty(state: Any, node: Any, life: int, ask: Any, now_ms: Any) -> Any:
+        after = real(state, node, life, replace(ask, epoch=state.epoch), now_ms)
         return _with_epoch(state, after, ask.epoch)
 
     return ((acceptor, "_accept", faulty),)
@@ -99,11 +99,11 @@
 def _accept_below_promise() -> tuple[Patch, ...]:
     real = acceptor._accept
 
-    def faulty(state: Any, node: Any, ask: Any, now_ms: Any) -> Any:
+    def faulty(state: Any, node: Any, life: int, ask: Any, now_ms: Any) -> Any:
         cell = state.cells.get(ask.copy.name, EMPTY)
         bare = replace(cell, promised=NO_BALLOT)
         cells = state.cells.set(ask.copy.name, bare)
-        return real(replace(state, cells=cells), node, ask, now_ms)
+        return real(replace(state, cells=cells), node, life, ask, now_ms)
 
     return ((acceptor, "_accept", faulty),)
 
--- a/tools/model/world.py
+++ b/tools/model/world.py
@@ -128,7 +128,7 @@
 
 def new_proposer(member: MemberId, disk: Disk) -> proposer.State:
     """A proposer at its start."""
-    return proposer.State(member, 1, disk.roster)
+    return proposer.State(member, 1, disk.roster, life=disk.starts)
 
 
 def run(world: World, slot: int, events: tuple[tuple[str, object], ...]) -> World:
