A registry that is asked to stop is relieved at once, or hands over what it alone holds

Cause: SIGTERM ended a registry after 0.3 to 3 s without a word to the core; a blank registry that waited for its place was taken in after catch_up_ms of silence only, and the core ran on two of three meanwhile. What the leaver had accepted beside one other member was on one disk then.

It now says that it leaves. A blank registry that waits elsewhere takes its place in the next epoch without a silence; the leaver votes until that epoch and answers newcomers' copying until they vote. Where none waits, ballots are compared page by page with those who stay, what they lack is handed over (the accept of its round once more), the leaver stops accepting, compares once more and ends; with its grace time at the latest. A next change waits while a newcomer of the last one copies.

Ruled out: a shorter silence for everybody (a member behind a cut would be replaced).

--- /dev/null
+++ b/spokeroute/register/held.py
@@ -0,0 +1,87 @@
+"""What a member has on disk, told as ballots, and handed on to members that lack some of it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from spokeroute.common.effects import Effects, From, Send
+from spokeroute.common.ids import NodeId
+from spokeroute.register.cells import EMPTY, Cell, ballot_of
+from spokeroute.transport.messages import Copy, HandOver, HeldAsk, HeldBallot, HeldPart
+
+if TYPE_CHECKING:
+    from spokeroute.register.acceptor import State
+
+HELD_PAGE_CELLS = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class HandTo:
+    """From the proposer: hand this chosen copy to a member that missed it."""
+
+    member: NodeId
+    copy: Copy
+
+
+@dataclass(frozen=True, slots=True)
+class HandNames:
+    """To the acceptor: hand what this member has of these registers to a member that stays."""
+
+    member: NodeId
+    names: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Quiet:
+    """To the acceptor: whether this member, which is about to end, accepts nothing more."""
+
+    quiet: bool
+
+
+def step(state: State, event: object) -> tuple[State, Effects]:
+    """The acceptor's part in a handover: it tells, hands on, and stops accepting.
+
+    Example:
+        state, effects = step(state, Quiet(True))
+    """
+    match event:
+        case From(node, _, HeldAsk() as ask):
+            # Its own comparison counts what is on its way to the disk, too.
+            cells = state.cells if node == state.me else state.synced
+            return state, (Send(node, held_page(cells, ask)),)
+        case HandTo(member, copy):
+            cell = state.synced.get(copy.name, EMPTY)
+            if cell.accepted == ballot_of(copy):
+                return state, (Send(member, HandOver(state.epoch, copy, cell.value)),)
+        case HandNames() as asked:
+            return state, handed_on(state.synced, state.epoch, asked)
+        case Quiet(quiet):
+            return replace(state, quiet=quiet), ()
+    return state, ()
+
+
+def held_page(cells: Mapping[str, Cell], ask: HeldAsk) -> HeldPart:
+    """A page of accepted ballots.
+
+    Example:
+        held_page({}, HeldAsk(1, "")).last == ""
+    """
+    names = sorted(n for n in cells if n > ask.after)
+    page = names[:HELD_PAGE_CELLS]
+    accepted = [(name, cells[name].accepted) for name in page]
+    ballots = tuple(HeldBallot(n, b.counter, b.member) for n, b in accepted)
+    return HeldPart(ask.nonce, ask.after, ballots, page[-1] if len(names) > len(page) else "")
+
+
+def handed_on(cells: Mapping[str, Cell], epoch: int, asked: HandNames) -> Effects:
+    """The accepts of earlier rounds once more, to a member that missed them.
+
+    Example:
+        handed_on({}, 1, HandNames(NodeId("m2"), ("floor",))) == ()
+    """
+    known = [(name, cells[name]) for name in asked.names if name in cells]
+    return tuple(
+        Send(asked.member, HandOver(epoch, cell.copy(name), cell.value)) for name, cell in known
+    )
--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -17,12 +17,14 @@
 from spokeroute.common.ids import ROSTER, Address, Epoch, MemberId, Ms, NodeId
 from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
 from spokeroute.register.cells import Roster, pack_roster, unpack_roster
+from spokeroute.register.leave import Leave, Standing, parting
 from spokeroute.register.membership_policy import (
     HEARTBEAT_MS,
     CoreView,
     PeerStatus,
     lost_disks,
     next_roster,
+    succession,
 )
 from spokeroute.register.proposer import Ask, RosterIs, Settled, Swap
 from spokeroute.register.store import StoreWritable
@@ -66,6 +68,9 @@
     bounds: Bounds = Bounds()
     writable: bool = True  # whether this member's store takes writes
     leaving: bool = False  # whether this process was asked to stop
+    leaving_ms: Ms = Ms(-1)  # since when
+    standing: Standing = Standing.NEEDED  # whether this member, which leaves, may end
+    epoch_ms: Ms = Ms(0)  # since when it is at the roster's epoch
 
 
 def step(state: State, event: object, now_ms: Ms) -> tuple[State, Effects]:
@@ -75,10 +80,14 @@
         state, effects = step(state, Tick(), now_ms)
     """
     match event:
-        case Tick() if now_ms >= state.next_ms:
-            return _round(state, now_ms)
-        case Tick() if 0 <= state.turn_ms <= now_ms:
-            return _replace(state, now_ms)
+        case Tick() if state.leaving:
+            state, effects = _turn(state, now_ms)
+            state, more = _part(state, now_ms)
+            return state, (*effects, *more)
+        case Tick():
+            return _turn(state, now_ms)
+        case Leave() if not state.leaving:
+            return _leave(state, now_ms)
         case ViewNow(known):
             return _viewed(state, known, now_ms)
         case From(node, _, Heartbeat() as alive):
@@ -99,6 +108,36 @@
     return state, ()
 
 
+def _turn(state: State, now_ms: Ms) -> tuple[State, Effects]:
+    if now_ms >= state.next_ms:
+        return _round(state, now_ms)
+    if 0 <= state.turn_ms <= now_ms:
+        return _replace(state, now_ms)
+    return state, ()
+
+
+def _leave(state: State, now_ms: Ms) -> tuple[State, Effects]:
+    """This process is asked to stop: everyone hears of it at once."""
+    state = replace(state, leaving=True, leaving_ms=now_ms)
+    greetings = _greet(state, _everyone(state), now_ms)
+    state, effects = _replace(state, now_ms)
+    return state, (*greetings, *effects)
+
+
+def _part(state: State, now_ms: Ms) -> tuple[State, Effects]:
+    """Whether this member, which leaves, is still needed, and what it has to hand over first."""
+    standing, order = parting(_view(state, now_ms), state.votes, bool(state.proposing))
+    return replace(state, standing=standing), (Tell("handover", order),)
+
+
+def _view(state: State, now_ms: Ms) -> CoreView:
+    roster = state.roster or Roster(Epoch(0), ())
+    return CoreView(
+        state.me, roster, state.signs, state.zones, state.bounds.catch_up_ms,
+        state.bounds.members, state.started_ms, now_ms, state.leaving_ms, state.epoch_ms,
+    )  # fmt: skip
+
+
 def _round(state: State, now_ms: Ms) -> tuple[State, Effects]:
     started_ms = state.started_ms or now_ms
     state = replace(state, next_ms=Ms(now_ms + HEARTBEAT_MS), started_ms=started_ms)
@@ -172,16 +211,18 @@
     address = Address(alive.address) or known
     here = old is not None and now_ms - old.at_ms < state.bounds.catch_up_ms
     since_ms = old.since_ms if old and here else now_ms
+    leaving_ms = old.leaving_ms if old and old.leaving and alive.leaving else now_ms
     unwritable_ms = old.unwritable_ms if old and here and not old.writable else now_ms
     sign = PeerStatus(
         address, now_ms, since_ms, alive.epoch, alive.votes, alive.blank, alive.hears,
         alive.writable, alive.leaving, Ms(-1) if alive.writable else unwritable_ms,
+        leaving_ms if alive.leaving else Ms(-1),
     )  # fmt: skip
     state = replace(state, signs=state.signs.set(node, sign))
     effects: list[Effect] = []
     if state.roster and alive.epoch < state.roster.epoch:
         effects.append(Send(node, RosterNews(pack_roster(state.roster))))
-    if alive.blank:
+    if alive.blank or alive.leaving:
         state, more = _replace(state, now_ms)
     else:
         state, more = _copy(state, now_ms)
@@ -195,7 +236,10 @@
         if state.roster is None or state.me not in state.roster.ids:
             return state, ()
         text = "this member was replaced in the roster: move its data folder away to join anew"
-        return state, (Tell("acceptor", Adopt(roster, False)), Note(text, alarm=True))
+        if state.leaving:
+            text = "its successor is in the roster: this member ends once the successor votes"
+        news = Note(text, alarm=not state.leaving)
+        return state, (Tell("acceptor", Adopt(roster, False)), news)
     # A blank member that never joined was here when the core was founded: its empty disk tells
     # the truth. One that joined has less than the member before it until it copied.
     votes = state.votes if state.roster else state.me not in roster.joining
@@ -204,7 +248,7 @@
 
 def _adopted(state: State, roster: Roster, votes: bool, now_ms: Ms) -> tuple[State, Effects]:
     if state.roster and roster.epoch > state.roster.epoch:
-        state = replace(state, copied=Map(), copy_asked_ms=Map())
+        state = replace(state, copied=Map(), copy_asked_ms=Map(), epoch_ms=now_ms)
     state = replace(state, roster=roster, votes=votes)
     told = [Tell(name, RosterChanged(roster)) for name in state.changes]
     greetings = _greet(state, _everyone(state), now_ms)  # newcomers wait for them to copy
@@ -267,13 +311,10 @@
     roster = state.roster
     if roster is None or not state.votes or not state.writable or state.proposing:
         return state, ()
-    sight = CoreView(
-        state.me, roster, state.signs, state.zones, state.bounds.catch_up_ms,
-        state.bounds.members, state.started_ms, now_ms,
-    )  # fmt: skip
+    sight = _view(state, now_ms)
     new = next_roster(sight)
     if new is None:
-        if lost_disks(sight):
+        if lost_disks(sight) or succession(sight):
             state = replace(state, turn_ms=Ms(now_ms + TURN_EVERY_MS))
         return state, ()
     op_id = f"roster/{state.me}/{state.draws + 1}"
--- a/spokeroute/register/membership_policy.py
+++ b/spokeroute/register/membership_policy.py
@@ -1,10 +1,12 @@
 """Membership: whose disks should count next, by what one member sees of the core.
 
 Pure functions over signs of life. The steward carries their answers out; the roster's
-register decides. Three things change a roster, in this order: a lost disk (another, blank
-member runs at a member's very address, and an address has one process), growth (the core
+register decides. Four things change a roster, in this order: a lost disk (another, blank
+member runs at a member's very address, and an address has one process), a planned leaver
+(it said that it was asked to stop, and a blank one waits elsewhere), growth (the core
 has fewer members than it should, and blank ones wait), and a member that went for good
 (silent for long, or its store takes no writes for as long, while a blank one waits elsewhere).
+A member that copies is waited for before the next change, so that changes come one at a time.
 """
 
 from __future__ import annotations
@@ -35,6 +37,7 @@
     writable: bool = True
     leaving: bool = False
     unwritable_ms: Ms = Ms(-1)  # since when it says that its store takes no writes
+    leaving_ms: Ms = Ms(-1)  # since when it says that it leaves
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +52,8 @@
     members: int
     started_ms: Ms
     now_ms: Ms
+    leaving_ms: Ms = Ms(-1)  # since when this member was asked to stop
+    epoch_ms: Ms = Ms(0)  # since when this member is at the roster's epoch
 
 
 def next_roster(sight: CoreView) -> Roster | None:
@@ -57,9 +62,14 @@
     Example:
         next_roster(sight) is None
     """
+    if still_copying(sight):
+        return None
     lost = lost_disks(sight)
     if lost:
         return _changed(sight, lost) if _my_turn(sight, lost) else None
+    left = succession(sight)
+    if left:
+        return _changed(sight, left) if _successor_turn(sight, left) else None
     grown = _grown(sight)
     if grown:
         return _changed(sight, {}, grown)
@@ -86,6 +96,69 @@
     return found
 
 
+def leavers(sight: CoreView) -> dict[MemberId, Ms]:
+    """Members that said that they leave, and since when. One that came back and says so no more
+    is none.
+
+    Example:
+        leavers(sight) == {}
+    """
+    found: dict[MemberId, Ms] = {}
+    for member in sight.roster.ids:
+        sign = sight.signs.get(member)
+        if member == sight.me and sight.leaving_ms >= 0:
+            found[member] = sight.leaving_ms
+        elif member != sight.me and sign is not None and sign.leaving:
+            found[member] = sign.leaving_ms
+    return found
+
+
+def succession(sight: CoreView) -> dict[MemberId, MemberId]:
+    """One member that leaves, and the blank one that waits and takes its place: at once, since
+    the leaver itself said that it goes, and goes on voting until its successor does.
+
+    Example:
+        succession(sight) == {}
+    """
+    leaving = leavers(sight)
+    blanks = _free(sight, 0)
+    full = [m for m in leaving if m != sight.me and not sight.signs[m].writable]
+    if not leaving or not blanks or not _healthy(sight, _silent(sight) + full):
+        return {}
+    leaver = min(leaving, key=lambda m: (leaving[m], m))
+    return {leaver: _nearest(sight, blanks, leaver)}
+
+
+def still_copying(sight: CoreView) -> bool:
+    """Whether a member that joined by the present epoch is here and copies: the next change
+    waits for its vote, though no longer than for a silent member. Else the next newcomer had
+    to copy from a majority of a roster in which this one counts and has nothing.
+
+    Example:
+        still_copying(sight) is False
+    """
+    if sight.now_ms - sight.epoch_ms >= sight.silent_ms:
+        return False
+    signs = [sight.signs[m] for m in sight.roster.joining if m in sight.signs and m != sight.me]
+    return any(
+        not s.votes and not s.blank and s.writable and sight.now_ms - s.at_ms < RECENT_MS
+        for s in signs
+    )
+
+
+def _successor_turn(sight: CoreView, left: Mapping[MemberId, MemberId]) -> bool:
+    """The leaver proposes its successor first, the others after it."""
+    leaver, blank = next(iter(left.items()))
+    since_ms = max(leavers(sight)[leaver], sight.signs[blank].since_ms)
+    others = [leaver, *(m for m in sight.roster.ids if m != leaver)]
+    return sight.now_ms - since_ms >= others.index(sight.me) * TURN_MS
+
+
+def _nearest(sight: CoreView, blanks: list[str], member: MemberId) -> MemberId:
+    zone = sight.zones.get(member, "")
+    return MemberId(min(blanks, key=lambda n: (sight.zones.get(n, "") != zone, n)))
+
+
 def _my_turn(sight: CoreView, lost: Mapping[MemberId, MemberId]) -> bool:
     living = [m for m in sight.roster.ids if m not in lost]
     since_ms = max(sight.signs[n].since_ms for n in lost.values())
@@ -127,13 +200,11 @@
     ]
 
 
-def _free(sight: CoreView) -> list[str]:
+def _free(sight: CoreView, for_ms: int = CANDIDATE_MS) -> list[str]:
     """Blank registries that wait at addresses of their own, in the order to be taken."""
     taken = {a for _, a in sight.roster.members}
     return sorted(
-        n
-        for n, s in sight.signs.items()
-        if _waits(sight, n, CANDIDATE_MS) and s.address not in taken
+        n for n, s in sight.signs.items() if _waits(sight, n, for_ms) and s.address not in taken
     )
 
 
@@ -170,9 +241,7 @@
     if not away or not blanks or len(unheard) < len(silent):
         return {}
     gone = min(away, key=lambda m: (sight.signs[m].at_ms if m in sight.signs else -1, m))
-    zone = sight.zones.get(gone, "")
-    blank = min(blanks, key=lambda n: (sight.zones.get(n, "") != zone, n))
-    return {gone: MemberId(blank)}
+    return {gone: _nearest(sight, blanks, gone)}
 
 
 def _grown(sight: CoreView) -> list[MemberId]:
--- a/spokeroute/register/outage.py
+++ b/spokeroute/register/outage.py
@@ -22,7 +22,7 @@
     StoreReopened,
     StoreWritable,
 )
-from spokeroute.transport.messages import CopyAsk, FetchAsk, Probe
+from spokeroute.transport.messages import CopyAsk, FetchAsk, HeldAsk, Probe
 
 if TYPE_CHECKING:
     from spokeroute.register.acceptor import State
@@ -61,7 +61,9 @@
         >>> reads_only(None)
         False
     """
-    return isinstance(event, From) and isinstance(event.message, Probe | FetchAsk | CopyAsk)
+    return isinstance(event, From) and isinstance(
+        event.message, Probe | FetchAsk | CopyAsk | HeldAsk
+    )
 
 
 def begin(state: State, reason: str, now_ms: Ms) -> tuple[State, Effects]:
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -15,7 +15,6 @@
 from spokeroute.daemon import RealWorld, http_fault, listen, on_signals
 from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformClient
-from spokeroute.dispatch.role import Resign
 from spokeroute.http.wsgi import WsgiApp, serve
 from spokeroute.ledger.ring import Ring
 from spokeroute.ledger.writer import LedgerWrite
@@ -25,7 +24,7 @@
 from spokeroute.registry.api import Api
 from spokeroute.registry.disk_edge import DiskEdge
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
-from spokeroute.registry_node import build_registry
+from spokeroute.registry_node import ask_to_leave, build_registry, may_end
 from spokeroute.reread import Rereader
 from spokeroute.transport.process import Me
 
@@ -88,12 +87,11 @@
 
     def first() -> None:
         stopped_at.append(time.monotonic())
-        loop.report("role", Resign())
+        ask_to_leave(loop.report)
 
     def quiet() -> bool:
-        idle = process.actors["acceptor"].state.writing is None
-        waited_s = time.monotonic() - stopped_at[0]
-        return (waited_s > 0.3 and idle) or waited_s > 3.0
+        waited_ms = (time.monotonic() - stopped_at[0]) * 1000
+        return may_end(process, settings.bounds, waited_ms)
 
     rereader = Rereader(process, ring, settings, read)
     loop.on_tick = rereader.look
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
+from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Incarnation, MemberId
 from spokeroute.dispatch import placement, role
+from spokeroute.dispatch.role import Resign
 from spokeroute.ledger import writer as ledger
 from spokeroute.nodes import Start
-from spokeroute.register import acceptor, claims, membership, proposer, replica
+from spokeroute.register import acceptor, claims, handover, membership, proposer, replica
 from spokeroute.register.disk import Loaded
+from spokeroute.register.leave import MARGIN_MS, Leave, Standing
 from spokeroute.registry import operator
 from spokeroute.transport import messages as m
 from spokeroute.transport import peers
@@ -38,7 +42,7 @@
         "acceptor",
         acceptor.start(member, loaded.roster, loaded.votes, loaded.cells),
         acceptor.step,
-        takes=(m.Prepare, m.Accept, m.HandOver, m.Probe, m.FetchAsk, m.CopyAsk),
+        takes=(m.Prepare, m.Accept, m.HandOver, m.Probe, m.FetchAsk, m.CopyAsk, m.HeldAsk),
     )
     process.add(
         "proposer",
@@ -61,6 +65,7 @@
         membership.step,
         takes=(m.Heartbeat, m.RosterNews, m.CopyPart, m.Probe),
     )
+    process.add("handover", handover.State(member), handover.step, takes=(m.HeldPart,))
     process.add(
         "replica",
         replica.State(
@@ -95,3 +100,32 @@
         takes=(m.LedgerShare, m.LedgerAck),
     )
     return process
+
+
+LEAST_MS = 300  # the placement role is handed on within it
+
+
+def ask_to_leave(tell: Callable[[str, object], None]) -> None:
+    """Tell a registry's actors that the process is asked to stop.
+
+    Example:
+        ask_to_leave(loop.report)
+    """
+    tell("role", Resign())
+    tell("membership", Leave())
+
+
+def may_end(process: Process, bounds: Bounds, waited_ms: float) -> bool:
+    """Whether a registry that was asked to stop so long ago may end: it is not needed any more,
+    or its grace time is over.
+
+    Example:
+        may_end(process, Bounds(), 9_000)
+    """
+    if waited_ms >= bounds.grace_ms - MARGIN_MS:
+        return True
+    idle = process.actors["acceptor"].state.writing is None
+    standing = process.actors["membership"].state.standing
+    done = process.actors["handover"].state.done
+    free = standing is Standing.FREE or (standing is Standing.HANDING and done)
+    return waited_ms > LEAST_MS and idle and free
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -31,7 +31,7 @@
     ReopenStore,
     StoreReopened,
 )
-from spokeroute.registry_node import build_registry
+from spokeroute.registry_node import ask_to_leave, build_registry, may_end
 from spokeroute.transport.process import Me, Process
 from tests.sim.disk import SimDisk
 from tools.log import Down
@@ -316,6 +316,22 @@
             self.woken.succeed()
             self.woken = self.env.event()
 
+    def terminate(self) -> None:
+        """SIGTERM to a registry: it ends by itself, at the latest with its grace time."""
+        born = self.births
+        ask_to_leave(lambda actor, event: self.report(actor, event, born))
+        self.env.process(self._leaves(born))
+
+    def _leaves(self, born: int) -> Steps:
+        asked_ms = self.env.now
+        while self.births == born:
+            assert self.process is not None
+            yield self.env.timeout(TICK_MS)
+            if self.frozen:
+                yield self.woken
+            elif may_end(self.process, self.sim.bounds, self.env.now - asked_ms):
+                self.kill()
+
     def freeze(self) -> None:
         """SIGSTOP."""
         if self.alive and not self.frozen:
--- /dev/null
+++ b/tests/test_planned_leave.py
@@ -0,0 +1,262 @@
+"""A registry that is asked to stop: its successor takes its place at once, or what it alone may
+hold is at a majority of those who stay before it ends."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.ids import Ballot
+from spokeroute.register.cells import Cell, digest_of
+from tests.sim.acts import after, holder_of
+from tests.sim.cluster import Sim, configuration
+from tests.sim.world import Node
+from tests.test_losses import acked, laden, shown, votes, whole
+
+CATCH_UP_MS = 4_000
+BOUNDS = Bounds(catch_up_ms=CATCH_UP_MS, grace_ms=6_000)
+
+
+def made(seed: int, registries: int, sync_ms: float) -> Sim:
+    bounds = replace(BOUNDS, members=registries)
+    sim = Sim(seed, 3, sync_ms=sync_ms, registries=registries, bounds=bounds)
+    sim.settle()
+    return sim
+
+
+@pytest.fixture
+def core(request: pytest.FixtureRequest) -> Iterator[Sim]:
+    """A settled cluster of a seed, a number of registries and a disk's sync time."""
+    sim = made(*request.param)
+    yield sim
+    sim.close()
+
+
+EACH = pytest.mark.parametrize("core", [(1, 3, 0.5), (2, 3, 5.0), (3, 5, 5.0)], indirect=True)
+
+
+def newcomer(sim: Sim, index: int) -> Node:
+    """A blank registry at an address of its own, not started."""
+    old = sim.registries[index]
+    node = Node(sim, f"new{sim.draw()}", "registry", old.zone, f"10.0.7.{sim.draw()}:1", False)
+    node.seeds = [n.address for n in sim.registries if n.alive][:3]
+    return node
+
+
+def relieve(sim: Sim, index: int, ahead_ms: float = 1_000) -> tuple[Node, Node]:
+    """Start a successor, and some time after it (or before, if negative) SIGTERM the member."""
+    old, new = sim.registries[index], newcomer(sim, index)
+    if ahead_ms >= 0:
+        new.start()
+        sim.run(ahead_ms)
+        old.terminate()
+    else:
+        old.terminate()
+        sim.run(-ahead_ms)
+        new.start()
+    sim.registries[index] = new
+    return old, new
+
+
+def epoch(node: Node) -> int:
+    return int(node.state("acceptor").epoch)
+
+
+def orders(sim: Sim, registry: Node, for_ms: float, every_ms: float = 150) -> list[tuple[str, int]]:
+    """Orders at one registry for a while: each name, and its status so far."""
+    end_ms = sim.env.now + for_ms
+    count = 0
+    told = []
+    while sim.env.now < end_ms:
+        if registry.alive:
+            doc = configuration(name=f"order-{count}-{sim.env.now}")
+            told.append((doc["name"], sim.apply(doc, sim.registries.index(registry))))
+        count += 1
+        sim.run(every_ms)
+    sim.run(5_000)
+    return [(name, t.status) for name, t in told]
+
+
+@EACH
+def test_each_member_is_relieved_without_a_silence(core: Sim) -> None:
+    """Each in turn, under orders: all are acknowledged, the successor votes within a second of the
+    SIGTERM, and the old one ends by itself soon after, not before."""
+    laden(core)
+    for index in range(len(core.registries)):
+        beside = core.registries[(index + 1) % len(core.registries)]
+        old, new = relieve(core, index)
+        asked_ms = core.env.now
+        alone = 0
+        while not votes(new):
+            assert core.env.now - asked_ms < 1_000
+            alone += 0 if old.alive else 1
+            core.run(10)
+        assert alone == 0 and old.alive
+        assert core.up_to(lambda n=old: not n.alive, 1_000)  # type: ignore[misc]
+        told = orders(core, beside, 900)
+        assert told and all(status == 200 for _, status in told), told
+        assert shown(core, told[-1][0], index)
+        assert whole(core)
+
+
+@pytest.mark.parametrize("core", [(1, 3, 0.5), (2, 3, 5.0)], indirect=True)
+@pytest.mark.parametrize("ahead_ms", [300, 1, -100, -400, -900])
+def test_a_successor_that_comes_with_the_stop_is_met(core: Sim, ahead_ms: float) -> None:
+    old, new = relieve(core, 0, ahead_ms)
+    assert core.up_to(lambda: votes(new), 1_500)
+    assert core.up_to(lambda: not old.alive, 1_500)
+    assert acked(core, configuration(name="after"), 0)
+
+
+@pytest.mark.parametrize("core", [(1, 3, 0.5), (2, 3, 5.0)], indirect=True)
+def test_a_successor_that_comes_late_needs_no_silence_either(core: Sim) -> None:
+    old, new = relieve(core, 1, -2_600)
+    assert not old.alive
+    assert core.up_to(lambda: votes(new), 1_500)
+
+
+@EACH
+def test_orders_during_a_relief_are_all_acknowledged(core: Sim) -> None:
+    """Also those that the leaver itself takes."""
+    new = newcomer(core, 0)
+    new.start()
+    core.run(800)
+    old = core.registries[0]
+    after(core, 300, old.terminate)
+    told = orders(core, old, 2_000, 70)
+    assert len(told) > 5 and all(status == 200 for _, status in told), told
+    assert core.up_to(lambda: votes(new), 1_000)
+    core.registries[0] = new
+    assert shown(core, told[-1][0], 0)
+
+
+@EACH
+def test_a_rolling_restart_replaces_nobody(core: Sim) -> None:
+    """With no blank one that waits, each leaves soon and comes back as itself, with its disk."""
+    roster = core.registries[0].state("acceptor").roster
+    for index, node in enumerate(core.registries):
+        name = f"before-{index}"
+        acked(core, configuration(name=name), index)
+        node.terminate()
+        assert core.up_to(lambda n=node: not n.alive, 2_000)  # type: ignore[misc]
+        assert acked(core, configuration(name=f"while-{index}"), (index + 1) % 3)
+        core.run(900)
+        node.start()
+        assert core.up_to(lambda n=node: votes(n), 200)  # type: ignore[misc]
+        core.run(600)
+    assert all(r.state("acceptor").roster == roster for r in core.registries)
+    assert shown(core, f"while-{len(core.registries) - 1}", 0)
+
+
+@pytest.mark.parametrize("core", [(1, 3, 0.5), (2, 3, 5.0)], indirect=True)
+def test_the_core_keeps_its_majority_where_one_after_the_other_stops(core: Sim) -> None:
+    """The second is stopped before the first is back: it votes until then."""
+    first, second, third = core.registries
+    first.terminate()
+    assert core.up_to(lambda: not first.alive, 2_000)
+    second.terminate()
+    core.run(2_000)
+    assert second.alive
+    assert acked(core, configuration(name="on two"), 2)
+    first.start()
+    assert core.up_to(lambda: not second.alive, 2_000)
+    assert third.alive and acked(core, configuration(name="on two again"), 0)
+
+
+@EACH
+def test_all_that_stop_at_once_don_t_wait_for_each_other(core: Sim) -> None:
+    for node in core.registries:
+        node.terminate()
+    core.run(800)
+    assert not any(n.alive for n in core.registries)
+
+
+@EACH
+def test_the_placement_role_is_handed_over_first(core: Sim) -> None:
+    old = holder_of(core)
+    new = newcomer(core, core.registries.index(old))
+    new.start()
+    core.run(1_000)
+    old.terminate()
+    others = [new, *(r for r in core.registries if r is not old)]
+    assert core.up_to(lambda: any(r.state("role").term for r in others), 700)
+    assert core.up_to(lambda: votes(new) and not old.alive, 2_000)
+
+
+@pytest.mark.parametrize("core", [(1, 3, 0.5), (2, 3, 5.0)], indirect=True)
+def test_two_leavers_are_taken_one_after_the_other(core: Sim) -> None:
+    acked(core, configuration(name="kept"), 0)
+    epochs = {epoch(core.registries[2])}
+    news = [newcomer(core, 0), newcomer(core, 1)]
+    for node in news:
+        node.start()
+    core.run(500)
+    olds = core.registries[:2]
+    for node in olds:
+        node.terminate()
+    core.registries[:2] = news
+    while not all(votes(n) for n in news):
+        core.run(5)
+        now = core.registries[2].state("acceptor").roster
+        assert len(now.joining) <= 1
+        epochs.add(now.epoch)
+        assert core.env.now < 60_000
+    assert len(epochs) == 3
+    assert core.up_to(lambda: not any(n.alive for n in olds), 2_000)
+    assert shown(core, "kept", 0) and shown(core, "kept", 1)
+
+
+def only_newest(sim: Sim, holders: list[Node]) -> str:
+    """A register whose newest value is on these members alone: a chosen one where they are a
+    majority."""
+    me = sim.registries[0].state("acceptor").me
+    ballot = Ballot(9, me)
+    cell = Cell(ballot, ballot, 1, digest_of(b"kept"), b"kept")
+    for node in holders:
+        assert node.process is not None and node.disk is not None
+        node.disk.cells["claim/only"] = cell
+        actor = node.process.actors["acceptor"]
+        cells = actor.state.cells.set("claim/only", cell)
+        synced = actor.state.synced.set("claim/only", cell)
+        actor.state = replace(actor.state, cells=cells, synced=synced)
+    return "claim/only"
+
+
+@EACH
+def test_what_the_leaver_alone_holds_is_at_a_majority_of_the_others(core: Sim) -> None:
+    count = len(core.registries)
+    name = only_newest(core, core.registries[: count // 2 + 1])
+    core.registries[0].terminate()
+    assert core.up_to(lambda: not core.registries[0].alive, 2_000)
+    have = [r for r in core.registries[1:] if r.disk is not None and name in r.disk.cells]
+    assert len(have) >= (count - 1) // 2 + 1
+    acked(core, configuration(name="goes on"), 1)
+
+
+@pytest.mark.parametrize("core", [(1, 3, 0.5), (2, 3, 5.0)], indirect=True)
+def test_a_member_that_missed_it_is_waited_for_within_the_grace(core: Sim) -> None:
+    """It is frozen as the leaver is asked to stop, and wakes later; then the other disk is lost."""
+    core.registries[2].freeze()
+    acked(core, configuration(name="on two"), 0)
+    name = only_newest(core, core.registries[:2])
+    core.registries[0].terminate()
+    core.run(2_500)
+    assert core.registries[0].alive
+    core.registries[2].wake()
+    assert core.up_to(lambda: not core.registries[0].alive, 2_000)
+    disk = core.registries[2].disk
+    assert disk is not None and name in disk.cells
+
+
+@EACH
+def test_it_ends_with_its_grace_in_any_case(core: Sim) -> None:
+    for node in core.registries[1:]:
+        node.kill()
+    core.registries[0].terminate()
+    core.run(BOUNDS.grace_ms - 700)
+    assert core.registries[0].alive
+    core.run(300)
+    assert not core.registries[0].alive
