--- a/tests/test_planned_leave.py
+++ b/tests/test_planned_leave.py
@@ -42,7 +42,7 @@
     """A blank registry at an address of its own, not started."""
     old = sim.registries[index]
     node = Node(sim, f"new{sim.draw()}", "registry", old.zone, f"10.0.7.{sim.draw()}:1", False)
-    node.seeds = [n.address for n in sim.registries if n.alive][:3]
+    node.seeds = [str(n.address) for n in sim.registries if n.alive][:3]
     return node
 
 
