--- a/spokeroute/register/handover.py
+++ b/spokeroute/register/handover.py
@@ -13,6 +13,7 @@
 
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import NO_BALLOT, Ballot, MemberId, Ms, NodeId
+from spokeroute.register.cells import ballot_of
 from spokeroute.register.held import HandNames, Quiet
 from spokeroute.transport.messages import HeldAsk, HeldPart
 
@@ -85,7 +86,7 @@
 def _answered(state: State, node: NodeId, part: HeldPart, now_ms: Ms) -> tuple[State, Effects]:
     if part.nonce != state.nonce or state.next_page.get(node) != part.after or state.done:
         return state, ()
-    ballots = {b.name: Ballot(b.counter, MemberId(b.member)) for b in part.ballots}
+    ballots = {copy.name: ballot_of(copy) for copy in part.copies}
     held = state.held.get(node, Map()).update(ballots)
     state = replace(state, held=state.held.set(node, held))
     if part.last:
--- a/spokeroute/register/held.py
+++ b/spokeroute/register/held.py
@@ -9,7 +9,7 @@
 from spokeroute.common.effects import Effects, From, Send
 from spokeroute.common.ids import NodeId
 from spokeroute.register.cells import EMPTY, Cell, ballot_of
-from spokeroute.transport.messages import Copy, HandOver, HeldAsk, HeldBallot, HeldPart
+from spokeroute.transport.messages import Copy, HandOver, HeldAsk, HeldPart
 
 if TYPE_CHECKING:
     from spokeroute.register.acceptor import State
@@ -70,9 +70,8 @@
     """
     names = sorted(n for n in cells if n > ask.after)
     page = names[:HELD_PAGE_CELLS]
-    accepted = [(name, cells[name].accepted) for name in page]
-    ballots = tuple(HeldBallot(n, b.counter, b.member) for n, b in accepted)
-    return HeldPart(ask.nonce, ask.after, ballots, page[-1] if len(names) > len(page) else "")
+    copies = tuple(replace(cells[name].copy(name), digest="") for name in page)
+    return HeldPart(ask.nonce, ask.after, copies, page[-1] if len(names) > len(page) else "")
 
 
 def handed_on(cells: Mapping[str, Cell], epoch: int, asked: HandNames) -> Effects:
--- a/tests/test_planned_leave.py
+++ b/tests/test_planned_leave.py
@@ -21,7 +21,7 @@
     next_roster,
     succession,
 )
-from spokeroute.transport.messages import HeldAsk, HeldBallot, HeldPart
+from spokeroute.transport.messages import Copy, HeldAsk, HeldPart
 from tests.sim.acts import after, holder_of
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
@@ -326,10 +326,10 @@
     monkeypatch.setattr(held, "HELD_PAGE_CELLS", 3)
     cells = {f"r{n}": Cell(accepted=Ballot(n, MemberId("m1"))) for n in range(1, 8)}
     after_ = ""
-    got: list[HeldBallot] = []
+    got: list[Copy] = []
     while True:
         page = held.held_page(cells, HeldAsk(4, after_))
-        got += page.ballots
+        got += page.copies
         after_ = page.last
         if not after_:
             break
