Applies and evacuations bear ids: sent again, an order gets its first outcome

An If-Match apply whose answer was lost got 409 when it was sent again, so the client never did so. An evacuation that is sent again with its id after a later restore changes nothing; without an id the last one to arrive stands, as the users' protocol has it. An apply that was overtaken gets its true outcome where the memory reaches, in place of "unsure".

Not taken: a register an id, written after the configuration: its writer may die in between.

--- a/spokeroute/register/numbers.py
+++ b/spokeroute/register/numbers.py
@@ -6,30 +6,18 @@
 
 from __future__ import annotations
 
-import struct
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from spokeroute.common.ids import NUMBER_PREFIX, Ms, number_register
+from spokeroute.register.stamps import number_of, stamped
 
-NUMBER = struct.Struct(">Q")
-"""The operator's number stands before a configuration's packed rest."""
 MAX_NUMBER = 2**63 - 1
 NUMBERS_KEPT = 4_096
 NUMBER_KEEP_MS = 60_000
 """No number is let go this soon after a round was at it: longer than any round lasts."""
 
 
-def number_of(value: bytes) -> int:
-    """The operator's number of a configuration register's value; 0 where none was given.
-
-    Example:
-        >>> number_of(b"")
-        0
-    """
-    return int(NUMBER.unpack_from(value)[0]) if value else 0
-
-
 @dataclass(frozen=True, slots=True)
 class Bind:
     """Bind a number to a content, once for all.
@@ -56,7 +44,7 @@
     """Write a configuration if its number is above the one that stands.
 
     Example:
-        >>> HighestWins(NUMBER.pack(7)).decide(0, b"") is not None
+        >>> HighestWins((7).to_bytes(8, "big")).decide(0, b"") is not None
         True
     """
 
@@ -66,10 +54,12 @@
         """The value where its number is higher.
 
         Example:
-            >>> HighestWins(NUMBER.pack(7)).decide(1, NUMBER.pack(7)) is None
+            >>> HighestWins((7).to_bytes(8, "big")).decide(1, (7).to_bytes(8, "big")) is None
             True
         """
-        return self.value if number_of(self.value) > number_of(value) else None
+        if number_of(self.value) <= number_of(value):
+            return None
+        return stamped(self.value, value)
 
 
 def outdated(
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -20,7 +20,6 @@
     read_configuration,
 )
 from spokeroute.exchange.types import CallIn
-from spokeroute.register.cells import digest_of
 from spokeroute.registry.operator import Apply, Evacuate, Show, ShowEvacuated
 from tests.sim.platform import Platform
 from tests.sim.world import Net, Node
@@ -176,32 +175,39 @@
         self.routes = {x["path"]: x for x in doc["routes"]}
 
     def apply(
-        self, doc: dict[str, Any], registry: int = 0, expect: int = -1, number: int = 0
-    ) -> Told:
+        self, doc: dict[str, Any], registry: int = 0, expect: int = -1, number: int = 0,
+        order_id: str = "",
+    ) -> Told:  # fmt: skip
         """An operator's apply."""
         got = read_configuration(json.dumps(doc).encode(), ZONES)
         assert isinstance(got, Configuration), got
-        content = content_of(got) if number else ""
-        value = pack_configuration(got, content[:16] or f"a{self.draw()}", number)
-        told = Told("apply", self.env.now, number=number)
+        order_id = order_id or f"a{self.draw()}"
+        content = content_of(got)
+        value = pack_configuration(got, content[:16] if number else order_id, number)
+        told = Told("apply", self.env.now, number=number, order_id=order_id)
         told.detail, told.sent = str(doc.get("name", "")), doc
         self.cold_ms.update({x["name"]: x.get("coldMs", 2000) for x in doc["services"]})
         self.told.append(told)
         node = self.registries[registry]
         node.ask(
             "operator",
-            lambda s: Apply(s, value, digest_of(value), expect, number, content),
+            lambda s: Apply(s, value, expect, content, number, order_id),
             self._teller(told),
         )
         return told
 
-    def evacuate(self, zone: str, out: bool, registry: int = 0) -> Told:
+    def evacuate(self, zone: str, out: bool, registry: int = 0, order_id: str = "") -> Told:
         """An operator's evacuation or restore."""
         told = Told("evacuate" if out else "restore", self.env.now)
         told.detail = zone
         self.told.append(told)
         node = self.registries[registry]
-        node.ask("operator", lambda s: Evacuate(s, zone, out, ZONES), self._teller(told))
+        named, order_id = bool(order_id), order_id or f"e{self.draw()}"
+        node.ask(
+            "operator",
+            lambda s: Evacuate(s, zone, out, ZONES, order_id, named),
+            self._teller(told),
+        )
         return told
 
     def show(self, registry: int = 0) -> Told:
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -27,7 +27,6 @@
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.changes import Ask, Read, Settled
 from spokeroute.register.numbers import (
-    NUMBER,
     NUMBER_KEEP_MS,
     NUMBERS_KEPT,
     Bind,
@@ -35,6 +34,7 @@
     is_number,
 )
 from spokeroute.register.replica import Fresh
+from spokeroute.register.stamps import NUMBER
 from spokeroute.registry import operator
 from spokeroute.registry.operator import Apply
 from spokeroute.transport.messages import Prepare
@@ -81,7 +81,7 @@
 
 
 def order(content: str, number: int = 70) -> Apply:
-    return Apply(SlotId(1, 1), NUMBER.pack(number) + content.encode(), "d", -1, number, content)
+    return Apply(SlotId(1, 1), NUMBER.pack(number) + content.encode(), -1, content, number)
 
 
 def settle(
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -17,12 +17,12 @@
 from spokeroute.common.ids import CONFIGURATION, FLOOR, CallId, Incarnation, NodeId
 from spokeroute.dispatch.configuration import (
     Configuration,
+    content_of,
     pack_configuration,
     read_configuration,
 )
 from spokeroute.exchange.types import CallIn
 from spokeroute.nodes import Start
-from spokeroute.register.cells import digest_of
 from spokeroute.registry.operator import Apply
 from spokeroute.transport.process import Me
 from tools.capacity_meter import Meter
@@ -199,7 +199,8 @@
         self.meter.leave("edge read_configuration")
         assert isinstance(got, Configuration), got[0]
         self.meter.enter()
-        value = pack_configuration(got, f"{self.applied:016x}")
+        order_id = f"{self.applied:016x}"
+        content, value = content_of(got), pack_configuration(got, order_id)
         self.meter.leave("edge pack_configuration")
         began_ms = self.fleet.clock.now_ms
 
@@ -207,7 +208,7 @@
             self.meter.note("applies acknowledged" if answer.status == 200 else "applies refused")
             self.meter.note("applies' milliseconds", self.fleet.clock.now_ms - began_ms)
 
-        node.ask("operator", lambda s: Apply(s, value, digest_of(value), -1), told)
+        node.ask("operator", lambda s: Apply(s, value, -1, content, 0, order_id), told)
 
     def _client(self, body: bytes) -> None:
         """What the operator's client does with it: ``apply --check``, then ``apply``."""
--- a/tools/log.py
+++ b/tools/log.py
@@ -61,6 +61,7 @@
     detail: str = ""
     sent: dict[str, Any] = field(default_factory=dict)
     number: int = 0  # an operator's own, of a configuration
+    order_id: str = ""
 
 
 @dataclass
