Second sends: exact unsent words, doubled frames and other lives told apart, reasons noted

Causes: a connection that never came up was told by node, so an attempt on the next connection was taken for unsent and sent again; a doubled forward was launched twice; an answer counted whichever life of a holder gave it. Ruled out: comparing times (an attempt and its connection may share a millisecond), dropping frames until the word is read (loses calls). Each send after the first now goes through one place that says why it is allowed, counts it, and writes it to the ring.

--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -24,6 +24,7 @@
 )
 from spokeroute.exchange.filters import queue_too_long
 from spokeroute.exchange.pick import GUEST, pick
+from spokeroute.exchange.resend import allowed, noted
 from spokeroute.exchange.types import (
     WAIT_SHARE,
     Attempt,
@@ -80,6 +81,9 @@
         held = replace(call, phase="waiting", next_ms=Ms(now_ms + HOLD_MS))
         return pressed(put(state, held), call.service.name, now_ms)
     placed = picked.placed
+    why_again = allowed(call)
+    if why_again is None:
+        return unknown(state, call, now_ms)
     name = call.service.name
     budget = state.budget
     if call.resend or (call.touched and placed.id not in call.touched):
@@ -94,11 +98,15 @@
         state = took_note(state, call, placed.id, picked.rule, now_ms)
     elif not call.failed and not call.attempts and call.draws == 0:
         budget = budget.first(name, now_ms)
+    notes: tuple[Effect, ...] = ()
+    if call.draws:
+        resends, note = noted(state.resends, call, why_again, placed.id)
+        state, notes = replace(state, resends=resends), (note,)
     attempt_id = f"{call.ask.call_id}.{call.draws}"
     each = Attempt(placed.id, placed.worker, placed.holder, placed.holder_incarnation, now_ms)
     call = replace(
-        call, phase="trying", draws=call.draws + 1, attempts=call.attempts.set(attempt_id, each),
-        next_ms=Ms(now_ms + overdue_ms(call)),
+        call, phase="trying", unsent=False, draws=call.draws + 1,
+        attempts=call.attempts.set(attempt_id, each), next_ms=Ms(now_ms + overdue_ms(call)),
     )  # fmt: skip
     ask = call.ask
     path = ask.target or (f"{ask.path}?{ask.query}" if ask.query else ask.path)
@@ -114,7 +122,7 @@
         attempt_of=state.attempt_of.set(attempt_id, ask.slot.index),
         outstanding=state.outstanding.set(placed.id, count),
     )
-    return state, (Send(NodeId(placed.holder), forward, placed.holder_address),)
+    return state, (*notes, Send(NodeId(placed.holder), forward, placed.holder_address))
 
 
 def may_have_run(
@@ -258,4 +266,5 @@
     state, call, each = end_attempt(state, attempt_id)
     if call is None or each is None:
         return state, ()
-    return go_on(state, replace(call, why="down: its holder can't be reached"), now_ms)
+    call = replace(call, unsent=True, why="down: its holder can't be reached")
+    return go_on(state, call, now_ms)
--- /dev/null
+++ b/spokeroute/exchange/resend.py
@@ -0,0 +1,46 @@
+"""Why a call may be sent once more: the one place that allows it, and what is noted of it."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from immutables import Map
+
+from spokeroute.common.effects import Note
+from spokeroute.exchange.types import Call
+
+
+class Allowed(StrEnum):
+    """What makes one more send of a call harmless."""
+
+    NEVER_SENT = "never sent"
+    """The send before never left this process, or was never handed to an instance."""
+    NOT_RUN = "not run"
+    """Whoever had the send before said that it did not run and will not."""
+    REPEATABLE = "repeatable"
+    """The send before may have run, and the call may run more than once."""
+
+
+def allowed(call: Call) -> Allowed | None:
+    """Why a call that was sent before may be sent again; None where it may not.
+
+    Example:
+        allowed(call) is Allowed.NOT_RUN
+    """
+    if call.maybe or call.attempts:
+        return None if call.once else Allowed.REPEATABLE
+    return Allowed.NEVER_SENT if call.unsent else Allowed.NOT_RUN
+
+
+def noted(
+    resends: Map[str, int], call: Call, why: Allowed, instance: str
+) -> tuple[Map[str, int], Note]:
+    """The count by reason with one more, and the line for the ring log.
+
+    Example:
+        resends, note = noted(resends, call, Allowed.NOT_RUN, "i1")
+    """
+    count = resends.get(why, 0) + 1
+    last = f" ({call.why})" if call.why else ""
+    text = f"send {call.draws + 1} of {call.ask.call_id} to {instance}: {why.value}{last}; {count}"
+    return resends.set(why, count), Note(text)
--- /dev/null
+++ b/tests/sends_model.py
@@ -0,0 +1,328 @@
+"""The real entry and holder cores over a net that loses, doubles and delays what it likes.
+
+One entry, two holders that begin new lives, instances that run, turn away or say nothing, callers
+that leave, slots that are freed and taken again. Nothing here decides: the judge only counts.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+from immutables import Map
+
+from spokeroute.common.answers import Answer, Kind, Ran, refusal
+from spokeroute.common.effects import Effects, From, Launch, Note, Reply, Send, SlotId, Tell, Tick
+from spokeroute.common.ids import (
+    Address,
+    CallId,
+    Incarnation,
+    InstanceId,
+    Ms,
+    NodeId,
+    ServiceName,
+    Version,
+    WorkerId,
+    ZoneName,
+)
+from spokeroute.common.slab import Slots
+from spokeroute.dispatch.configuration import (
+    Configuration,
+    Route,
+    Service,
+    build_table,
+    pack_configuration,
+)
+from spokeroute.dispatch.placement_table import UP, Placed
+from spokeroute.exchange import calls, entry, holder
+from spokeroute.exchange.budget import Budget
+from spokeroute.exchange.types import (
+    AttemptDone,
+    CallerGone,
+    CallIn,
+    LinkDown,
+    Revoke,
+    SendAttempt,
+    Tables,
+)
+from spokeroute.transport.messages import Forward
+
+ME = NodeId("ex1")
+HOLDERS = (NodeId("ex2"), NodeId("ex3"))
+ONCE, REPEATABLE = "/once", "/many"
+SLOTS = 3
+FOREVER_MS = 10**9
+ANY = st.sampled_from([-1, -1, -1, -1, -2, 0, 1, 2])
+"""Which of several: most often the newest."""
+TABLE = build_table(
+    Version(1), "",
+    pack_configuration(
+        Configuration(
+            (), (Service("s", 128, 2),),
+            (
+                Route(ONCE, "s", ("POST",), repeatable=False, per_client_per_s=0.0),
+                Route(REPEATABLE, "s", ("POST",), repeatable=True, per_client_per_s=0.0),
+            ),
+        ),
+        "a",
+    ),
+)  # fmt: skip
+
+
+@dataclass
+class Frame:
+    """A message on its way to a node, from one life of another."""
+
+    to: NodeId
+    sent: From
+    delivered: bool = False
+
+
+@dataclass
+class Caller:
+    """A call as its caller sees it, and how often its bytes went to where they may have run."""
+
+    call_id: str
+    once: bool
+    slot: SlotId
+    ran: int = 0
+    answers: int = 0
+    promised: bool = False
+
+
+@dataclass
+class Sent:
+    """An attempt that a holder launched."""
+
+    node: NodeId
+    life: int
+    job: SendAttempt
+
+
+def placed(index: int, life: int) -> Placed:
+    """An instance at a holder, as the floor has it."""
+    return Placed(
+        InstanceId(f"i{index}"), ServiceName("s"), WorkerId(f"w{index}"), ZoneName("z"),
+        Address(f"h:{index}"), 2, UP, True, True, HOLDERS[index % 2], Incarnation(life),
+    )  # fmt: skip
+
+
+class Sends(RuleBasedStateMachine):
+    """Shuffles everything; ``judge`` runs after each step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = Ms(100_000)
+        self.slots = Slots(SLOTS)
+        self.callers: dict[str, Caller] = {}
+        self.open: dict[int, Caller] = {}
+        self.net: list[Frame] = []
+        self.replies: list[Reply] = []
+        self.sent: list[Sent] = []
+        self.notes: list[str] = []
+        self.lives = {node: 1 for node in HOLDERS}
+        self.entry = entry.State(ME, 1, Budget(0, exchanges=1))
+        self.holders = {node: holder.State(node, 1) for node in HOLDERS}
+        self.floor()
+        for node in HOLDERS:
+            self.read_floor(node)
+
+    # what the world does
+
+    def tables(self) -> Tables:
+        by_id = {f"i{n}": placed(n, self.named[HOLDERS[n % 2]]) for n in range(4)}
+        floor = replace(Tables().floor, instances=tuple(by_id.values()))
+        by_service = Map({"s": floor.instances})
+        return Tables(self.now_ms, TABLE, floor, by_service, Map(by_id), rule_ms=FOREVER_MS)
+
+    def floor(self) -> None:
+        self.named = dict(self.lives)
+        self.entry = replace(self.entry, tables=self.tables())
+
+    def read_floor(self, node: NodeId) -> None:
+        state = replace(self.holders[node], tables=self.tables())
+        state, effects = holder._seated(state, self.now_ms)
+        self.holders[node] = state
+        self.carry(node, effects)
+
+    def tell_entry(self, event: object) -> None:
+        self.entry, effects = calls.step(self.entry, event, self.now_ms)
+        self.carry(ME, effects)
+
+    def tell_holder(self, node: NodeId, event: object) -> None:
+        self.holders[node], effects = holder.step(self.holders[node], event, self.now_ms)
+        self.carry(node, effects)
+
+    def carry(self, node: NodeId, effects: Effects) -> None:
+        life = self.lives.get(node, 1)
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self.net.append(Frame(to, From(node, Incarnation(life), message)))
+                case Reply():
+                    self.replies.append(effect)
+                case Launch(SendAttempt() as job):
+                    self.sent.append(Sent(node, life, job))
+                case Launch(Revoke(attempt_id)):
+                    self.revoke(node, attempt_id)
+                case Note(text):
+                    self.notes.append(text)
+                case Tell() | _:
+                    pass
+
+    def revoke(self, node: NodeId, attempt_id: str) -> None:
+        for each in [s for s in self.sent if s.node == node and s.job.attempt_id == attempt_id]:
+            self.sent.remove(each)
+            self.report(each, Ran.NO, "dropped before it was sent")
+
+    def report(self, each: Sent, ran: Ran, why: str, status: int = 0, body: bytes = b"") -> None:
+        if self.lives[each.node] == each.life:
+            done = AttemptDone(each.job.attempt_id, ran, why, status, (), body)
+            self.tell_holder(each.node, done)
+
+    def deliver(self, frame: Frame) -> None:
+        frame.delivered = True
+        if frame.to == ME:
+            self.tell_entry(frame.sent)
+        elif frame.to in self.holders:
+            self.tell_holder(frame.to, frame.sent)
+
+    def judge(self) -> None:
+        for each in self.callers.values():
+            assert each.answers <= 1, f"{each.call_id} was answered twice"
+            if each.once:
+                assert each.ran <= 1, f"{each.call_id} may have run twice"
+                assert not (each.promised and each.ran), f"{each.call_id} ran after a promise"
+
+    # the rules
+
+    @precondition(lambda self: len(self.open) < SLOTS)
+    @rule(once=st.booleans())
+    def call(self, once: bool) -> None:
+        slot = self.slots.take()
+        assert slot is not None
+        call_id = f"c-{slot.index}-{slot.generation}"
+        path = ONCE if once else REPEATABLE
+        ask = CallIn(
+            slot, CallId(call_id), "a", "POST", path, "", (), call_id.encode(), "5000", "", 0
+        )
+        self.callers[call_id] = self.open[slot.index] = Caller(call_id, once, slot)
+        self.tell_entry(ask)
+        self.judge()
+
+    @precondition(lambda self: self.net)
+    @rule(which=ANY, doubled=st.booleans())
+    def frame_arrives(self, which: int, doubled: bool) -> None:
+        """In any order; a doubled one comes once more, at any later time."""
+        frame = self.net[which % len(self.net)]
+        if not doubled:
+            self.net.remove(frame)
+        self.deliver(frame)
+        self.judge()
+
+    @precondition(lambda self: self.net)
+    @rule(which=ANY)
+    def frame_lost(self, which: int) -> None:
+        self.net.pop(which % len(self.net))
+
+    @precondition(lambda self: self.sent)
+    @rule(which=ANY, how=st.sampled_from(["answer", "answer", "silence", "away", "unreached"]))
+    def instance(self, which: int, how: str) -> None:
+        """Bytes go out, or don't."""
+        each = self.sent.pop(which % len(self.sent))
+        caller = self.callers[each.job.attempt_id.rsplit(".", 1)[0]]
+        match how:
+            case "answer":
+                caller.ran += 1
+                self.report(each, Ran.YES, "", 200, each.job.body)
+            case "silence":
+                caller.ran += 1
+                self.report(each, Ran.MAYBE, "lost: TimeoutError")
+            case "away":
+                self.report(each, Ran.NO, "refused: the instance said 503, not run")
+            case _:
+                self.report(each, Ran.NO, "unreached: ConnectionRefusedError")
+        self.judge()
+
+    @rule(which=st.sampled_from(HOLDERS), told=st.booleans())
+    def holder_restarts(self, which: NodeId, told: bool) -> None:
+        """A new life: it knows nothing of what the old one launched."""
+        self.lives[which] += 1
+        self.holders[which] = holder.State(which, self.lives[which])
+        self.sent = [s for s in self.sent if s.node != which]
+        if told:
+            self.floor()
+        self.read_floor(which)
+        self.judge()
+
+    @rule()
+    def floor_is_read(self) -> None:
+        self.floor()
+        for node in HOLDERS:
+            self.read_floor(node)
+        self.judge()
+
+    def unsent(self, node: NodeId, count: int) -> frozenset[str]:
+        """Forwards to a node that never left: of the newest ones, nobody ever gets them."""
+        waiting = [
+            f for f in self.net
+            if f.to == node and isinstance(f.sent.message, Forward) and not f.delivered
+        ]  # fmt: skip
+        never = waiting[len(waiting) - min(count, len(waiting)) :]
+        for frame in never:
+            self.net.remove(frame)
+        messages = (frame.sent.message for frame in never)
+        return frozenset(each.attempt_id for each in messages if isinstance(each, Forward))
+
+    @rule(which=st.sampled_from(HOLDERS), reached=st.booleans(), count=st.integers(0, 2))
+    def link_breaks(self, which: NodeId, reached: bool, count: int) -> None:
+        self.tell_entry(LinkDown(which, reached, self.unsent(which, count)))
+        self.judge()
+
+    @rule(step_ms=st.sampled_from([20, 60, 250, 700, 3_000]))
+    def time_passes(self, step_ms: int) -> None:
+        self.now_ms = Ms(self.now_ms + step_ms)
+        self.tell_entry(Tick())
+        for node in HOLDERS:
+            self.tell_holder(node, Tick())
+        self.judge()
+
+    @precondition(lambda self: self.open)
+    @rule(which=ANY)
+    def caller_leaves(self, which: int) -> None:
+        each = list(self.open.values())[which % len(self.open)]
+        self.tell_entry(CallerGone(each.slot))
+        self.judge()
+
+    @precondition(lambda self: self.open)
+    @rule(which=ANY)
+    def door_gives_up(self, which: int) -> None:
+        """The door answers by itself, and the slot is taken again while the call is still open."""
+        each = list(self.open.values())[which % len(self.open)]
+        self.answered(each.slot, refusal(Kind.UNKNOWN, Ran.MAYBE, "no answer from the loop"))
+        self.judge()
+
+    @precondition(lambda self: self.replies)
+    @rule(which=ANY)
+    def reply_arrives(self, which: int) -> None:
+        """At any time, also once the slot is another call's."""
+        reply = self.replies.pop(which % len(self.replies))
+        self.slots.answer(reply.slot, reply.answer)
+        while self.slots.answered:
+            self.answered(*self.slots.answered.popleft())
+        self.judge()
+
+    def answered(self, slot: SlotId, answer: Answer) -> None:
+        each = self.open.get(slot.index)
+        if each is None or each.slot != slot:
+            return
+        del self.open[slot.index]
+        self.slots.free(slot)
+        each.answers += 1
+        if answer.status == 200:
+            assert answer.body == each.call_id.encode(), f"{each.call_id} got another's answer"
+            assert each.ran
+        else:
+            each.promised = json.loads(answer.body)["ran"] == Ran.NO
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -13,6 +13,7 @@
 
 import simpy
 
+from spokeroute.common.answers import Ran
 from spokeroute.common.ids import Address, ServiceName, WorkerId, ZoneName
 from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
 from spokeroute.dispatch.scaler import WorkerSeat
@@ -260,7 +261,7 @@
             node.tokens.pop(job.attempt_id, None)
             headers = (("Content-Type", "application/json"),) if ran == "yes" else ()
             node.report(
-                "holder", AttemptDone(job.attempt_id, ran, why, status, headers, body), born
+                "holder", AttemptDone(job.attempt_id, Ran(ran), why, status, headers, body), born
             )
 
         yield self.env.timeout(1.5)
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -11,7 +11,7 @@
 import simpy
 from immutables import Map
 
-from spokeroute.common.answers import Answer
+from spokeroute.common.answers import Answer, Ran
 from spokeroute.common.effects import SlotId
 from spokeroute.common.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
@@ -32,6 +32,7 @@
     StoreReopened,
 )
 from spokeroute.registry_node import build_registry
+from spokeroute.transport.net import attempts_in
 from spokeroute.transport.process import Me, Process
 from tests.sim.disk import SimDisk
 from tools.log import Down
@@ -51,11 +52,16 @@
         self.cuts: set[tuple[str, str]] = set()  # (from, to): node names or "zone:x"
         self.last_ms: dict[tuple[str, str], float] = {}
         self.linked: set[tuple[str, int, str]] = set()  # connections that came to be
+        self.waiting: dict[tuple[str, int, str], set[str]] = {}  # attempts on others
 
     def link(self, sender: Node, address: str) -> tuple[str, int, str]:
         """A sender's connection: of this life of its process."""
         return (sender.name, sender.births, address)
 
+    def unsent(self, link: tuple[str, int, str]) -> frozenset[str]:
+        """The attempts that waited on a connection that never came to be."""
+        return frozenset(self.waiting.pop(link, ()))
+
     def reset(self, dead: Node) -> Steps:
         """A process died on a machine that is up: its connections are reset at once."""
         yield self.env.timeout(1.5)
@@ -63,7 +69,7 @@
             link = self.link(node, dead.address)
             if link in self.linked and not self.cut_between(dead, node):
                 self.linked.discard(link)
-                node.lost(dead, True)
+                node.lost(dead, True, frozenset())
 
     def cut_between(self, a: Node, b: Node) -> bool:
         """Whether nothing gets from a to b."""
@@ -86,16 +92,19 @@
         self.last_ms[key] = at
         yield self.env.timeout(at - self.env.now)
         there = self.nodes.get(address)
+        link = self.link(sender, address)
+        if sender.births == born and link not in self.linked:
+            self.waiting.setdefault(link, set()).update(attempts_in([frame]))
         if there is not None and self.cut_between(sender, there):
             return
         if there is None or not there.alive:
             if there is not None and there.machine_up and sender.births == born:
-                link = self.link(sender, address)
-                sender.lost(there, link in self.linked)
+                sender.lost(there, link in self.linked, self.unsent(link))
                 self.linked.discard(link)
             return
+        self.waiting.pop(link, None)
         if sender.births == born:
-            self.linked.add(self.link(sender, address))
+            self.linked.add(link)
         there.frame(frame)
 
 
@@ -137,8 +146,9 @@
     def cut(self, address: Address) -> None:
         """A connection that never came to be is given up: what was to go there was not sent."""
         there = self.sim.net.nodes.get(address)
-        if there is not None and self.sim.net.link(self, address) not in self.sim.net.linked:
-            self.lost(there, False)
+        link = self.sim.net.link(self, address)
+        if there is not None and link not in self.sim.net.linked:
+            self.lost(there, False, self.sim.net.unsent(link))
 
     def reply(self, slot: SlotId, answer: Answer) -> None:
         told = self.slots.pop(slot.index, None)
@@ -169,7 +179,7 @@
             case Revoke(attempt_id):
                 held = self.tokens.get(attempt_id)
                 if held is not None and held.revoke():
-                    self.report("holder", AttemptDone(attempt_id, "no", "dropped"), born)
+                    self.report("holder", AttemptDone(attempt_id, Ran.NO, "dropped"), born)
             case Connect():
                 self.env.process(self.sim.platform.connect(self, job, born))
             case ListPlatform():
@@ -254,10 +264,10 @@
         self.process.received(data)
         self.process.pump()
 
-    def lost(self, there: Node, reached: bool) -> None:
+    def lost(self, there: Node, reached: bool, unsent: frozenset[str]) -> None:
         if self.alive and self.role == "exchange" and there.process is not None:
             node = there.process.me.node
-            self._now(lambda: self._post("calls", LinkDown(node, reached)))
+            self._now(lambda: self._post("calls", LinkDown(node, reached, unsent)))
 
     def _now(self, act: Callable[[], None]) -> None:
         if self.frozen:
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from spokeroute.common.answers import Answer
+from spokeroute.common.answers import Answer, Ran
 from spokeroute.common.effects import SlotId
 from spokeroute.dispatch import listing, placement, plan, scaler, scaling, upkeep
 from spokeroute.exchange import budget, holder, types
@@ -59,7 +59,7 @@
 def test_not_run_holds_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
     def change(event: object) -> object:
         if isinstance(event, AttemptDone) and event.ran == "maybe":
-            return replace(event, ran="no")
+            return replace(event, ran=Ran.NO)
         return event
 
     sim.settle()
--- a/tools/capacity_world.py
+++ b/tools/capacity_world.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from spokeroute.common.answers import Answer
+from spokeroute.common.answers import Answer, Ran
 from spokeroute.common.effects import Send, SlotId
 from spokeroute.common.ids import Address, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import build_table
@@ -185,7 +185,7 @@
             case SendAttempt():
                 self.fleet.stamp("attempt", job.service)
                 done = AttemptDone(
-                    job.attempt_id, "yes", "", 200, (("Content-Type", "application/json"),),
+                    job.attempt_id, Ran.YES, "", 200, (("Content-Type", "application/json"),),
                     self.fleet.answer, True,
                 )  # fmt: skip
                 self.later(REACH_MS + WORK_MS, actor, lambda: done)
