Instances' answers are read strictly; a connection carries no attempt it turned away again

Causes: the library's reader takes a cut head or chunk size for a whole one, drops headers after a line that is none, and hides what it read ahead; a second copy of a "not run" was believed in the place of the answer to the same attempt, sent again over the same connection. Ruled out: skipping surplus answers (the id is the caller's own, and the same for both sends).

--- /dev/null
+++ b/spokeroute/http/reader.py
@@ -0,0 +1,191 @@
+"""The reading of an instance's answer, strict where the library's reader guesses.
+
+An answer that is cut, or whose parts do not fit together, is never taken for a whole one: a head or
+a chunk's size that ends without its line end, a length and chunks at once, a coding that is not
+``chunked`` alone, a header line that is none.
+"""
+
+from __future__ import annotations
+
+import re
+import socket
+from http.client import HTTPResponse, RemoteDisconnected
+from typing import Any, BinaryIO
+
+from spokeroute.transport.net import monotonic_ms
+
+MOST_LINES_BYTES = 256 * 1024
+PART_BYTES = 64 * 1024
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
+LENGTH = re.compile(r"[0-9]{1,18}")
+NO_BODY = (204, 304)
+
+
+class UntrustedError(Exception):
+    """An answer that can't be trusted."""
+
+
+class Lines:
+    """A connection's bytes, of which each line must end, and all lines together soon.
+
+    Example:
+        Lines(sock.makefile("rb")).readline()
+    """
+
+    def __init__(self, raw: BinaryIO) -> None:
+        self.raw = raw
+        self.left_bytes = MOST_LINES_BYTES
+        self.deadline_ms = 0
+        self.begun = False
+
+    def readline(self, most_bytes: int = PART_BYTES) -> bytes:
+        """A whole line; an error for what ends without one.
+
+        Example:
+            lines.readline() == b"HTTP/1.1 200 OK\\r\\n"
+        """
+        line = self.raw.readline(most_bytes)
+        if not line and not self.begun:
+            raise RemoteDisconnected("closed without an answer")
+        self.begun = True
+        if not line.endswith(b"\n"):
+            raise UntrustedError("cut in a line")
+        self.left_bytes -= len(line)
+        if self.left_bytes < 0:
+            raise UntrustedError("lines out of bounds")
+        self.in_time()
+        return line
+
+    def in_time(self) -> None:
+        """An error once the time to read it is over.
+
+        Example:
+            lines.in_time()
+        """
+        if self.deadline_ms and monotonic_ms() > self.deadline_ms:
+            raise UntrustedError("it did not end in time")
+
+    def read(self, size: int) -> bytes:
+        """So many bytes of a body; an error where there are fewer.
+
+        Example:
+            lines.read(4) == b"done"
+        """
+        parts: list[bytes] = []
+        while size:
+            part = self.raw.read(min(size, PART_BYTES))
+            if not part:
+                raise UntrustedError("cut short")
+            self.in_time()
+            parts.append(part)
+            size -= len(part)
+        return b"".join(parts)
+
+    def flush(self) -> None:
+        """Nothing is written here.
+
+        Example:
+            lines.flush()
+        """
+
+    def close(self) -> None:
+        """Let the connection's bytes go.
+
+        Example:
+            lines.close()
+        """
+        self.raw.close()
+
+
+class Response(HTTPResponse):
+    """An answer of an instance.
+
+    Example:
+        conn.response_class = Response
+    """
+
+    fp: Any
+
+    def __init__(self, sock: socket.socket, *rest: Any, **named: Any) -> None:
+        super().__init__(sock, *rest, **named)
+        self.lines = Lines(self.fp)
+        self.fp = self.lines
+
+    def one(self, name: str) -> str | None:
+        """A header's value, of all its lines; None where it is not there.
+
+        Example:
+            response.one("Content-Length") == "4"
+        """
+        values = self.headers.get_all(name)
+        return None if values is None else ", ".join(values)
+
+    def whole(self, most_bytes: int, method: str = "GET", deadline_ms: int = 0) -> bytes:
+        """The whole body of an answer whose end is framed; an UntrustedError for any other.
+
+        Example:
+            response.whole(4096)
+        """
+        self.lines.deadline_ms = deadline_ms
+        if self.headers.defects or self.headers.get_payload():
+            raise UntrustedError("a header line that is none")
+        if self.status < 200:
+            raise UntrustedError(f"status {self.status}")
+        length, coding = self.one("Content-Length"), self.one("Transfer-Encoding")
+        if length is not None and coding is not None:
+            raise UntrustedError("length and coding at once")
+        if coding is not None and coding.lower() != "chunked":
+            raise UntrustedError("a coding that is not read here")
+        if length is not None and not LENGTH.fullmatch(length):
+            raise UntrustedError("a length that is none")
+        if length is not None and int(length) > most_bytes:
+            raise UntrustedError("a length out of bounds")
+        if method == "HEAD" or self.status in NO_BODY:
+            return b""
+        if coding is not None:
+            return self._chunks(most_bytes)
+        if length is None:
+            raise UntrustedError("no framing")
+        return self.lines.read(int(length))
+
+    def _chunks(self, most_bytes: int) -> bytes:
+        parts: list[bytes] = []
+        left_bytes = most_bytes
+        while True:
+            found = CHUNK_SIZE.fullmatch(self.lines.readline())
+            if found is None:
+                raise UntrustedError("a chunk's size that is none")
+            size = int(found[1], 16)
+            if size == 0:
+                break
+            left_bytes -= size
+            if left_bytes < 0:
+                raise UntrustedError("a body out of bounds")
+            parts.append(self.lines.read(size))
+            if self.lines.readline() != b"\r\n":
+                raise UntrustedError("a chunk that does not end")
+        while self.lines.readline() != b"\r\n":
+            pass  # trailers
+        return b"".join(parts)
+
+    def surplus(self, sock: socket.socket) -> bool:
+        """Whether there are bytes after a whole answer, or the connection ended.
+
+        Example:
+            response.surplus(conn.sock)
+        """
+        sock.settimeout(0)
+        try:
+            more = self.lines.raw.peek(1)  # type: ignore[attr-defined]
+            if more:
+                return True
+            return _ended(sock)
+        except OSError:
+            return True
+
+
+def _ended(sock: socket.socket) -> bool:
+    try:
+        return sock.recv(1, socket.MSG_PEEK) is not None
+    except BlockingIOError:
+        return False
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,266 @@
+"""Each call gets its own whole answer or a doubt, over the real sender, pool and reader, whatever
+an instance sends; a guard that is left out is found."""
+
+from __future__ import annotations
+
+import queue
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from urllib3.util.wait import wait_for_read
+
+from spokeroute.common.answers import Ran
+from spokeroute.common.ids import Ms
+from spokeroute.exchange.sender import Line, Sender
+from spokeroute.exchange.types import AttemptDone, SendAttempt
+from spokeroute.http.reader import Lines, Response, UntrustedError
+from spokeroute.transport.net import monotonic_ms
+from tests.scripted_instance import CERTAIN, How, Instance, body_of, chunked, reply
+from tests.test_edge import send_attempt
+from tests.test_sender_dialect import DIALECT
+
+WAIT_MS = 10_000
+SCRIPTS = st.lists(
+    st.tuples(st.sampled_from(list(How)), st.integers(0, 400)), min_size=1, max_size=6
+)
+
+
+class Bench:
+    """A sender and a scripted instance, one call after the other."""
+
+    def __init__(self, script: list[tuple[How, int]]) -> None:
+        self.instance = Instance(deque(script))
+        self.done: queue.Queue[AttemptDone] = queue.Queue()
+        self.sender = Sender(self.done.put, DIALECT)
+
+    def close(self) -> None:
+        self.instance.close()
+        self.sender.pool.shutdown()
+
+    def call(self, name: str, wait_ms: int = WAIT_MS) -> AttemptDone:
+        now = monotonic_ms()
+        job: SendAttempt = send_attempt(
+            self.instance.address, "POST", "/x", (), b"{}", Ms(now + wait_ms), Ms(now + wait_ms)
+        )
+        self.sender.launch(replace(job, identity="i-1", caller_attempt=name))
+        return self.done.get(timeout=30)
+
+    def judged(self, name: str) -> AttemptDone:
+        """One call, held against what the instance saw of it."""
+        before = len(self.instance.got)
+        done = self.call(name)
+        came = self.instance.got[before:]
+        assert len(came) <= 1, "sent twice"
+        assert all(got.name == name for got in came)
+        if done.ran == Ran.NO:
+            assert not any(got.how.runs for got in came), "ran, and was promised not to"
+        if done.ran == Ran.YES:
+            (got,) = came
+            assert done.body == body_of(name, got.serial), "not its own whole answer"
+        if came and came[0].how in CERTAIN and len(came) == 1:
+            assert done.ran != Ran.NO
+        return done
+
+
+def shuffled(examples: int) -> None:
+    @settings(
+        max_examples=examples, derandomize=True, deadline=None, database=None,
+        phases=(Phase.generate,), suppress_health_check=list(HealthCheck),
+    )  # fmt: skip
+    @given(SCRIPTS)
+    def each(script: list[tuple[How, int]]) -> None:
+        bench = Bench(script)
+        try:
+            for number in range(len(script)):
+                name = f"c{number}"
+                while bench.judged(name).ran == Ran.NO and bench.instance.script:
+                    pass  # turned away: the entry sends the same attempt again
+        finally:
+            bench.close()
+
+    each()
+
+
+def test_each_call_gets_its_own_whole_answer_or_a_doubt() -> None:
+    shuffled(120)
+
+
+def any_id(patch: pytest.MonkeyPatch) -> None:
+    """Whatever id an answer echoes."""
+
+    class Same(str):
+        __hash__ = str.__hash__
+
+        def __ne__(self, other: object) -> bool:
+            return False
+
+    honest = Response.one
+    patch.setattr(
+        Response, "one",
+        lambda self, name: Same("") if name == "Attempt" else honest(self, name),
+    )  # fmt: skip
+
+
+def same_line(patch: pytest.MonkeyPatch) -> None:
+    """A call that was turned away goes again over the connection that said so."""
+    never = property(lambda self: set(), lambda self, value: None)
+    patch.setattr(Line, "turned_away", never, raising=False)
+
+
+def sends_again(patch: pytest.MonkeyPatch) -> None:
+    """After a lost answer the bytes go out once more."""
+    honest = Sender._exchange
+
+    def exchange(self: Sender, job: SendAttempt, line: Line) -> AttemptDone:
+        try:
+            return honest(self, job, line)
+        except OSError:
+            return honest(self, job, self._line(job, 1.0))
+
+    patch.setattr(Sender, "_exchange", exchange)
+
+
+def lax_lines(patch: pytest.MonkeyPatch) -> None:
+    """A line counts though it was cut."""
+    patch.setattr(Lines, "readline", lambda self, most_bytes=65536: self.raw.readline(most_bytes))
+
+
+@pytest.mark.parametrize("plant", [any_id, same_line, sends_again, lax_lines])
+def test_a_guard_that_is_left_out_is_found(
+    plant: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match=r"sent twice|ran, and|not its own"):
+        shuffled(600)
+
+
+def only_line(bench: Bench) -> Line:
+    ((line,),) = bench.sender.idle.values()
+    return line
+
+
+def test_a_connection_that_speaks_while_idle_is_not_used_again() -> None:
+    bench = Bench([(How.WHOLE, 0), (How.WHOLE, 0)])
+    assert bench.judged("c0").ran == Ran.YES
+    kept = only_line(bench)
+    bench.instance.sockets[0].sendall(reply("c1", b"not yet asked"))
+    assert wait_for_read(kept.conn.sock, timeout=10)
+    assert bench.judged("c1").ran == Ran.YES
+    assert kept.conn.sock is None and len(bench.instance.sockets) == 2
+    bench.close()
+
+
+def test_a_pool_that_keeps_a_doubted_connection_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Line, "spoken", False)
+    bench = Bench([(How.WHOLE, 0), (How.WHOLE, 0)])
+    assert bench.judged("c0").ran == Ran.YES
+    bench.instance.sockets[0].sendall(reply("c1", b"not yet asked"))
+    assert wait_for_read(only_line(bench).conn.sock, timeout=10)
+    with pytest.raises(AssertionError, match="not its own"):
+        bench.judged("c1")
+    bench.close()
+
+
+def test_a_call_that_was_turned_away_goes_over_another_connection() -> None:
+    """A surplus "not run" to its first send would else promise that the second did not run."""
+    bench = Bench([(How.AWAY, 0), (How.BEFORE, 0), (How.WHOLE, 0)])
+    assert bench.judged("c0").ran == Ran.NO
+    assert bench.judged("c0").ran == Ran.YES
+    assert len(bench.instance.sockets) == 2
+    assert bench.judged("c1").ran == Ran.YES
+    assert len(bench.instance.sockets) == 2  # others use either
+    bench.close()
+
+
+def test_a_connection_that_turned_many_away_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("spokeroute.exchange.sender.MOST_TURNED_AWAY", 2)
+    bench = Bench([(How.AWAY, 0)] * 2)
+    assert [bench.judged(f"c{n}").ran for n in range(2)] == [Ran.NO] * 2
+    assert bench.sender.idle == {("r-1", bench.instance.address): []}
+    bench.close()
+
+
+def test_idle_connections_of_instances_that_are_gone_are_closed() -> None:
+    bench = Bench([(How.WHOLE, 0)])
+    bench.judged("c0")
+    kept = only_line(bench)
+    bench.sender._sweep(kept.idle_since + 21.0)
+    assert bench.sender.idle == {} and kept.conn.sock is None
+    bench.close()
+
+
+def test_silence_after_the_send_may_have_run() -> None:
+    """The instance takes the request and says nothing until the wait ends."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        bench = Bench([])
+        bench.instance.address = f"127.0.0.1:{server.getsockname()[1]}"
+        done = bench.call("c0", wait_ms=80)
+        assert done.ran == Ran.MAYBE and done.reason.startswith("lost")
+        bench.close()
+
+
+def read(data: bytes, method: str = "GET") -> Any:
+    """An answer's body, and whether there was more."""
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.sendall(data)
+        theirs.shutdown(socket.SHUT_WR)
+        answer = Response(ours, method=method)
+        answer.begin()
+        body = answer.whole(4096, method)
+        more = answer.surplus(ours)
+        answer.close()
+        return body, more
+
+
+@settings(max_examples=200, derandomize=True, deadline=None, database=None)
+@given(st.booleans(), st.integers(0, 10**6), st.binary(min_size=1, max_size=64))
+def test_no_cut_answer_is_whole(in_chunks: bool, at: int, body: bytes) -> None:
+    whole = chunked("c0", body) if in_chunks and len(body) > 3 else reply("c0", body)
+    assert read(whole)[0] == body
+    with pytest.raises((UntrustedError, OSError)):
+        read(whole[: at % len(whole)])
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 204 X\r\nAttempt: c0\r\n",
+        b"HTTP/1.1 200 X\r\nContent-Length: 0\r\nno header\r\nConnection: close\r\n\r\n",
+        b"HTTP/1.1 200 X\r\nContent-Length: 4, 4\r\n\r\ndone",
+        b"HTTP/1.1 200 X\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone",
+        b"HTTP/1.1 200 X\r\nContent-Length: +4\r\n\r\ndone",
+        b"HTTP/1.1 200 X\r\nContent-Length: \xb2\r\n\r\ndo",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: xchunked\r\n\r\ndone",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\ndone\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0x4\r\ndone\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndoneXX0\r\n\r\n",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0",
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\ndone\r\n0\r\n\r\n",
+        b"HTTP/1.1 101 X\r\n\r\n",
+    ],
+)
+def test_a_spoiled_answer_is_not_whole(data: bytes) -> None:
+    with pytest.raises((UntrustedError, OSError)):
+        read(data)
+
+
+def test_surplus_in_the_same_segment_is_seen() -> None:
+    good = reply("c0", b"done")
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        for data, more in ((good, False), (good + good, True), (good + good[:1], True)):
+            theirs.sendall(data)
+            answer = Response(ours, method="GET")
+            answer.begin()
+            assert answer.whole(4096) == b"done"
+            assert answer.surplus(ours) is more
+            ours.settimeout(10)
+    assert read(good)[1] is True  # the peer closed
