--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -6,6 +6,7 @@
 
 from immutables import Map
 
+from spokeroute.common.answers import Ran
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
@@ -159,13 +160,13 @@
         Example:
             Seat(placed).ended(done, handed, 1_000, Ms(20)).handed
         """
-        if done.ran == "maybe":
+        if done.ran == Ran.MAYBE:
             free_at_ms = Ms(max(now_ms, handed.sent_ms + run_ms))
             kept = replace(handed, reported=True, free_at_ms=free_at_ms)
             seat = replace(self, handed=self.handed.set(done.attempt_id, kept))
         else:
             seat = replace(self, handed=self.handed.delete(done.attempt_id))
-        if done.ran == "yes":
+        if done.ran == Ran.YES:
             return replace(
                 seat, answered=seat.answered + 1, answered_ms=(*seat.answered_ms, now_ms)[-200:],
                 confirmed=True, down_ms=0, run_ms=seat.usual(now_ms - handed.sent_ms),
