A ballot is drawn once, over rounds of a register and over lives of a member

A proposer forgot the counter of a register that is not spread with its last round, and all counters with its process. The next round drew the same ballot again; a promise of the first that came late or twice counted in the second: a read said 'nothing there' after an acknowledged write.

No counter up to the greatest forgotten one is drawn again, and each start of a disk begins 2^32 further. Ruled out: a nonce in prepare and promise, which guards promises alone.

--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -42,7 +42,7 @@
     )
     process.add(
         "proposer",
-        proposer.State(member, start.seed, loaded.roster),
+        proposer.start(member, start.seed, loaded.roster, loaded.starts),
         proposer.step,
         takes=(m.Promise, m.Accepted, m.Finish, m.Heartbeat),
     )
