The model checker reopens full stores, and replays what it found

The store may refuse a batch that is on it all the same, and a reopening. Scenarios begin after a prelude of the common course.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -13,12 +13,12 @@
 
 SECONDS = 60.0
 DEPTHS = {
-    "rounds": 5, "disks": 5, "lives": 4, "numbers": 5, "overtaken": 5, "replaced": 3, "joining": 3,
-    "handed": 3, "grown": 2, "grown-voting": 2, "founding": 2, "second-blank": 2,
+    "rounds": 5, "disks": 5, "lives": 4, "lives-late": 5, "lives-again": 5, "numbers": 5,
+    "overtaken": 5, "replaced": 3, "joining": 3, "handed": 3, "grown": 2, "grown-voting": 2,
+    "founding": 2, "second-blank": 2,
 }  # fmt: skip
 WALKS = {"everything": 4, "replace": 12, "grow": 6, "disks": 40, "lives": 40, "found": 12}
-FIRST_SEEDS = {"lowest-ballot": 35, "refused-for-unsure": 610}
-"""Where the first run that meets the fault is far, the search begins near it."""
+MOST_WALKS = 2_000  # in which a planted fault must be found
 
 BROKEN_BY = {
     "prepare-any-epoch": Invariant.OWN_EPOCH,
@@ -64,7 +64,7 @@
     fault = FAULTS[name]
     scenario = SCENARIOS[fault.scenario]
     with planted(fault):
-        found = walks(scenario, FIRST_SEEDS.get(name, 1), 200, 250, SECONDS, hush).failure
+        found = walks(scenario, 1, MOST_WALKS, 250, SECONDS, hush).failure
         assert found is not None
         least = shrink(scenario, found)
         again = replay(scenario, script("\n".join(least.actions)))
--- a/tools/model/actions.py
+++ b/tools/model/actions.py
@@ -1,7 +1,8 @@
 """What may happen next in a world, as lines of text: a run is a list of them.
 
 ``deliver LABEL`` and ``repeat LABEL`` bring a frame (the second leaves it on its way),
-``ask OP`` begins a client's ask, ``sync M``, ``full M`` end a batch, ``restart M`` kills a
+``ask OP`` begins a client's ask, ``sync M`` ends a batch or a reopening, ``full M`` and
+``full-late M`` refuse it (the second leaves it on the disk), ``restart M`` kills a
 process before its batch and ``restart-late M`` after it, ``wipe M`` starts a blank disk at the
 same address, ``join`` starts a blank registry elsewhere, ``tick M MS`` moves a member's clock.
 """
@@ -16,6 +17,7 @@
 from spokeroute.common.ids import Address, MemberId, Ms
 from spokeroute.register.cells import unpack_roster
 from spokeroute.register.changes import Ask
+from spokeroute.register.store import DiskWrite
 from spokeroute.transport import messages as m
 from tools.model.disk import Disk
 from tools.model.history import asked
@@ -112,7 +114,9 @@
         out.append(f"sync {member.id}")
         if left.get("full", 0):
             out.append(f"full {member.id}")
-        if left.get("restart", 0):
+            if isinstance(member.pending, DiskWrite):
+                out.append(f"full-late {member.id}")
+        if left.get("restart", 0) and isinstance(member.pending, DiskWrite):
             out.append(f"restart-late {member.id}")
     if left.get("restart", 0):
         out.append(f"restart {member.id}")
@@ -188,7 +192,12 @@
 
 def _full(world: World, slot: int) -> World | None:
     after = _spend(world, "full")
-    return refused(after, slot) if after and world.members[slot].pending is not None else None
+    return refused(after, slot, False) if after and after.members[slot].pending else None
+
+
+def _full_late(world: World, slot: int) -> World | None:
+    after = _spend(world, "full")
+    return refused(after, slot, True) if after and after.members[slot].pending else None
 
 
 def _restart(world: World, slot: int) -> World | None:
@@ -198,7 +207,7 @@
 def _restart_late(world: World, slot: int) -> World | None:
     """The power goes after the batch was synced, and before anybody heard of it."""
     member = world.members[slot]
-    if member.pending is None:
+    if not isinstance(member.pending, DiskWrite):
         return None
     return _started(world, slot, member.disk.after(member.pending))
 
@@ -294,6 +303,7 @@
 _ACTS: dict[str, Callable[[World, int], World | None]] = {
     "sync": _sync,
     "full": _full,
+    "full-late": _full_late,
     "restart": _restart,
     "restart-late": _restart_late,
     "wipe": _wipe,
--- a/tools/model/faults.py
+++ b/tools/model/faults.py
@@ -298,6 +298,37 @@
     return ((membership, "_news", faulty), *_step_patch(change))
 
 
+def _ballots_forgotten() -> tuple[Patch, ...]:
+    real = proposer._next_op
+
+    def faulty(state: Any, name: str, now_ms: Any) -> Any:
+        after, effects = real(state, name, now_ms)
+        return replace(after, used=0), effects
+
+    return ((proposer, "_next_op", faulty),)
+
+
+def _ballots_of_another_life() -> tuple[Patch, ...]:
+    real = proposer.start
+
+    def faulty(me: Any, seed: int, roster: Any, life: int) -> Any:
+        return real(me, seed, roster, 1)
+
+    return ((proposer, "start", faulty),)
+
+
+def _copied_votes() -> tuple[Patch, ...]:
+    real = acceptor._taken
+
+    def faulty(state: Any, got: Any) -> Any:
+        after = real(state, got)
+        name = got.accepted.name
+        cell = replace(after.cells[name], voted=True)
+        return replace(after, cells=after.cells.set(name, cell))
+
+    return ((acceptor, "_taken", faulty),)
+
+
 FAULTS = {
     each.name: each
     for each in (
@@ -339,6 +370,12 @@
               _read_from_one),
         Fault("refused-for-unsure", "an overtaken offer is called refused", "overtaken",
               _refused_for_unsure),
+        Fault("ballots-forgotten", "a ballot is drawn again for a register's next round",
+              "lives-late", _ballots_forgotten),
+        Fault("ballots-of-another-life", "a restarted proposer draws its old ballots again",
+              "lives-again", _ballots_of_another_life),
+        Fault("copied-votes", "a copied value counts as a vote for it", "grown-copied",
+              _copied_votes),
         Fault("epoch-back", "a late roster of an earlier epoch is adopted", "grown-unheard",
               _epoch_back),
     )
--- a/tools/model/preludes.py
+++ b/tools/model/preludes.py
@@ -4,10 +4,15 @@
 from __future__ import annotations
 
 
-def _agreed(
+def agreed_round(
     proposer: str, others: tuple[str, ...], register: str, epoch: int = 1
 ) -> tuple[str, ...]:
-    """A round of a register that a majority takes part in."""
+    """A round of a register that a majority takes part in.
+
+    Example:
+        >>> agreed_round("m1", ("m2",), "floor")[0]
+        'deliver m1.*>m2:Prepare(e1,floor,*'
+    """
     out: list[str] = []
     for ask, answer in (("Prepare", "Promise"), ("Accept", "Accepted")):
         out.extend(f"deliver {proposer}.*>{m}:{ask}(e{epoch},{register},*" for m in others)
@@ -22,11 +27,29 @@
 )
 """All blank seeds heard each other; the roster of epoch 1 is on its way to m2 and m3."""
 
+LATE_PROMISES = (
+    "ask a",
+    "sync m1",
+    "deliver m1.*>m2:Prepare(*",
+    "sync m2",
+    "repeat m2.*>m1:Promise(*",
+    "sync m1",
+    "deliver m1.*>m2:Accept(*",
+    "sync m2",
+    "deliver m2.*>m1:Accepted(*",
+    "deliver m1.*>m3:Prepare(*",
+    "sync m3",
+    "ask x",
+    "sync m2",
+)
+"""A register's first round ended; two of its promises are still, or once more, on their way, and
+so is a request that will keep m1's disk busy."""
+
 REPLACED = (
     "wipe m3",
     "tick n1 500",
     "deliver n1.*>m1:Heartbeat*",
-    *_agreed("m1", ("m2",), "roster"),
+    *agreed_round("m1", ("m2",), "roster"),
 )
 """The roster of epoch 2, with n1 for m3, is chosen; only m1 has heard of it."""
 
@@ -42,7 +65,7 @@
     "wipe m5",
     "tick n1 500",
     "deliver n1.*>m1:Heartbeat*",
-    *_agreed("m1", ("m2", "m3"), "roster"),
+    *agreed_round("m1", ("m2", "m3"), "roster"),
     "wipe n1",
     "tick n2 500",
     "deliver n2.*>m4:Heartbeat*",
@@ -52,13 +75,13 @@
 
 HANDED = (
     "ask a",
-    *_agreed("m1", ("m2",), "configuration"),
+    *agreed_round("m1", ("m2",), "configuration"),
     "tick m3 500",
     "deliver m3.*>m1:Heartbeat*",
     "wipe m2",
     "tick n1 500",
     "deliver n1.*>m1:Heartbeat*",
-    *_agreed("m1", ("m3",), "roster"),
+    *agreed_round("m1", ("m3",), "roster"),
 )
 """A handover to m3 is on its way, and so is the news of epoch 2."""
 
@@ -85,7 +108,7 @@
     "tick m1 500",
     *_SEEN,
     *_BLANKS_SEEN,
-    *_agreed("m1", ("m2",), "roster"),
+    *agreed_round("m1", ("m2",), "roster"),
 )
 GROWN = (
     *_CHOSEN_5,
@@ -96,6 +119,34 @@
 )
 """The core grew from three to five; the two newcomers are to copy."""
 
+GROWN_CONTENDED = (
+    "ask a",
+    "deliver m1.*>m3:Prepare(*",
+    "deliver m3.*>m1:Promise(*",
+    "ask b",
+    "deliver m2.*>m3:Prepare(*",
+    "deliver m3.*>m2:Promise(*",
+    *GROWN,
+)
+"""The core grew while two rounds were open: m1 and m2 each accepted another value."""
+
+GROWN_COPIED = (
+    *GROWN_CONTENDED,
+    *(
+        f"deliver {frame}"
+        for new in ("n1", "n2")
+        for frame in (
+            f"m1.*>{new}:Heartbeat(e2*",
+            f"m3.*>{new}:Heartbeat(e2*",
+            f"{new}.*>m1:CopyAsk*",
+            f"{new}.*>m3:CopyAsk*",
+            f"m1.*>{new}:CopyPart*",
+            f"m3.*>{new}:CopyPart*",
+        )
+    ),
+)
+"""Both newcomers copied what m1 accepted, and the later promise that m3 gave to m2."""
+
 GROWN_VOTING = (
     *GROWN,
     "deliver m1.*>n1:Heartbeat(e2*",
@@ -115,6 +166,6 @@
     "tick n3 500",
     "tick m1 500",
     "deliver n3.*>m1:Heartbeat(*",
-    *_agreed("m1", ("m2", "m3"), "roster", 2),
+    *agreed_round("m1", ("m2", "m3"), "roster", 2),
 )
 """The core grew, and one newcomer was wiped; the other heard of neither epoch."""
--- a/tools/model/scenarios.py
+++ b/tools/model/scenarios.py
@@ -16,10 +16,13 @@
 from tools.model.preludes import (
     FOUNDING,
     GROWN,
+    GROWN_CONTENDED,
+    GROWN_COPIED,
     GROWN_UNHEARD,
     GROWN_VOTING,
     HANDED,
     JOINING,
+    LATE_PROMISES,
     REPLACED,
     SECOND_BLANK,
 )
@@ -80,8 +83,8 @@
     ids = tuple(MemberId(f"m{i + 1}") for i in range(scenario.members))
     members = tuple((name, Address(f"h{i + 1}:1")) for i, name in enumerate(ids))
     ample = dict.fromkeys(scenario.budget, len(scenario.prelude))
-    ample |= {"beat": len(scenario.prelude), "wipe": 9, "join": 9, "drawn": MOST_DRAWN}
-    budget = {**ample, **{f"ask {op}": 1 for op in scenario.asks}}
+    ample |= {"beat": len(scenario.prelude), "repeat": 9, "wipe": 9, "join": 9}
+    budget = {**ample, **{f"ask {op}": 1 for op in scenario.asks}, "drawn": MOST_DRAWN}
     disk = Disk()
     if not scenario.blank:
         disk = Disk(roster=Roster(Epoch(1), members), votes=True)
@@ -127,7 +130,7 @@
                 ("b", 1, CONFIGURATION, Swap(0, b"B")),
                 ("r", 2, CONFIGURATION, Read()),
             ),
-            {"round": 2, "restart": 2, "full": 1},
+            {"round": 2, "restart": 2, "full": 2, "beat": 2},
         ),
         Scenario(
             "lives",
@@ -139,6 +142,26 @@
             ),
             {"round": 1, "restart": 1, "repeat": 2},
         ),
+        Scenario(
+            "lives-late",
+            _asks(
+                ("a", 0, PLACEMENT, Swap(0, b"A")),
+                ("r", 0, PLACEMENT, Read()),
+                ("x", 1, NUMBER, Once(b"X")),
+            ),
+            {"restart": 1},
+            prelude=LATE_PROMISES,
+        ),
+        Scenario(
+            "lives-again",
+            _asks(
+                ("a", 0, PLACEMENT, Swap(0, b"A")),
+                ("r", 0, PLACEMENT, Read()),
+                ("x", 1, NUMBER, Once(b"X")),
+            ),
+            {"restart": 1},
+            prelude=(*LATE_PROMISES, "restart m1"),
+        ),
         Scenario(
             "numbers",
             _asks(
@@ -216,6 +239,30 @@
             syncs=True,
             prelude=GROWN,
         ),
+        Scenario(
+            "grown-contended",
+            _asks(
+                ("a", 0, CONFIGURATION, Swap(0, b"A")),
+                ("b", 1, CONFIGURATION, Swap(0, b"B")),
+                ("r", 2, CONFIGURATION, Read()),
+            ),
+            {"round": 2, "beat": 6},
+            core=5,
+            syncs=True,
+            prelude=GROWN_CONTENDED,
+        ),
+        Scenario(
+            "grown-copied",
+            _asks(
+                ("a", 0, CONFIGURATION, Swap(0, b"A")),
+                ("b", 1, CONFIGURATION, Swap(0, b"B")),
+                ("r", 2, CONFIGURATION, Read()),
+            ),
+            {"round": 2},
+            core=5,
+            syncs=True,
+            prelude=GROWN_COPIED,
+        ),
         Scenario(
             "grown-voting",
             _asks(
--- a/tools/model/world.py
+++ b/tools/model/world.py
@@ -19,6 +19,7 @@
 from spokeroute.register import acceptor, membership, proposer
 from spokeroute.register.acceptor import DiskDone, DiskFailed, DiskWrite
 from spokeroute.register.proposer import Settled
+from spokeroute.register.store import ReopenFailed, ReopenStore, StoreReopened
 from spokeroute.transport import messages as m
 from spokeroute.transport.messages import ViewEntry
 from spokeroute.transport.peers import ViewNow
@@ -52,7 +53,7 @@
     acceptor: acceptor.State
     proposer: proposer.State
     membership: membership.State
-    pending: DiskWrite | None = None
+    pending: DiskWrite | ReopenStore | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +129,7 @@
 
 def new_proposer(member: MemberId, disk: Disk) -> proposer.State:
     """A proposer at its start."""
-    return proposer.State(member, 1, disk.roster)
+    return proposer.start(member, 1, disk.roster, disk.starts)
 
 
 def run(world: World, slot: int, events: tuple[tuple[str, object], ...]) -> World:
@@ -194,8 +195,8 @@
         case Tell(name, event):
             waiting.append((name, event))
         case Launch(job):
-            assert isinstance(job, DiskWrite) and member.pending is None
-            if not world.syncs:
+            assert isinstance(job, DiskWrite | ReopenStore) and member.pending is None
+            if not world.syncs or isinstance(job, ReopenStore):
                 return with_member(world, slot, replace(member, pending=job))
             waiting.append((actor, DiskDone(job.batch)))
             return _stored(world, slot, member.disk.after(job))
@@ -203,9 +204,14 @@
 
 
 def synced(world: World, slot: int) -> World:
-    """A member's batch is on its disk, and its process hears of it."""
+    """A member's batch is on its disk, or its store is open again, and its process hears of it."""
     member = world.members[slot]
     assert member.pending is not None
+    if isinstance(member.pending, ReopenStore):
+        disk = member.disk
+        world = with_member(world, slot, replace(member, pending=None))
+        found = StoreReopened(disk.roster, disk.votes, disk.cells)
+        return run(world, slot, (("acceptor", found),))
     batch = member.pending.batch
     world = _stored(world, slot, member.disk.after(member.pending))
     return run(world, slot, (("acceptor", DiskDone(batch)),))
@@ -238,8 +244,14 @@
     return replace(world, history=history)
 
 
-def refused(world: World, slot: int) -> World:
-    """A member's disk is full: the batch is not on it."""
+def refused(world: World, slot: int, there: bool) -> World:
+    """A member's disk is full, and its process hears of it. The batch is not on the disk, or it
+    is there all the same: a failed write says neither."""
     member = world.members[slot]
-    world = with_member(world, slot, replace(member, pending=None))
-    return run(world, slot, (("acceptor", DiskFailed("full")),))
+    event: object = DiskFailed("full")
+    if isinstance(member.pending, ReopenStore):
+        event = ReopenFailed("full")
+    elif member.pending is not None and there:
+        world = _stored(world, slot, member.disk.after(member.pending))
+    world = with_member(world, slot, replace(world.members[slot], pending=None))
+    return run(world, slot, (("acceptor", event),))
