--- a/spokeroute/exchange/requeue.py
+++ b/spokeroute/exchange/requeue.py
@@ -53,7 +53,9 @@
         asked = _may_have_room(state, service, now_ms)[:ROOM_ASKS]
         if not asked:
             continue
-        effects.extend(Send(p.holder, RoomAsk(p.id), p.holder_address) for p in asked)
+        effects.extend(
+            Send(placed.holder, RoomAsk(placed.id), placed.holder_address) for placed in asked
+        )
         state = replace(state, room_asked_ms=state.room_asked_ms.set(service, now_ms))
     return state, tuple(effects)
 
@@ -96,11 +98,11 @@
     tell, in an order that changes with time. A holder knows first that one is up."""
     lost = lost_to(state, now_ms)
     found = [
-        p
-        for p in state.tables.by_service.get(service, ())
-        if ((p.routed and usable(p, state.tables)) or soon_usable(p, state.tables))
-        and not lost(p)
-        and state.outstanding.get(p.id, 0) < p.limit
-        and state.shunned_ms.get(p.id, -1) <= now_ms
+        placed
+        for placed in state.tables.by_service.get(service, ())
+        if ((placed.routed and usable(placed, state.tables)) or soon_usable(placed, state.tables))
+        and not lost(placed)
+        and state.outstanding.get(placed.id, 0) < placed.limit
+        and state.shunned_ms.get(placed.id, -1) <= now_ms
     ]
-    return sorted(found, key=lambda p: zlib.crc32(f"{state.me}/{p.id}/{now_ms}".encode()))
+    return sorted(found, key=lambda placed: zlib.crc32(f"{state.me}/{placed.id}/{now_ms}".encode()))
--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -1,4 +1,4 @@
-"""What a holder keeps of one instance: its line, what it was handed, and how it does."""
+"""What a holder keeps of one instance: its queue, what it was handed, and how it does."""
 
 from __future__ import annotations
 
@@ -17,12 +17,13 @@
 RUN_SHARE = 0.2
 QUEUE_FACTOR = 4
 QUEUE_PLUS = 8
+QUEUED_TOLD_MS = 40  # a call that waits for this long is told to its entry
 COLD_SPAN_MS = 1_050  # a second, and what sends may crowd together on their way
 
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
-    """A forwarded call in an instance's line."""
+    """A forwarded call in an instance's queue."""
 
     forward: Forward
     origin: NodeId
@@ -47,7 +48,7 @@
     """One instance that this process holds."""
 
     placed: Placed
-    line: tuple[Waiting, ...] = ()
+    queue: tuple[Waiting, ...] = ()
     handed: Map[str, Handed] = field(default_factory=Map)
     cold_ms: tuple[Ms, ...] = ()  # sends while cold, within the last second
     answered_ms: tuple[Ms, ...] = ()  # whole answers, within the rate's window
@@ -85,7 +86,7 @@
         Example:
             Seat(placed).quiet is False
         """
-        return self.placed.state == DRAINING and not self.handed and not self.line
+        return self.placed.state == DRAINING and not self.handed and not self.queue
 
     @property
     def word(self) -> str:
@@ -137,9 +138,9 @@
             Seat(placed).takes_last(500)
         """
         most = QUEUE_FACTOR * self.placed.limit + QUEUE_PLUS
-        if len(self.line) > most:
+        if len(self.queue) > most:
             return False
-        return self.turn_ms(len(self.line) - 1) <= WAIT_SHARE * wait_ms
+        return self.turn_ms(len(self.queue) - 1) <= WAIT_SHARE * wait_ms
 
     def handing(self, waiting: Waiting, now_ms: Ms) -> Seat:
         """With a call handed to the instance.
@@ -189,6 +190,17 @@
             left = left.delete(each.attempt_id)
         return replace(self.sampled(now_ms), handed=left)
 
+    def tells(self, waiting: Waiting, now_ms: Ms) -> bool:
+        """Whether a queued call's entry should hear now that it waits. What waits for a start
+        waits for it: the entry chose so.
+
+        Example:
+            Seat(placed).tells(waiting, Ms(40))
+        """
+        if self.booting or waiting.told:
+            return False
+        return now_ms - waiting.since_ms >= QUEUED_TOLD_MS
+
     def down(self, now_ms: Ms) -> str:
         """Why nothing is sent after it could not be reached; empty where it may be.
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -15,7 +15,7 @@
 from spokeroute.exchange.backlog import CROWD_CALLS, CROWD_MS, Backlog
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.moves import TURNED_MS
-from spokeroute.exchange.seat import Handed, Seat, Waiting
+from spokeroute.exchange.seat import QUEUED_TOLD_MS, Handed, Seat, Waiting
 from spokeroute.exchange.types import BUSY, LEFT_QUEUE, NO_ROOM_IN_TIME, Call, Revoke, Tables
 from spokeroute.transport.messages import Forward, ForwardDrop, Forwarded, RoomAsk, RoomTold
 from tests.calls_made import call_to
@@ -38,7 +38,7 @@
 def held(*queue: Waiting, run_ms: float = 500.0) -> Seat:
     """An instance of one slot where a call runs."""
     handed = Map({"runs": Handed("runs", ENTRY, Ms(0))})
-    return Seat(placed("i"), line=queue, handed=handed, run_ms=run_ms)
+    return Seat(placed("i"), queue=queue, handed=handed, run_ms=run_ms)
 
 
 def entry_with(call: Call, *instances: Placed, outstanding: Map[str, int] = ONE) -> entry.State:
@@ -60,6 +60,16 @@
     assert held(*five, run_ms=0.0).takes_last(200)  # no run ended yet: taken in on trust
 
 
+def test_an_entry_hears_once_that_a_call_waits_but_not_while_its_instance_starts() -> None:
+    seat = held(waiting("c"))
+    call = seat.queue[0]
+    assert not seat.tells(call, Ms(QUEUED_TOLD_MS - 1))
+    assert seat.tells(call, Ms(QUEUED_TOLD_MS))
+    assert not seat.tells(replace(call, told=True), Ms(QUEUED_TOLD_MS))
+    starts = replace(seat, placed=placed("i", state=STARTING))
+    assert not starts.tells(call, Ms(QUEUED_TOLD_MS))
+
+
 def test_only_what_is_still_in_the_queue_is_given_back() -> None:
     state = holder.State(HOLDER, 1, seats=Map({"i": held(waiting("queued"))}))
     same, effects = holder.step(
@@ -72,7 +82,7 @@
         state, From(ENTRY, Incarnation(1), ForwardDrop("queued", queued_only=True)), Ms(300)
     )
     assert effects == (Send(ENTRY, Forwarded("queued", "no", LEFT_QUEUE, 0, (), b"")),)
-    assert after.seats["i"].line == () and "runs" in after.seats["i"].handed
+    assert after.seats["i"].queue == () and "runs" in after.seats["i"].handed
 
 
 def test_room_is_asked_for_only_where_it_may_be_and_not_at_every_tick() -> None:
@@ -105,7 +115,7 @@
     fresh = Tables(Ms(300), table=table, by_id=Map({"i": here}))
     one = replace(held(), placed=here)
     assert told(one, fresh) == (Send(ENTRY, RoomTold("i", 1)),)
-    assert told(replace(one, line=(waiting("c"),)), fresh) == ()
+    assert told(replace(one, queue=(waiting("c"),)), fresh) == ()
     assert told(replace(one, placed=placed("i")), fresh) == ()  # its one slot is taken
     assert told(one, replace(fresh, proved_ms=Ms(-(10**6)))) == ()
 
