--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -220,3 +220,32 @@
     seen = replace(sight({"b1": blank_at_m1, "b9": waits}), roster=roster)
     new = next_roster(seen)
     assert new is not None and new.ids == ("m0", "b1", "b9") and new.joining == ("b1", "b9")
+
+
+def unwritable(node: str, for_ms: int, blank: bool = False, now_ms: int = 20_000) -> PeerStatus:
+    since_ms = Ms(now_ms - for_ms)
+    return replace(sign(node, now_ms - 100, blank), writable=False, unwritable_ms=since_ms)
+
+
+def test_a_member_that_takes_no_writes_for_long_is_replaced_and_not_before() -> None:
+    signs = {"m1": sign("m1", 19_900), "b2": sign("b2", 19_900, True)}
+    early = sight({**signs, "m2": unwritable("m2", CATCH_UP_MS - 100)})
+    late = sight({**signs, "m2": unwritable("m2", CATCH_UP_MS + 100)})
+    assert next_roster(early) is None
+    new = next_roster(late)
+    assert new is not None and new.ids == ("m0", "m1", "b2") and new.joining == ("b2",)
+    assert next_roster(sight({"m1": signs["m1"], "m2": late.signs["m2"]})) is None
+    blank = {**signs, "b2": unwritable("b2", 5_000, blank=True)}
+    assert next_roster(sight({**blank, "m2": late.signs["m2"]})) is None
+
+
+def test_nothing_else_changes_while_a_member_takes_no_writes() -> None:
+    """A newcomer needs a majority to copy from, that moved to its epoch."""
+    full = {"m1": unwritable("m1", 1_000)}
+    gone = {**full, "m2": sign("m2", 20_000 - CATCH_UP_MS - 100), "b2": sign("b2", 19_900, True)}
+    assert next_roster(sight(gone)) is None
+    grows = {**full, "m2": sign("m2", 19_900), "b2": sign("b2", 19_900, True)}
+    assert next_roster(sight({**grows, "b3": sign("b3", 19_900, True)}, members=5)) is None
+    grows |= {"m1": sign("m1", 19_900), "b3": sign("b3", 19_900, True)}
+    new = next_roster(sight(grows, members=5))
+    assert new is not None and len(new.ids) == 5
--- a/tests/test_store_full.py
+++ b/tests/test_store_full.py
@@ -13,6 +13,7 @@
 import pytest
 
 from spokeroute.common.ids import Address, Ballot, Epoch, MemberId, NodeId
+from spokeroute.common.slab import Slab
 from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.disk import Disk, DiskBusyError, DiskError
@@ -24,7 +25,9 @@
     ReopenStore,
     StoreReopened,
 )
+from spokeroute.registry.api import Api
 from spokeroute.registry.disk_edge import DiskEdge
+from tests.sim.cluster import Sim
 
 SMALL_MB = 1
 ME = NodeId("m-1")
@@ -183,6 +186,28 @@
     assert faults == []
 
 
+def test_the_ledger_is_asked_for_elsewhere_while_a_store_is_opened_anew(
+    store: tuple[Disk, str], sim: Sim, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk, _ = store
+    sim.start()
+    process = sim.registries[0].process
+    assert process is not None
+    api = Api(process, Slab(4), disk, lambda event: None)
+    environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/ledger", "QUERY_STRING": ""}
+    statuses: list[str] = []
+
+    def answered(status: str, headers: object) -> None:
+        statuses.append(status)
+
+    monkeypatch.setattr("spokeroute.register.disk.READER_WAIT_S", 0.01)
+    api(environ, answered)
+    with disk.opening:
+        body = b"".join(api(environ, answered))
+    assert b"ask another registry" in body
+    assert [status[:3] for status in statuses] == ["200", "503"]
+
+
 def filled(disk: Disk) -> int:
     """Write registers until the store is at its map size; how many there are."""
     rng = random.Random(3)
