A registry that starts on a full disk waits for it, and does not end

Cause: its start is counted on its disk; the write that failed ended the process with a stack. A folder that can't be used, a damaged register and a store at disk_mb still end the start with an error that names the remedy.

--- a/spokeroute/registry/disk_edge.py
+++ b/spokeroute/registry/disk_edge.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 import lmdb
 from absl import logging
 
 from spokeroute.ledger.writer import KEEP_ENTRIES, LedgerFailed, LedgerWrite, LedgerWritten
-from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.disk import Disk, DiskError, DiskRefusedError, Loaded
 from spokeroute.register.store import (
     DiskDone,
     DiskFailed,
@@ -20,6 +22,29 @@
 )
 
 Report = Callable[[str, object], None]
+OPEN_AGAIN_S = 1.0
+
+
+def opened(
+    folder: Path, size_mb: int, pause: Callable[[float], None] = time.sleep
+) -> tuple[Disk, Loaded]:
+    """A member's store and what it holds; waited for while its disk takes no write, for a start
+    is counted on it.
+
+    Example:
+        disk, loaded = opened(Path("data"), 256)
+    """
+    while True:
+        try:
+            disk = Disk(folder, size_mb)
+            try:
+                return disk, disk.load()
+            except DiskError:
+                disk.close()
+                raise
+        except DiskRefusedError as fault:
+            logging.error("%s; this registry starts once it does", fault)
+            pause(OPEN_AGAIN_S)
 
 
 def _text(fault: Exception) -> str:
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -19,10 +19,10 @@
 from spokeroute.ledger.ring import Ring
 from spokeroute.ledger.writer import LedgerWrite
 from spokeroute.nodes import Start
-from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.disk import DiskError
 from spokeroute.register.store import DiskWrite, ReopenStore
 from spokeroute.registry.api import Api
-from spokeroute.registry.disk_edge import DiskEdge
+from spokeroute.registry.disk_edge import DiskEdge, opened
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
 from spokeroute.registry_node import ask_to_leave, build_registry, may_end
 from spokeroute.reread import Rereader
@@ -49,8 +49,7 @@
     """
     threading.stack_size(512 * 1024)
     try:
-        disk = Disk(Path(settings.data), settings.disk_mb)
-        loaded = disk.load()
+        disk, loaded = opened(Path(settings.data), settings.disk_mb)
     except DiskError as fault:
         raise SettingsError(str(fault)) from fault
     loop = listen(settings)
--- a/tests/test_store_full.py
+++ b/tests/test_store_full.py
@@ -8,6 +8,7 @@
 import threading
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import lmdb
 import pytest
@@ -26,7 +27,7 @@
     StoreReopened,
 )
 from spokeroute.registry.api import Api
-from spokeroute.registry.disk_edge import DiskEdge
+from spokeroute.registry.disk_edge import DiskEdge, opened
 from tests.sim.cluster import Sim
 
 SMALL_MB = 1
@@ -50,6 +51,16 @@
         self.env.close()
 
 
+class Unstarted(Refusing):
+    """An environment that opens its tables, and takes no write."""
+
+    def __init__(self, env: lmdb.Environment) -> None:
+        super().__init__(env, False)
+
+    def open_db(self, key: bytes, create: bool) -> object:
+        return self.env.open_db(key, create=create)
+
+
 class RefusingTxn:
     """A transaction of such an environment."""
 
@@ -76,6 +87,31 @@
     disk.close()
 
 
+def test_a_start_on_a_disk_that_is_full_waits_for_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Of a new folder and of a member's, before the store is open and when it counts the start;
+    no process ends for it, and the member stays who it is."""
+    honest, refusals = lmdb.open, [0]
+
+    def refusing(*args: Any, **options: Any) -> Any:
+        refusals[0] += 1
+        if refusals[0] % 3 == 1:
+            raise lmdb.DiskError("No space left on device")
+        env = honest(*args, **options)
+        return env if refusals[0] % 3 == 0 else Unstarted(env)
+
+    monkeypatch.setattr("spokeroute.register.disk.lmdb.open", refusing)
+    pauses: list[float] = []
+    members = set()
+    for starts in (1, 2):
+        disk, loaded = opened(tmp_path / "store", 16, pauses.append)
+        assert loaded.starts == starts
+        members.add(loaded.member)
+        disk.close()
+    assert len(pauses) == 4 and len(members) == 1
+
+
 def cell(number: int, value: bytes) -> Cell:
     ballot = Ballot(number, MemberId(ME))
     return Cell(ballot, ballot, number, digest_of(value), value)
@@ -92,7 +128,7 @@
     disk, member = store
     disk.write(batch(1))
     disk.append((("k1", "{}"),), 1_000)
-    disk.env = Refusing(disk.env, there)  # type: ignore[assignment]
+    disk.env = Refusing(disk.env, there)
     with pytest.raises(lmdb.DiskError):
         disk.write(batch(2))
     with pytest.raises(DiskBusyError, match="ask again"):
