--- a/tests/sim/disk.py
+++ b/tests/sim/disk.py
@@ -2,11 +2,28 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from immutables import Map
 
 from spokeroute.common.ids import MemberId
+from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
 from spokeroute.register.cells import Cell, Roster
-from spokeroute.register.store import DiskWrite
+from spokeroute.register.store import (
+    DiskDone,
+    DiskFailed,
+    DiskWrite,
+    ReopenFailed,
+    StoreReopened,
+)
+
+if TYPE_CHECKING:
+    from tests.sim.world import Node
+
+WHOLLY_THERE = 0.3  # of the batches whose write failed
+Steps = Generator[Any, Any, None]
 
 
 @dataclass
@@ -33,3 +50,60 @@
             self.cells.pop(name, None)
         if job.roster is not None:
             self.roster, self.votes = job.roster, job.votes
+
+
+def write(node: Node, actor: str, job: DiskWrite, born: int) -> Steps:
+    """A batch of cells: written, or refused and perhaps there."""
+    disk = node.disk
+    assert disk is not None
+    disk.writing += 1
+    yield node.env.timeout(disk.sync_ms)
+    while node.env.now < disk.stalled_until_ms:
+        yield node.env.timeout(disk.stalled_until_ms - node.env.now)
+    disk.writing -= 1
+    if node.births != born:
+        return  # killed before the sync: the tail is gone
+    if disk.full and not disk.broken and node.sim.rng.random() < WHOLLY_THERE:
+        disk.put(job)  # its last step failed, and it is there nevertheless
+    if disk.full or disk.broken:
+        disk.broken = True
+        node.report(actor, DiskFailed("full"), born)
+        return
+    if not disk.loses_writes:
+        disk.put(job)
+    node.report(actor, DiskDone(job.batch), born)
+
+
+def reopen(node: Node, actor: str, born: int) -> Steps:
+    """The store opened anew, after the batches that are on their way."""
+    disk = node.disk
+    assert disk is not None
+    yield node.env.timeout(disk.sync_ms)
+    while disk.writing or node.env.now < disk.stalled_until_ms:
+        yield node.env.timeout(1)
+    if node.births != born:
+        return
+    if disk.full:
+        node.report(actor, ReopenFailed("still full"), born)
+        return
+    disk.broken = False
+    node.report(actor, StoreReopened(disk.roster, disk.votes, Map(disk.cells)), born)
+
+
+def ledger(node: Node, actor: str, job: LedgerWrite, born: int) -> Steps:
+    """Ledger entries: written, or refused."""
+    disk = node.disk
+    assert disk is not None
+    yield node.env.timeout(disk.sync_ms)
+    if node.births != born:
+        return
+    low, high = job.entries[0][0], job.entries[-1][0]
+    if disk.full or disk.broken:
+        disk.broken = True
+        node.report(actor, LedgerFailed(low, high, job.ack_to), born)
+        node.report("acceptor", DiskFailed("full"), born)
+        return
+    disk.ledger.update(job.entries)
+    for key, _ in job.entries:
+        node.sim.entered.setdefault(key, node.env.now)
+    node.report(actor, LedgerWritten(low, high, job.ack_to), born)
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -19,26 +19,22 @@
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
-from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
+from spokeroute.ledger.writer import LedgerWrite
 from spokeroute.nodes import Start, build_exchange
 from spokeroute.register.disk import Loaded
 from spokeroute.register.replica import Compile, Compiled
 from spokeroute.register.store import (
-    DiskDone,
-    DiskFailed,
     DiskWrite,
-    ReopenFailed,
     ReopenStore,
-    StoreReopened,
 )
 from spokeroute.registry_node import ask_to_leave, build_registry, may_end
 from spokeroute.transport.net import attempts_in
 from spokeroute.transport.process import Me, Process
+from tests.sim import disk as disks
 from tests.sim.disk import SimDisk
 from tools.log import Down
 
 TICK_MS = 20
-WHOLLY_THERE = 0.3  # of the batches whose write failed
 Steps = Generator[Any, Any, None]
 
 
@@ -180,11 +176,11 @@
         born = self.births
         match job:
             case DiskWrite():
-                self.env.process(self._disk(actor, job, born))
+                self.env.process(disks.write(self, actor, job, born))
             case ReopenStore():
-                self.env.process(self._reopen(actor, born))
+                self.env.process(disks.reopen(self, actor, born))
             case LedgerWrite():
-                self.env.process(self._ledger(actor, job, born))
+                self.env.process(disks.ledger(self, actor, job, born))
             case Compile():
                 self.env.process(self._compile(actor, job, born))
             case SendAttempt():
@@ -204,57 +200,6 @@
 
     # the edges
 
-    def _disk(self, actor: str, job: DiskWrite, born: int) -> Steps:
-        disk = self.disk
-        assert disk is not None
-        disk.writing += 1
-        yield self.env.timeout(disk.sync_ms)
-        while self.env.now < disk.stalled_until_ms:
-            yield self.env.timeout(disk.stalled_until_ms - self.env.now)
-        disk.writing -= 1
-        if self.births != born:
-            return  # killed before the sync: the tail is gone
-        if disk.full and not disk.broken and self.sim.rng.random() < WHOLLY_THERE:
-            disk.put(job)  # its last step failed, and it is there nevertheless
-        if disk.full or disk.broken:
-            disk.broken = True
-            self.report(actor, DiskFailed("full"), born)
-            return
-        if not disk.loses_writes:
-            disk.put(job)
-        self.report(actor, DiskDone(job.batch), born)
-
-    def _reopen(self, actor: str, born: int) -> Steps:
-        disk = self.disk
-        assert disk is not None
-        yield self.env.timeout(disk.sync_ms)
-        while disk.writing or self.env.now < disk.stalled_until_ms:
-            yield self.env.timeout(1)
-        if self.births != born:
-            return
-        if disk.full:
-            self.report(actor, ReopenFailed("still full"), born)
-            return
-        disk.broken = False
-        self.report(actor, StoreReopened(disk.roster, disk.votes, Map(disk.cells)), born)
-
-    def _ledger(self, actor: str, job: LedgerWrite, born: int) -> Steps:
-        disk = self.disk
-        assert disk is not None
-        yield self.env.timeout(disk.sync_ms)
-        if self.births != born:
-            return
-        low, high = job.entries[0][0], job.entries[-1][0]
-        if disk.full or disk.broken:
-            disk.broken = True
-            self.report(actor, LedgerFailed(low, high, job.ack_to), born)
-            self.report("acceptor", DiskFailed("full"), born)
-            return
-        disk.ledger.update(job.entries)
-        for key, _ in job.entries:
-            self.sim.entered.setdefault(key, self.env.now)
-        self.report(actor, LedgerWritten(low, high, job.ack_to), born)
-
     def _compile(self, actor: str, job: Compile, born: int) -> Steps:
         yield self.env.timeout(5)
         table = build_table(Version(job.copy.version), job.copy.digest, job.value)
