--- a/tests/test_store_full.py
+++ b/tests/test_store_full.py
@@ -8,11 +8,13 @@
 import threading
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import lmdb
 import pytest
 
 from spokeroute.common.ids import Address, Ballot, Epoch, MemberId, NodeId
+from spokeroute.common.slab import Slab
 from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.disk import Disk, DiskBusyError, DiskError
@@ -24,7 +26,9 @@
     ReopenStore,
     StoreReopened,
 )
-from spokeroute.registry.disk_edge import DiskEdge
+from spokeroute.registry.api import Api
+from spokeroute.registry.disk_edge import DiskEdge, opened
+from tests.sim.cluster import Sim
 
 SMALL_MB = 1
 ME = NodeId("m-1")
@@ -47,6 +51,16 @@
         self.env.close()
 
 
+class Unstarted(Refusing):
+    """An environment that opens its tables, and takes no write."""
+
+    def __init__(self, env: lmdb.Environment) -> None:
+        super().__init__(env, False)
+
+    def open_db(self, key: bytes, create: bool) -> object:
+        return self.env.open_db(key, create=create)
+
+
 class RefusingTxn:
     """A transaction of such an environment."""
 
@@ -73,6 +87,31 @@
     disk.close()
 
 
+def test_a_start_on_a_disk_that_is_full_waits_for_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Of a new folder and of a member's, before the store is open and when it counts the start;
+    no process ends for it, and the member stays who it is."""
+    honest, refusals = lmdb.open, [0]
+
+    def refusing(*args: Any, **options: Any) -> Any:
+        refusals[0] += 1
+        if refusals[0] % 3 == 1:
+            raise lmdb.DiskError("No space left on device")
+        env = honest(*args, **options)
+        return env if refusals[0] % 3 == 0 else Unstarted(env)
+
+    monkeypatch.setattr("spokeroute.register.disk.lmdb.open", refusing)
+    pauses: list[float] = []
+    members = set()
+    for starts in (1, 2):
+        disk, loaded = opened(tmp_path / "store", 16, pauses.append)
+        assert loaded.starts == starts
+        members.add(loaded.member)
+        disk.close()
+    assert len(pauses) == 4 and len(members) == 1
+
+
 def cell(number: int, value: bytes) -> Cell:
     ballot = Ballot(number, MemberId(ME))
     return Cell(ballot, ballot, number, digest_of(value), value)
@@ -89,7 +128,7 @@
     disk, member = store
     disk.write(batch(1))
     disk.append((("k1", "{}"),), 1_000)
-    disk.env = Refusing(disk.env, there)  # type: ignore[assignment]
+    disk.env = Refusing(disk.env, there)
     with pytest.raises(lmdb.DiskError):
         disk.write(batch(2))
     with pytest.raises(DiskBusyError, match="ask again"):
@@ -183,6 +222,28 @@
     assert faults == []
 
 
+def test_the_ledger_is_asked_for_elsewhere_while_a_store_is_opened_anew(
+    store: tuple[Disk, str], sim: Sim, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    disk, _ = store
+    sim.start()
+    process = sim.registries[0].process
+    assert process is not None
+    api = Api(process, Slab(4), disk, lambda event: None)
+    environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/ledger", "QUERY_STRING": ""}
+    statuses: list[str] = []
+
+    def answered(status: str, headers: object) -> None:
+        statuses.append(status)
+
+    monkeypatch.setattr("spokeroute.register.disk.READER_WAIT_S", 0.01)
+    api(environ, answered)
+    with disk.opening:
+        body = b"".join(api(environ, answered))
+    assert b"ask another registry" in body
+    assert [status[:3] for status in statuses] == ["200", "503"]
+
+
 def filled(disk: Disk) -> int:
     """Write registers until the store is at its map size; how many there are."""
     rng = random.Random(3)
