--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -16,7 +16,7 @@
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import ROSTER, Address, Epoch, MemberId, Ms, NodeId
 from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
-from spokeroute.register.cells import Roster, pack_roster, unpack_roster
+from spokeroute.register.cells import Roster, pack_roster, read_roster, unpack_roster
 from spokeroute.register.leave import Leave, Standing, parting
 from spokeroute.register.membership_policy import (
     HEARTBEAT_MS,
@@ -98,7 +98,8 @@
         case StoreWritable(writable):
             return _store(state, writable, now_ms)
         case From(_, _, RosterNews(value)) if state.writable:
-            return _news(state, unpack_roster(value))
+            roster = read_roster(value)
+            return _news(state, roster) if roster else (state, ())
         case From(node, _, CopyPart() as part) if state.writable:
             return _copied(state, node, part, now_ms)
         case From(node, _, Probe(_, epoch)):
