A process's promise to itself is no contact: a registry that just started holds orders a while

Cause: the quick answer without contact gives 0.7 s more to a process that met nobody yet, and its own acceptor's promise counted as having met somebody.

--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -263,3 +263,22 @@
     changes(each, random.Random(20_000), 20_000)
     sim.run(9_000)
     assert within_stale(sim.log(), monkeypatch)
+
+
+@ONE
+def test_a_registry_that_just_started_meets_the_others_first(each: Cut) -> None:
+    """Its own promise is no contact: an order that comes with its start is held for a while."""
+    sim, node = each.sim, each.sim.registries[0]
+    node.kill()
+    sim.run(1_000)
+    node.start()
+    told = sim.apply(configuration(name="early"))
+    sim.run(1_500)
+    assert told.status == 200
+    node.kill()
+    sever(each, "both")
+    sim.run(1_000)
+    node.start()
+    told = sim.apply(configuration(name="alone"))
+    sim.run(1_500)
+    assert told.status == 503 and told.done_ms - told.at_ms > proposer.MEETING_MS
