--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -10,8 +10,11 @@
 
 import pytest
 
-from spokeroute.register import proposer
+from spokeroute.common.answers import Answer
+from spokeroute.common.slab import Slab
+from spokeroute.register import proposer, replica
 from spokeroute.registry import operator
+from spokeroute.registry.api import Api
 from tests.sim.cluster import Sim, configuration
 from tests.sim.sides import STALE_MS, Cut, made, sever
 from tests.sim.world import Node
@@ -152,6 +155,30 @@
     assert told.done_ms - told.at_ms > QUICK_MS
 
 
+class Edge(Api):
+    """The operators' API without threads: what would go to the loop is answered here."""
+
+    def _loop(self, kind: object) -> Answer:
+        return Answer(503, (), b"asked the core")
+
+
+@ONE
+def test_what_a_cut_off_registry_knows_refuses_nothing(each: Cut) -> None:
+    """A zone that it has never heard of is unknown only while a majority proves its copies; and
+    it is not ready."""
+    sim, node = each.sim, each.sim.registries[0]
+    assert node.process is not None
+    edge = Edge(node.process, Slab(1), None, lambda event: None)  # type: ignore[arg-type]
+    sim.run(1_000)
+    assert edge.evacuate("nowhere", True).status == 404
+    assert edge._ready().status == 200
+    sever(each, "both")
+    sim.run(replica.LEASE_MS + 500)
+    for out in (True, False):
+        assert edge.evacuate("nowhere", out).status == 503
+    assert edge._ready().status == 503
+
+
 # exchanges
 
 
@@ -236,3 +263,22 @@
     changes(each, random.Random(20_000), 20_000)
     sim.run(9_000)
     assert within_stale(sim.log(), monkeypatch)
+
+
+@ONE
+def test_a_registry_that_just_started_meets_the_others_first(each: Cut) -> None:
+    """Its own promise is no contact: an order that comes with its start is held for a while."""
+    sim, node = each.sim, each.sim.registries[0]
+    node.kill()
+    sim.run(1_000)
+    node.start()
+    told = sim.apply(configuration(name="early"))
+    sim.run(1_500)
+    assert told.status == 200
+    node.kill()
+    sever(each, "both")
+    sim.run(1_000)
+    node.start()
+    told = sim.apply(configuration(name="alone"))
+    sim.run(1_500)
+    assert told.status == 503 and told.done_ms - told.at_ms > proposer.MEETING_MS
