--- a/spokeroute/register/stamps.py
+++ b/spokeroute/register/stamps.py
@@ -13,6 +13,7 @@
 TRAILER = struct.Struct(">I4s")
 TRAILER_MARK = b"ORDS"
 ORDERS_KEPT = 64
+CONTENT_CHARS = 16  # of a content's digest: enough to tell an id that was used twice
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,4 +120,6 @@
         """
         if version != self.expect or find(made_of(value), self.order_id):
             return None
-        return stamped(self.value, value, Made(self.order_id, version + 1, self.content))
+        return stamped(
+            self.value, value, Made(self.order_id, version + 1, self.content[:CONTENT_CHARS])
+        )
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -360,3 +360,14 @@
     assert sorted(n for n, _ in confirmed) == list(range(1, 301))
     assert not one_content_a_number(sim.log())
     assert in_force(sim)["number"] == 300
+
+
+def test_the_judge_speaks_of_two_contents(sim: Sim, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Planted: whoever binds last has the number."""
+    monkeypatch.setattr(Bind, "decide", lambda self, version, value: self.content.encode())
+    ready(sim)
+    assert [sent(sim, name, 70, 1).status for name in ("a", "b")] == [200, 200]
+    assert any("2 contents" in text for text in one_content_a_number(sim.log()))
+    monkeypatch.undo()
+    assert sent(sim, "a", 70, 2).status == 409  # b was bound last
+    assert any("was refused" in text for text in one_content_a_number(sim.log()))
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -40,12 +40,27 @@
             self.sim.settle()
             self.doc = configuration()
         self.per_s = 120.0 if shape else 40.0
+        self.numbered = seed % 2 == 0  # half of the seeds apply under operators' numbers
+        self.orders: list[tuple[dict[str, Any], int]] = []
 
     def apply(self) -> None:
         """Send the next configuration."""
         up = [i for i, r in enumerate(self.sim.registries) if r.alive and not r.frozen]
-        if up:
-            self.sim.apply({**self.doc, "name": f"v{self.sim.draw()}"}, self.rng.choice(up))
+        if not up:
+            return
+        doc = {**self.doc, "name": f"v{self.sim.draw()}"}
+        if not self.numbered:
+            self.sim.apply(doc, self.rng.choice(up))
+            return
+        number = 10 * (len(self.orders) + 1)
+        self.orders.append((doc, number))
+        self.sim.apply(doc, self.rng.choice(up), number=number)
+        if self.rng.random() < 0.4:  # another operator takes the same number
+            other = {**doc, "name": f"{doc['name']}, another"}
+            self.sim.apply(other, self.rng.choice(up), number=number)
+        if self.rng.random() < 0.4:  # an order is sent again
+            old, old_number = self.rng.choice(self.orders)
+            self.sim.apply(old, self.rng.choice(up), number=old_number)
 
     def cause(self) -> str:
         """Cause one random failure; most heal by themselves after a while."""
