Founding needs every seed to say, after it heard of all, that it is blank

A seed that was cut off founded a second core on signs of life from before another seed adopted the first roster, once the first founder's disk was lost: an acknowledged write was gone. Found by the model checker (docs/incidents/founded-twice.md).

Each founder's newest sign must name all founders; a blank member takes no roster from a node at whose address a blank disk was heard of since. Ruled out: a vote on the founding, and waiting for every seed's confirmation.

--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -97,9 +97,9 @@
             return _heard(state, node, alive, now_ms)
         case StoreWritable(writable):
             return _store(state, writable, now_ms)
-        case From(_, _, RosterNews(value)) if state.writable:
+        case From(node, _, RosterNews(value)) if state.writable:
             roster = read_roster(value)
-            return _news(state, roster) if roster else (state, ())
+            return _news(state, node, roster) if roster else (state, ())
         case From(node, _, CopyPart() as part) if state.writable:
             return _copied(state, node, part, now_ms)
         case From(node, _, Probe(_, epoch)):
@@ -204,16 +204,26 @@
 
 
 def _found(state: State, now_ms: Ms) -> list[Effect]:
-    """Found the core: every seed is a registry, alive, blank, and I am the least of them."""
+    """Found the core: every seed is a registry, alive, blank, and I am the least of them. Each
+    said so after it heard of all the others: one that adopted the roster of an earlier founding
+    together with a disk that was lost since can't have."""
     if not state.found or state.address not in state.seeds:
         return []
-    founders: dict[Address, MemberId] = {state.address: state.me}
-    for node, sign in state.signs.items():
-        if sign.address in state.seeds and now_ms - sign.at_ms < state.bounds.catch_up_ms:
-            if not sign.blank:
-                return []
-            founders[sign.address] = MemberId(node)
-    if len(founders) != len(state.seeds) or min(founders.values()) != state.me:
+    here = {
+        node: sign
+        for node, sign in state.signs.items()
+        if sign.address in state.seeds and now_ms - sign.at_ms < state.bounds.catch_up_ms
+    }
+    if not all(sign.blank for sign in here.values()):
+        return []
+    founders: dict[Address, MemberId] = {}
+    for node, sign in sorted(here.items(), key=lambda item: (item[1].at_ms, item[0])):
+        founders[sign.address] = MemberId(node)
+    founders[state.address] = state.me
+    ids = set(founders.values())
+    if len(founders) != len(state.seeds) or min(ids) != state.me:
+        return []
+    if not all(ids <= {node, *here[node].hears} for node in ids - {state.me}):
         return []
     roster = Roster(Epoch(1), tuple((founders[a], a) for a in state.seeds))
     value = pack_roster(roster)
@@ -237,6 +247,9 @@
     effects: list[Effect] = []
     if state.roster and alive.epoch < state.roster.epoch:
         effects.append(Send(node, RosterNews(pack_roster(state.roster))))
+    if state.roster is None and old is None:
+        # Founding waits until all seeds said that they hear each other.
+        effects.extend(_greet(state, _everyone(state), now_ms))
     if alive.blank or alive.leaving:
         state, more = _replace(state, now_ms)
     else:
@@ -244,9 +257,11 @@
     return state, (*effects, *more)
 
 
-def _news(state: State, roster: Roster) -> tuple[State, Effects]:
+def _news(state: State, node: NodeId, roster: Roster) -> tuple[State, Effects]:
     if state.roster and roster.epoch <= state.roster.epoch:
         return state, ()
+    if state.roster is None and _outlived(state, node):
+        return state, ()
     if state.me not in roster.ids:
         if state.roster is None or state.me not in state.roster.ids:
             return state, ()
@@ -261,6 +276,16 @@
     return state, (Tell("acceptor", Adopt(roster, votes)),)
 
 
+def _outlived(state: State, node: NodeId) -> bool:
+    """Whether a blank disk was heard of at a node's address since that node was heard itself: a
+    late frame of its founds nothing, as this member may have told the new one that it is blank."""
+    old = state.signs.get(node)
+    return old is not None and any(
+        sign.blank and sign.address == old.address and sign.at_ms > old.at_ms
+        for sign in state.signs.values()
+    )
+
+
 def _adopted(state: State, roster: Roster, votes: bool, now_ms: Ms) -> tuple[State, Effects]:
     if state.roster and roster.epoch > state.roster.epoch:
         state = replace(state, copied=Map(), copy_asked_ms=Map(), epoch_ms=now_ms)
--- a/tests/test_model_scripts.py
+++ b/tests/test_model_scripts.py
@@ -36,7 +36,23 @@
 busy, and gets the first one's promises once more."""
 
 
+FOUNDED_TWICE = (
+    "deliver m1.*>m3:RosterNews(*",
+    "ask a",
+    "deliver m3.*>m1:Prepare(*",
+    "deliver m1.*>m3:Promise(*",
+    "deliver m3.*>m1:Accept(*",
+    "deliver m1.*>m3:Accepted(*",
+    "wipe m1",
+    "tick m2 1500",
+    "tick m2 1500",
+    "deliver n1.*>m2:Heartbeat(*",
+    "tick m2 1500",
+)
+"""m1 and m3 are founded and write; m2, cut off, has heard of nothing when m1's disk is lost."""
+
 SCRIPTS = {
+    "found-on-old-signs": FOUNDED_TWICE,
     "ballots-forgotten": LATE_PROMISES_AGAIN,
     "ballots-of-another-life": LATE_PROMISES_AGAIN,
     "copied-votes": ("tick m2 round", *agreed_round("m2", ("m3", "n1"), "configuration", 2)),
@@ -65,6 +81,14 @@
     assert world.history.decided[("configuration", 1)]
 
 
+def test_a_lost_disk_is_no_reason_to_found_a_second_core() -> None:
+    """docs/incidents/founded-twice.md"""
+    world = play(SCENARIOS["founding"], FOUNDED_TWICE)
+    assert world.history.floors["configuration"] == 1
+    assert set(world.history.rosters) == {1}
+    assert "n1" not in world.history.rosters[1].ids
+
+
 @pytest.mark.parametrize("name", SCRIPTS)
 def test_the_script_breaks_an_invariant_where_the_mend_is_taken_out(name: str) -> None:
     fault = FAULTS[name]
--- a/tools/model/faults.py
+++ b/tools/model/faults.py
@@ -187,8 +187,8 @@
 def _vote_before_copy() -> tuple[Patch, ...]:
     real = membership._news
 
-    def faulty(state: Any, roster: Roster) -> Any:
-        after, effects = real(state, roster)
+    def faulty(state: Any, node: Any, roster: Roster) -> Any:
+        after, effects = real(state, node, roster)
         return after, tuple(
             replace(e, event=Adopt(roster, True))
             if isinstance(e, Tell) and isinstance(e.event, Adopt) and state.me in roster.ids
@@ -253,6 +253,17 @@
     return ((membership, "_found", faulty),)
 
 
+def _found_on_old_signs() -> tuple[Patch, ...]:
+    real = membership._found
+
+    def faulty(state: Any, now_ms: Any) -> Any:
+        all_of_them = tuple(sorted({state.me, *state.signs}))
+        signs = {n: replace(s, hears=all_of_them) for n, s in state.signs.items()}
+        return real(replace(state, signs=Map(signs)), now_ms)
+
+    return ((membership, "_found", faulty),)
+
+
 def _joining_forgotten() -> tuple[Patch, ...]:
     real = membership_policy._changed
 
@@ -285,10 +296,10 @@
 def _epoch_back() -> tuple[Patch, ...]:
     real = membership._news
 
-    def faulty(state: Any, roster: Roster) -> Any:
+    def faulty(state: Any, node: Any, roster: Roster) -> Any:
         if state.roster and roster.epoch < state.roster.epoch and state.me in roster.ids:
             return state, (Tell("acceptor", Adopt(roster, state.votes)),)
-        return real(state, roster)
+        return real(state, node, roster)
 
     def change(state: Any, event: Any) -> tuple[Any, Any]:
         if isinstance(event, Adopt) and state.roster and event.roster.epoch < state.epoch:
@@ -364,6 +375,8 @@
         Fault("id-kept", "a wiped disk keeps its member's id", "disks-wiped", _id_kept),
         Fault("found-beside-members", "founding while a seed is not blank", "founding-low",
               _found_beside_members),
+        Fault("found-on-old-signs", "founding on signs of life from before a disk was lost",
+              "founding", _found_on_old_signs),
         Fault("joining-forgotten", "who has yet to copy is forgotten by the next epoch",
               "grown-unheard", _joining_forgotten),
         Fault("read-from-one", "a value that one member has counts as chosen", "rounds",
--- a/tools/model/preludes.py
+++ b/tools/model/preludes.py
@@ -23,6 +23,8 @@
 FOUNDING = (
     *(f"tick m{i} 500" for i in (1, 2, 3)),
     *(f"deliver m{i}.*>m{j}:Heartbeat(*" for i in (1, 2, 3) for j in (1, 2, 3) if i != j),
+    "deliver m2.*>m1:Heartbeat(e0,*,m1+m3)",
+    "deliver m3.*>m1:Heartbeat(e0,*,m1+m2)",
     "tick m1 500",
 )
 """All blank seeds heard each other; the roster of epoch 1 is on its way to m2 and m3."""
