The model checker drives planned leaves and the handover

leave M asks a process to stop, end M lets it when the product would; a member that ends out of turn must leave what clients were told at a majority of those who stay. The planted fault leave-at-once is found.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -17,7 +17,8 @@
     "overtaken": 5, "replaced": 3, "joining": 3, "handed": 3, "grown": 2, "grown-voting": 2,
     "founding": 2, "second-blank": 2,
 }  # fmt: skip
-WALKS = {"everything": 4, "replace": 12, "grow": 6, "disks": 40, "lives": 40, "found": 12}
+WALKS = {"everything": 4, "replace": 12, "grow": 6, "disks": 40, "lives": 40, "found": 12,
+         "leaving": 20, "succession": 10}  # fmt: skip
 MOST_WALKS = 2_000  # in which a planted fault must be found
 
 BROKEN_BY = {
@@ -35,6 +36,9 @@
     "blind-roster": Invariant.ONE_ROSTER,
     "memory-after-failure": Invariant.ON_DISK,
     "found-beside-members": Invariant.ONE_ROSTER,
+    "found-on-old-signs": Invariant.ONE_ROSTER,
+    "copied-votes": Invariant.ONE_VALUE,
+    "leave-at-once": Invariant.LEFT_WHOLE,
     "refused-for-unsure": Invariant.REFUSED_STAYS_OUT,
     "epoch-back": Invariant.EPOCH_FORWARD,
 }
--- a/tools/model/actions.py
+++ b/tools/model/actions.py
@@ -2,9 +2,10 @@
 
 ``deliver LABEL`` and ``repeat LABEL`` bring a frame (the second leaves it on its way),
 ``ask OP`` begins a client's ask, ``sync M`` ends a batch or a reopening, ``full M`` and
-``full-late M`` refuse it (the second leaves it on the disk), ``restart M`` kills a
-process before its batch and ``restart-late M`` after it, ``wipe M`` starts a blank disk at the
-same address, ``join`` starts a blank registry elsewhere, ``tick M MS`` moves a member's clock.
+``full-late M`` refuse it (the second leaves it on the disk), ``restart M`` kills a process
+before its batch and ``restart-late M`` after it, ``wipe M`` starts a blank disk at the same
+address, ``leave M`` asks a process to stop, ``end M`` lets it once it may, ``join`` starts a
+blank registry elsewhere, ``tick M MS`` moves a member's clock.
 """
 
 from __future__ import annotations
@@ -17,10 +18,11 @@
 from spokeroute.common.ids import Address, MemberId, Ms
 from spokeroute.register.cells import unpack_roster
 from spokeroute.register.changes import Ask
+from spokeroute.register.leave import Leave, Standing
 from spokeroute.register.store import DiskWrite
 from spokeroute.transport import messages as m
 from tools.model.disk import Disk
-from tools.model.history import asked
+from tools.model.history import asked, left_whole
 from tools.model.world import (
     TAKES,
     Frame,
@@ -87,7 +89,9 @@
 
 def slot_of(world: World, member: str) -> int | None:
     """The slot of a living member."""
-    return next((i for i, each in enumerate(world.members) if each.id == member), None)
+    return next(
+        (i for i, each in enumerate(world.members) if each.id == member and not each.ended), None
+    )
 
 
 def enabled(world: World, asks: Asks) -> list[str]:
@@ -110,6 +114,12 @@
 def _of_member(world: World, member: Member) -> list[str]:
     out: list[str] = []
     left = world.budget
+    if member.ended:
+        return out
+    if left.get("leave", 0) and not member.membership.leaving:
+        out.append(f"leave {member.id}")
+    if _may_end(member):
+        out.append(f"end {member.id}")
     if member.pending is not None:
         out.append(f"sync {member.id}")
         if left.get("full", 0):
@@ -268,6 +278,29 @@
     return _blank(after, slot, Address(f"h{slot + 1}:1"), None)
 
 
+def _leave(world: World, slot: int) -> World | None:
+    after = _spend(world, "leave")
+    return run(after, slot, (("membership", Leave()),)) if after is not None else None
+
+
+def _may_end(member: Member) -> bool:
+    """What the registry's process asks before it ends, without the time."""
+    standing = member.membership.standing
+    free = standing is Standing.FREE or (standing is Standing.HANDING and member.handover.done)
+    return member.membership.leaving and member.pending is None and free
+
+
+def _end(world: World, slot: int) -> World | None:
+    member = world.members[slot]
+    if not _may_end(member):
+        return None
+    staying = member.handover.members or ()
+    disks = tuple(each.disk for each in world.members if each.id in staying)
+    if member.membership.standing is Standing.HANDING and staying:
+        left_whole(world.history, member.id, disks)
+    return with_member(world, slot, replace(member, ended=True))
+
+
 def _tick(world: World, slot: int, how: str) -> World | None:
     """Move a member's clock: to its proposer's next due, or on by so many milliseconds."""
     member = world.members[slot]
@@ -279,7 +312,7 @@
         cost = "round"
     else:
         now_ms = Ms(member.now_ms + int(how))
-        actors = ("acceptor", "proposer", "membership")
+        actors = ("acceptor", "proposer", "membership", "handover")
         cost = "silence" if int(how) > 3 * BEAT_MS else "beat"
     after = _spend(world, cost)
     if after is None:
@@ -307,6 +340,8 @@
     "restart": _restart,
     "restart-late": _restart_late,
     "wipe": _wipe,
+    "leave": _leave,
+    "end": _end,
 }
 
 __all__ = ["Asks", "ClientAsk", "apply", "enabled", "label"]
--- a/tools/model/history.py
+++ b/tools/model/history.py
@@ -45,6 +45,7 @@
     ON_DISK = "what was promised or accepted is on disk before it is answered"
     OWN_EPOCH = "a frame of another epoch changes no cell"
     NOT_BELOW = "a cell's promise never falls, and no ballot below it is accepted"
+    LEFT_WHOLE = "a member that leaves leaves what was acknowledged at a majority that stays"
     ONE_BALLOT = "one ballot stands for one value"
 
 
@@ -252,6 +253,16 @@
     return replace(history, voters=history.voters | {member})
 
 
+def left_whole(history: History, member: MemberId, staying: tuple[Disk, ...]) -> None:
+    """A member ends, out of turn: what clients were told is on the disks of a majority of those
+    who stay."""
+    for register, floor in history.floors.items():
+        have = sum(1 for disk in staying if disk.cells.get(register, EMPTY).version >= floor)
+        if 2 * have <= len(staying):
+            text = f"{member} ended; version {floor} of {register} is on {have} disks that stay"
+            raise BrokenInvariantError(Invariant.LEFT_WHOLE, text)
+
+
 def at_disk(history: History, member: MemberId, disk: Disk) -> History:
     """A member's disk changed, or it started from it."""
     if disk.roster is None:
--- a/tools/model/scenarios.py
+++ b/tools/model/scenarios.py
@@ -317,6 +317,26 @@
             {"round": 2, "wipe": 1, "beat": 6},
             syncs=True,
         ),
+        Scenario(
+            "leaving",
+            _asks(
+                ("a", 0, CONFIGURATION, Swap(0, b"A")),
+                ("b", 1, CONFIGURATION, Swap(0, b"B")),
+                ("r", 2, CONFIGURATION, Read()),
+            ),
+            {"round": 3, "leave": 1, "beat": 14},
+            syncs=True,
+        ),
+        Scenario(
+            "succession",
+            _asks(
+                ("a", 0, CONFIGURATION, Swap(0, b"A")),
+                ("b", 1, CONFIGURATION, Swap(0, b"B")),
+                ("r", 2, CONFIGURATION, Read()),
+            ),
+            {"round": 3, "leave": 2, "join": 1, "beat": 14, "restart": 1},
+            syncs=True,
+        ),
         Scenario("found", _asks(), {"wipe": 1, "beat": 8}, blank=True, syncs=True),
         Scenario(
             "founding",
@@ -356,6 +376,7 @@
                 "beat": 30,
                 "silence": 2,
                 "wipe": 2,
+                "leave": 1,
                 "join": 2,
                 "restart": 4,
                 "repeat": 4,
--- a/tools/model/search.py
+++ b/tools/model/search.py
@@ -15,7 +15,8 @@
 PROGRESS_STATES = 20_000
 WEIGHTS = {
     "deliver": 10.0, "repeat": 2.0, "ask": 2.0, "sync": 8.0, "full": 0.2, "full-late": 0.2,
-    "restart": 0.3, "restart-late": 0.3, "wipe": 0.2, "join": 0.4, "tick": 1.0,
+    "restart": 0.3, "restart-late": 0.3, "wipe": 0.2, "join": 0.4, "leave": 0.4, "end": 3.0,
+    "tick": 1.0,
 }  # fmt: skip
 
 
--- a/tools/model/world.py
+++ b/tools/model/world.py
@@ -16,7 +16,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import From, Launch, Send, Tell
 from spokeroute.common.ids import Address, Incarnation, MemberId, Ms, NodeId
-from spokeroute.register import acceptor, membership, proposer
+from spokeroute.register import acceptor, handover, membership, proposer
 from spokeroute.register.acceptor import DiskDone, DiskFailed, DiskWrite
 from spokeroute.register.proposer import Settled
 from spokeroute.register.store import ReopenFailed, ReopenStore, StoreReopened
@@ -27,12 +27,15 @@
 from tools.model.history import History, answered, at_disk, chosen, copied, frame_taken, settled
 
 CLIENT = "client"
+CORES = ("acceptor", "proposer", "membership", "handover")
 MOST_EVENTS = 500
 TAKES: dict[type, tuple[str, ...]] = {
     m.Prepare: ("acceptor",),
     m.Accept: ("acceptor",),
     m.HandOver: ("acceptor",),
     m.CopyAsk: ("acceptor",),
+    m.HeldAsk: ("acceptor",),
+    m.HeldPart: ("handover",),
     m.Promise: ("proposer",),
     m.Accepted: ("proposer",),
     m.Heartbeat: ("proposer", "membership"),
@@ -53,7 +56,9 @@
     acceptor: acceptor.State
     proposer: proposer.State
     membership: membership.State
+    handover: handover.State
     pending: DiskWrite | ReopenStore | None = None
+    ended: bool = False  # it left
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +115,7 @@
             disk.votes,
             bounds=world.bounds,
         ),
+        handover.State(member),
     )
     members = (*world.members[:slot], new, *world.members[slot + 1 :])
     world = replace(world, members=members)
@@ -123,6 +129,7 @@
         tuple(
             ViewEntry(each.id, each.disk.starts, each.address, "registry", "", 0)
             for each in world.members
+            if not each.ended
         )
     )
 
@@ -143,7 +150,7 @@
             assert isinstance(event, Settled)
             world = replace(world, history=settled(world.history, event))
             continue
-        if actor not in ("acceptor", "proposer", "membership"):
+        if actor not in CORES:
             continue
         world, effects = _step(world, slot, actor, event)
         for effect in effects:
@@ -161,6 +168,9 @@
     if actor == "proposer":
         proposing, effects = proposer.step(member.proposer, event, member.now_ms)
         return with_member(world, slot, replace(member, proposer=proposing)), effects
+    if actor == "handover":
+        handing, effects = handover.step(member.handover, event, member.now_ms)
+        return with_member(world, slot, replace(member, handover=handing)), effects
     if isinstance(event, From) and isinstance(event.message, m.CopyPart):
         history = copied(world.history, member.id, event.node, event.message)
         world = replace(world, history=history)
@@ -229,6 +239,8 @@
     probe = From(NodeId("reader"), Incarnation(1), m.Probe(1, 0, (), (), (), (), False, (), -1))
     acks: dict[MemberId, m.ProbeAck] = {}
     for member in world.members:
+        if member.ended:
+            continue
         for effect in acceptor.step(member.acceptor, probe, member.now_ms)[1]:
             if isinstance(effect, Send) and isinstance(effect.message, m.ProbeAck):
                 acks[member.id] = effect.message
