A member that missed changes takes them from the others, page by page, and is whole again

And a read leaves a promise above the newest accept at a member that was behind, so that it refused even what it was handed: it stayed behind until the next write of that register.

Anti-entropy compares digests of 256 buckets, then takes what is newer, as late accepts, in pages of 8 to 128 KB that follow the link. What a read's promise bars is written anew by a round (Renew). Claims age by the running time of their disk, over its restarts, and keep their age when handed on.

--- a/spokeroute/register/changes.py
+++ b/spokeroute/register/changes.py
@@ -34,6 +34,24 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Write what stands under a new ballot, though a majority agrees on it: a member that promised
+    a later read can't take it under the old one.
+
+    Example:
+        Renew().decide(1, b"old") is None
+    """
+
+    def decide(self, version: int, value: bytes) -> bytes | None:
+        """Never another value.
+
+        Example:
+            Renew().decide(0, b"") is None
+        """
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class Swap:
     """Write ``value`` if the register stands at ``expect``.
--- /dev/null
+++ b/spokeroute/register/copy_page.py
@@ -0,0 +1,53 @@
+"""The pages in which a joining member copies all cells of another."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from spokeroute.common.ids import NO_BALLOT, Ballot, MemberId
+from spokeroute.register.cells import Cell, ballot_of
+from spokeroute.transport.messages import CopyCell, CopyPart
+
+COPY_PAGE_BYTES = 32 * 1024  # 131 ms of a link of 2 Mbit/s: heartbeats get past
+COPY_CELL_BYTES = 200  # what a cell takes besides its name and value
+COPY_PAGE_CELLS = 500
+
+
+def copy_page(cells: Mapping[str, Cell], epoch: int, after: str) -> CopyPart:
+    """The cells after a name, as many as a page has room for; at least one, which alone may be
+    larger than a page, as it was in the frame that brought it.
+
+    Example:
+        >>> copy_page({}, 1, "").last
+        ''
+    """
+    page: list[CopyCell] = []
+    size_bytes = 0
+    last = after
+    for name in sorted(n for n in cells if n > after):
+        cell = cells[name]
+        size_bytes += len(cell.value) + len(name) + COPY_CELL_BYTES
+        if page and (size_bytes > COPY_PAGE_BYTES or len(page) >= COPY_PAGE_CELLS):
+            return CopyPart(epoch, after, tuple(page), last)
+        promised = cell.promised
+        page.append(CopyCell(promised.counter, promised.member, cell.copy(name), cell.value))
+        last = name
+    return CopyPart(epoch, after, tuple(page), "")
+
+
+def merged(cell: Cell, got: CopyCell) -> Cell:
+    """A joining member's cell with another's: the higher promise, and the later accept. Where some
+    member promised a later ballot, the value may have lost to one that was not copied: it is taken
+    up, and counts as no vote.
+
+    Example:
+        >>> merged(Cell(), CopyCell(3, "a", Cell().copy("x"), b"")).promised.counter
+        3
+    """
+    promised = max(cell.promised, Ballot(got.promised_counter, MemberId(got.promised_member)))
+    copy, accepted = got.accepted, ballot_of(got.accepted)
+    if accepted > cell.accepted:
+        cell = Cell(promised, accepted, copy.version, copy.digest, got.value)
+    voted = cell.voted and cell.accepted in (promised, NO_BALLOT)
+    return replace(cell, promised=promised, voted=voted)
--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -309,7 +309,9 @@
         return state, ()
     copied = state.copied.set(node, part.last or ".")
     state = replace(state, copied=copied, copy_asked_ms=state.copy_asked_ms.set(node, now_ms))
-    effects: list[Effect] = [Tell("acceptor", TakeCells(part.cells))]
+    # The last page is asked for again after a restart, and ends the copy then.
+    reached = ((node, part.last),) if part.last else ()
+    effects: list[Effect] = [Tell("acceptor", TakeCells(part.cells, reached))]
     if part.last:
         effects.append(Send(node, CopyAsk(part.epoch, part.last)))
     whole = [m for m in roster.previous if copied.get(m) == "."]
--- a/spokeroute/register/outage.py
+++ b/spokeroute/register/outage.py
@@ -87,6 +87,8 @@
         writing=None,
         writing_replies=(),
         took_ms=_of_synced(state),
+        copied=Map(),
+        ages=state.ages.again(state.writing.born if state.writing else ()),
         outage=outage,
         pause_ms=next_pause_ms(state.pause_ms),
     )
--- a/spokeroute/register/store.py
+++ b/spokeroute/register/store.py
@@ -18,6 +18,9 @@
     drops: tuple[str, ...]
     roster: Roster | None
     votes: bool
+    born: tuple[tuple[str, int], ...] = ()  # claims: at which running time of the disk they came
+    ran_ms: int = 0  # how long the disk's processes ran by now, all lives together
+    copied: Map[str, str] = Map()  # while it joins: old members, and up to which name
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -11,10 +11,20 @@
 from spokeroute.dispatch.role import Resign
 from spokeroute.ledger import writer as ledger
 from spokeroute.nodes import Start, first_nonce
-from spokeroute.register import acceptor, claims, handover, membership, proposer, replica
+from spokeroute.register import (
+    acceptor,
+    anti_entropy,
+    claims,
+    handover,
+    membership,
+    proposer,
+    replica,
+)
+from spokeroute.register.claim_ages import ClaimAges
 from spokeroute.register.disk import Loaded
 from spokeroute.register.leave import MARGIN_MS, Leave, Standing
 from spokeroute.registry import operator
+from spokeroute.transport import anti_entropy_messages as ae
 from spokeroute.transport import messages as m
 from spokeroute.transport import peers
 from spokeroute.transport.process import Me, Process, World
@@ -40,10 +50,23 @@
     )
     process.add(
         "acceptor",
-        acceptor.start(member, loaded.roster, loaded.votes, loaded.cells),
+        acceptor.start(
+            member,
+            loaded.roster,
+            loaded.votes,
+            loaded.cells,
+            ClaimAges(loaded=loaded.born, earlier_ms=loaded.ran_ms),
+            loaded.copied,
+        ),
         acceptor.step,
         takes=(m.Prepare, m.Accept, m.HandOver, m.Probe, m.FetchAsk, m.CopyAsk, m.HeldAsk),
     )
+    process.add(
+        "anti_entropy",
+        anti_entropy.start(member, loaded.roster, loaded.votes, loaded.cells),
+        anti_entropy.step,
+        takes=(m.Heartbeat, ae.DigestAsk, ae.DigestDiffers, ae.CellsAsk, ae.CellsPart),
+    )
     process.add(
         "proposer",
         proposer.start(member, start.seed, loaded.roster, loaded.starts),
@@ -61,6 +84,7 @@
             loaded.roster,
             loaded.votes,
             bounds=start.bounds,
+            copied=loaded.copied,
         ),
         membership.step,
         takes=(m.Heartbeat, m.RosterNews, m.CopyPart, m.Probe),
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -21,8 +21,9 @@
 )
 from spokeroute.exchange.types import CallIn
 from spokeroute.registry.operator import Apply, Evacuate, Show, ShowEvacuated
+from tests.sim.net import Net
 from tests.sim.platform import Platform
-from tests.sim.world import Net, Node
+from tests.sim.world import Node
 from tools.log import Asked, Down, Log, Return, Told
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
--- a/tests/sim/disk.py
+++ b/tests/sim/disk.py
@@ -19,6 +19,9 @@
     votes: bool = False
     ledger: dict[str, str] = field(default_factory=dict)
     starts: int = 0
+    born: dict[str, int] = field(default_factory=dict)
+    ran_ms: int = 0
+    copied: tuple[int, dict[str, str]] = (0, {})
     sync_ms: float = 0.5
     stalled_until_ms: float = 0.0
     full: bool = False  # writes fail, and so does opening it anew
@@ -31,5 +34,15 @@
         self.cells.update(job.cells)
         for name in job.drops:
             self.cells.pop(name, None)
+            self.born.pop(name, None)
+        self.born.update(job.born)
+        self.ran_ms = job.ran_ms or self.ran_ms
+        if job.copied and job.roster is not None:
+            self.copied = (job.roster.epoch, dict(job.copied))
         if job.roster is not None:
             self.roster, self.votes = job.roster, job.votes
+
+    def reached(self) -> dict[str, str]:
+        """Up to where this disk's member has copied the others, under the roster that it has."""
+        epoch, reached = self.copied
+        return reached if self.roster is not None and self.roster.epoch == epoch else {}
--- a/tools/capacity_caps.py
+++ b/tools/capacity_caps.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 
 from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
-from spokeroute.register.acceptor import INLINE_BYTES
+from spokeroute.register.probed import INLINE_BYTES
 from spokeroute.registry.platform_edge import MAX_LISTING_BYTES
 from spokeroute.transport.frames import MAX_FRAME_BYTES
 from tools.capacity_aim import AIM, CORES_A_NODE, MB_A_NODE
--- a/tools/model/faults.py
+++ b/tools/model/faults.py
@@ -19,6 +19,7 @@
 from spokeroute.register import acceptor, membership, membership_policy, proposer
 from spokeroute.register.acceptor import Adopt, DiskDone, DiskFailed
 from spokeroute.register.cells import EMPTY, Roster, ballot_of
+from spokeroute.register.copy_page import copy_page
 from spokeroute.transport.messages import Accepted, CopyAsk, CopyPart, Promise
 from tools.model import actions
 
@@ -78,8 +79,8 @@
 def _handover_any_epoch() -> tuple[Patch, ...]:
     real = acceptor._handed
 
-    def faulty(state: Any, epoch: int, copy: Any, value: bytes) -> Any:
-        return real(state, state.epoch, copy, value)
+    def faulty(state: Any, hand: Any, now_ms: Any) -> Any:
+        return real(state, replace(hand, epoch=state.epoch), now_ms)
 
     return ((acceptor, "_handed", faulty),)
 
@@ -87,11 +88,11 @@
 def _handover_below_promise() -> tuple[Patch, ...]:
     real = acceptor._handed
 
-    def faulty(state: Any, epoch: int, copy: Any, value: bytes) -> Any:
-        cell = state.cells.get(copy.name, EMPTY)
-        bare = replace(cell, promised=NO_BALLOT)
-        after = real(replace(state, cells=state.cells.set(copy.name, bare)), epoch, copy, value)
-        return after if after.cells[copy.name] != bare else state
+    def faulty(state: Any, hand: Any, now_ms: Any) -> Any:
+        name = hand.copy.name
+        bare = replace(state.cells.get(name, EMPTY), promised=NO_BALLOT)
+        after = real(replace(state, cells=state.cells.set(name, bare)), hand, now_ms)
+        return after if after.cells[name] != bare else state
 
     return ((acceptor, "_handed", faulty),)
 
@@ -158,7 +159,7 @@
 
     def step(state: Any, event: Any, now_ms: Any) -> tuple[Any, Effects]:
         if isinstance(event, From) and isinstance(event.message, CopyAsk):
-            page = acceptor._page(state, event.message.epoch, event.message.after)
+            page = copy_page(state.synced, event.message.epoch, event.message.after)
             return state, (Send(event.node, page),)
         return real_step(state, event, now_ms)
 
