The simulated network's module names what it uses

Two checks of tests/test_catch_up_links.py are red on this base: orders beside a transfer over a slow disk and 2 Mbit/s (3,650 ms where this member is needed, 2,000 allowed).

--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -9,6 +9,7 @@
 import simpy
 
 from spokeroute.common.ids import Address
+from spokeroute.transport.net import attempts_in
 
 if TYPE_CHECKING:
     from tests.sim.world import Node
