--- a/tools/model/patches.py
+++ b/tools/model/patches.py
@@ -61,8 +61,8 @@
     """
     real = acceptor._handed
 
-    def faulty(state: Any, epoch: int, copy: Any, value: bytes) -> Any:
-        return real(state, state.epoch, copy, value)
+    def faulty(state: Any, hand: Any, now_ms: Any) -> Any:
+        return real(state, replace(hand, epoch=state.epoch), now_ms)
 
     return ((acceptor, "_handed", faulty),)
 
@@ -75,11 +75,11 @@
     """
     real = acceptor._handed
 
-    def faulty(state: Any, epoch: int, copy: Any, value: bytes) -> Any:
-        cell = state.cells.get(copy.name, EMPTY)
-        bare = replace(cell, promised=NO_BALLOT)
-        after = real(replace(state, cells=state.cells.set(copy.name, bare)), epoch, copy, value)
-        return after if after.cells[copy.name] != bare else state
+    def faulty(state: Any, hand: Any, now_ms: Any) -> Any:
+        name = hand.copy.name
+        bare = replace(state.cells.get(name, EMPTY), promised=NO_BALLOT)
+        after = real(replace(state, cells=state.cells.set(name, bare)), hand, now_ms)
+        return after if after.cells[name] != bare else state
 
     return ((acceptor, "_handed", faulty),)
 
--- a/tools/model/patches_membership.py
+++ b/tools/model/patches_membership.py
@@ -12,6 +12,7 @@
 from spokeroute.register import acceptor, handover, membership, membership_policy
 from spokeroute.register.acceptor import Adopt
 from spokeroute.register.cells import Roster
+from spokeroute.register.copy_page import copy_page
 from spokeroute.transport.messages import CopyAsk, CopyPart
 from tools.model import actions
 from tools.model.patches import Patch, step_patch
@@ -42,7 +43,7 @@
 
     def step(state: Any, event: Any, now_ms: Any) -> tuple[Any, Effects]:
         if isinstance(event, From) and isinstance(event.message, CopyAsk):
-            page = acceptor._page(state, event.message.epoch, event.message.after)
+            page = copy_page(state.synced, event.message.epoch, event.message.after)
             return state, (Send(event.node, page),)
         return real_step(state, event, now_ms)
 
