--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -30,7 +30,7 @@
     Attempt,
     Call,
 )
-from spokeroute.transport.messages import (
+from spokeroute.transport.call_messages import (
     Forward,
     ForwardDrop,
 )
--- a/spokeroute/exchange/requeue.py
+++ b/spokeroute/exchange/requeue.py
@@ -19,7 +19,10 @@
 from spokeroute.exchange.entry import PRESSING_MS, State, lost_to, put
 from spokeroute.exchange.pick import soon_usable, usable
 from spokeroute.exchange.types import Attempt, Call
-from spokeroute.transport.messages import ForwardDrop, RoomAsk
+from spokeroute.transport.call_messages import (
+    ForwardDrop,
+    RoomAsk,
+)
 
 ROOM_ASK_MS = 100  # how often an entry asks for room for a service
 ROOM_ASKS = 3  # instances at a time
--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -11,7 +11,9 @@
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.types import WAIT_SHARE, AttemptDone
-from spokeroute.transport.messages import Forward
+from spokeroute.transport.call_messages import (
+    Forward,
+)
 
 CONNECT_WAIT_MS = 250
 RUN_SHARE = 0.2
--- a/tests/sends_model.py
+++ b/tests/sends_model.py
@@ -47,7 +47,9 @@
     SendAttempt,
     Tables,
 )
-from spokeroute.transport.messages import Forward
+from spokeroute.transport.call_messages import (
+    Forward,
+)
 
 ME = NodeId("ex1")
 HOLDERS = (NodeId("ex2"), NodeId("ex3"))
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -12,7 +12,7 @@
 
 from spokeroute.common.answers import Answer
 from spokeroute.common.slab import Slab
-from spokeroute.register import proposer, replica
+from spokeroute.register import proposer, replica, rounds
 from spokeroute.registry import operator
 from spokeroute.registry.api import Api
 from tests.sim.cluster import Sim, configuration
@@ -24,7 +24,7 @@
 
 SLACK_MS = 1_000  # of the judges' own bounds over the lease
 QUICK_MS = 800
-KNOWN_MS = proposer.CONTACT_MS + 50  # after a cut, until a member knows that it is alone
+KNOWN_MS = rounds.CONTACT_MS + 50  # after a cut, until a member knows that it is alone
 NO_CONFIRMATION = (503, 504)
 
 
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -28,7 +28,10 @@
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.calls import _lost_holders
 from spokeroute.exchange.types import NOT_HELD, Tables
-from spokeroute.transport.messages import Forward, Forwarded
+from spokeroute.transport.call_messages import (
+    Forward,
+    Forwarded,
+)
 from tests.calls_made import call_to
 from tests.sim.acts import fall_and_return
 from tests.sim.cluster import Sim, configuration
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,8 +8,11 @@
 import pytest
 
 from spokeroute.common.ids import Address, Ms, NodeId
+from spokeroute.transport.call_messages import (
+    Forward,
+    Ping,
+)
 from spokeroute.transport.frames import Envelope, cut, decode, encode
-from spokeroute.transport.messages import Forward, Ping
 from spokeroute.transport.net import CONNECT_MS, MAX_OUT_BYTES, Loop, Wire, attempts_in
 
 OLD = Ms(CONNECT_MS + 100)
--- a/tests/test_own_names.py
+++ b/tests/test_own_names.py
@@ -24,7 +24,14 @@
 from spokeroute.exchange.seat import CONNECT_WAIT_MS
 from spokeroute.exchange.types import SendAttempt
 from spokeroute.register.replica import Fresh
-from spokeroute.transport.messages import Forward, Forwarded, HeldWord, ViewEntry
+from spokeroute.transport.call_messages import (
+    Forward,
+    Forwarded,
+)
+from spokeroute.transport.messages import (
+    HeldWord,
+    ViewEntry,
+)
 from spokeroute.transport.peers import ViewNow
 from tests.sim.acts import fall_and_return
 from tests.sim.cluster import Sim
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -17,7 +17,13 @@
 from spokeroute.exchange.moves import TURNED_MS
 from spokeroute.exchange.seat import QUEUED_TOLD_MS, Handed, Seat, Waiting
 from spokeroute.exchange.types import BUSY, LEFT_QUEUE, NO_ROOM_IN_TIME, Call, Revoke, Tables
-from spokeroute.transport.messages import Forward, ForwardDrop, Forwarded, RoomAsk, RoomTold
+from spokeroute.transport.call_messages import (
+    Forward,
+    ForwardDrop,
+    Forwarded,
+    RoomAsk,
+    RoomTold,
+)
 from tests.calls_made import call_to
 
 ENTRY = NodeId("ex1")
