--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -16,6 +16,7 @@
 from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
 from spokeroute.register import acceptor
 from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
+from spokeroute.register.cell_index import CatchUp
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.held import HandTo
 from spokeroute.register.store import (
@@ -146,7 +147,8 @@
     state, _ = acceptor.step(failed, Tick(), Ms(2_000))
     new = replace(OLD, value=b"new", version=8, digest=digest_of(b"new"))
     state, effects = acceptor.step(state, StoreReopened(newer, True, Map({NAME: new})), Ms(2_001))
-    assert told(effects) == [StoreWritable(True), Adopted(newer, True)]
+    whole = CatchUp(Map({NAME: new}), newer, True)
+    assert told(effects) == [StoreWritable(True), whole, Adopted(newer, True)]
     assert not state.failed and state.epoch == 4 and state.synced[NAME] == new
 
 
