--- a/tests/sim/changing.py
+++ b/tests/sim/changing.py
@@ -56,9 +56,14 @@
         return self.drops(sender, there, kind)
 
     @property
-    def transfer_bytes(self) -> int:
+    def anti_entropy_bytes(self) -> int:
         return sum(self.sent[kind] for kind in ANTI_ENTROPY)
 
+    @property
+    def transfer_bytes(self) -> int:
+        """A value comes with a page or as a hint, whichever is first: both are counted."""
+        return self.anti_entropy_bytes + self.sent["HandOver"]
+
 
 def core_of(seed: int, registries: int = 3, sync_ms: float = 0.5) -> Sim:
     """A settled core with a configuration, and no exchanges."""
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -81,6 +81,7 @@
         self.calls: list[tuple[float, str, str, str]] = []
         self.refused = 0
         self.turns_away = False  # instances refuse, as not run, what is over their limit
+        self.turned_away_ms: list[float] = []
         self.fail_starts = 0  # so many starts come to nothing
         self.ports = 0
         self.misbehave: dict[str, str] = {}  # service -> how its instances behave
@@ -317,6 +318,7 @@
             return
         heads = {k.lower(): v for k, v in job.headers}
         if self.turns_away and server.running >= server.limit:
+            self.turned_away_ms.append(self.env.now)
             answered.succeed(("turned away", b""))
             return
         server.running += 1
--- a/tests/test_catch_up_links.py
+++ b/tests/test_catch_up_links.py
@@ -123,7 +123,7 @@
     sim.run(5_000)
     traffic = Traffic(sim)
     sim.run(300_000)
-    per_s = traffic.transfer_bytes / 300 / 3
+    per_s = traffic.anti_entropy_bytes / 300 / 3
     print("bytes a second and member, idle:", per_s)
     assert per_s <= 120
     sim.close()
--- a/tests/test_cut_off_role.py
+++ b/tests/test_cut_off_role.py
@@ -117,9 +117,12 @@
 
     with pytest.MonkeyPatch.context() as patched:
         patched.setattr(holder, "launch", launch)
-        worker = next(s.worker for s in sim.platform.servers.values() if s.service == "readings")
-        sim.platform.crash(worker)
-        assert sim.up_to(lambda: holder.frozen, 8_000)
+        readings = [s.worker for s in sim.platform.servers.values() if s.service == "readings"]
+        for worker in dict.fromkeys(readings):  # until one is missed: there may be one too many
+            sim.platform.crash(worker)
+            if sim.up_to(lambda: holder.frozen, 4_000):
+                break
+        assert holder.frozen
         sim.platform.down_workers.clear()
     return holder
 
--- a/tests/test_own_names.py
+++ b/tests/test_own_names.py
@@ -41,6 +41,7 @@
 
 SERVICE = Service("s", 128, 1, start_ms=300)
 TABLE = build_table(Version(1), "", pack_configuration(Configuration((), (SERVICE,), ()), "a"))
+REFUSED_MOST = 10  # for what a guest and the next holder send at once
 EACH = pytest.mark.parametrize("own", SEEDS, indirect=True)
 
 
@@ -140,6 +141,7 @@
 @EACH
 def test_instances_live_on_when_everything_falls(own: Sim) -> None:
     """Where instances refuse what is over their limit, new holders have them at once."""
+    own.platform.turns_away = True
     own.bounds = Bounds(rejection_safe=True, stop_drains=True)
     own.settle()
     own.traffic(60, 30_000)  # all the while: idle ones would rightly go
@@ -150,6 +152,7 @@
     assert before <= set(own.platform.servers)
     own.run(8_000)
     assert len(own.platform.starts) - starts <= 4
+    assert len(own.platform.turned_away_ms) <= REFUSED_MOST
     clean(own)
 
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -7,7 +7,7 @@
 
 from immutables import Map
 
-from spokeroute.common.effects import From, Launch, Reply, Send, SlotId
+from spokeroute.common.effects import From, Launch, Note, Reply, Send, SlotId
 from spokeroute.common.ids import Incarnation, Ms, NodeId, Version
 from spokeroute.dispatch.configuration import Programs, Table, Thresholds
 from spokeroute.dispatch.placement_table import STARTING, UP, Placed
@@ -147,8 +147,10 @@
     table = Table(Version(1), "", {}, {}, Thresholds(), Programs())
     state = replace(state, tables=replace(state.tables, proved_ms=Ms(300), table=table))
     after, effects = calls.step(state, no(LEFT_QUEUE), Ms(300))
-    assert isinstance(effects[0], Send) and isinstance(effects[0].message, Forward)
-    assert effects[0].message.instance == "other"
+    (note, sent) = effects
+    assert isinstance(note, Note) and "not run (left the queue)" in note.text
+    assert isinstance(sent, Send) and isinstance(sent.message, Forward)
+    assert sent.message.instance == "other"
     moved = after.calls[1]
     assert (moved.touched, moved.failed, moved.resend) == (frozenset(), (), False)
     assert after.budget == Budget(0)
