--- a/spokeroute/register/changes.py
+++ b/spokeroute/register/changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from spokeroute.register.cells import Roster
@@ -85,14 +86,26 @@
     alone_ms: int = 0
 
 
+class Outcome(StrEnum):
+    """How an ask ended.
+
+    Example:
+        Outcome("done") is Outcome.DONE
+    """
+
+    DONE = "done"
+    TIMEOUT = "timeout"  # nothing of ours was written
+    UNSURE = "unsure"
+
+
 @dataclass(frozen=True, slots=True)
 class Settled:
-    """To the asker. ``outcome`` is done, timeout (nothing of ours was written) or unsure.
+    """To the asker: how its ask ended, and what stands.
     ``age_ms``: the longest that a member says to have had the value; -1 where none can tell."""
 
     op_id: str
     register: str
-    outcome: str
+    outcome: Outcome
     version: int
     value: bytes
     wrote: bool
--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -17,6 +17,7 @@
 from spokeroute.common.ids import ROSTER, Address, Epoch, MemberId, Ms, NodeId
 from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
 from spokeroute.register.cells import Roster, pack_roster, read_roster, unpack_roster
+from spokeroute.register.changes import Ask, Outcome, RosterIs, Settled, Swap
 from spokeroute.register.leave import Leave, Standing, parting
 from spokeroute.register.membership_policy import (
     HEARTBEAT_MS,
@@ -28,7 +29,6 @@
     succession,
 )
 from spokeroute.register.missing import Missing
-from spokeroute.register.proposer import Ask, RosterIs, Settled, Swap
 from spokeroute.register.store import StoreWritable
 from spokeroute.transport.messages import CopyAsk, CopyPart, Heartbeat, Probe, RosterNews, ViewEntry
 from spokeroute.transport.peers import ViewNow
@@ -366,9 +366,9 @@
     return state, (Tell("proposer", Ask(op_id, ROSTER, change, "membership", ASK_MS)),)
 
 
-def _proposed(state: State, outcome: str, version: int, value: bytes) -> tuple[State, Effects]:
+def _proposed(state: State, outcome: Outcome, version: int, value: bytes) -> tuple[State, Effects]:
     state = replace(state, proposing="")
-    if outcome != "done" or not value:
+    if outcome != Outcome.DONE or not value:
         return state, ()
     roster = unpack_roster(value)
     ids = sorted(set(roster.ids) | set(roster.previous))
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -13,6 +13,7 @@
 from spokeroute.common.answers import Answer
 from spokeroute.common.slab import Slab
 from spokeroute.register import proposer, replica, rounds
+from spokeroute.register.changes import Outcome
 from spokeroute.registry import operator
 from spokeroute.registry.api import Api
 from tests.sim.cluster import Sim, configuration
@@ -128,7 +129,7 @@
             if isinstance(asked, operator.Show):
                 cell = self.state("acceptor").synced["configuration"]
                 got = proposer.Settled(
-                    op_id, "configuration", "done", cell.version, cell.value, False
+                    op_id, "configuration", Outcome.DONE, cell.version, cell.value, False
                 )
                 self._now(partial(self._post, "operator", got))
 
--- a/tests/test_cut_off_role.py
+++ b/tests/test_cut_off_role.py
@@ -9,6 +9,7 @@
 
 from spokeroute.dispatch import placement, role
 from spokeroute.dispatch.platform import PlatformCall
+from spokeroute.register.changes import Outcome
 from tests.sim.acts import cut, holder_of
 from tests.sim.cluster import Sim
 from tests.sim.sides import Cut, made
@@ -87,7 +88,7 @@
     honest = placement._floor_settled
 
     def kept(state, outcome, *rest):  # type: ignore[no-untyped-def]
-        if outcome != "done":
+        if outcome != Outcome.DONE:
             return replace(state, floor_op=""), ()
         return honest(state, outcome, *rest)
 
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -25,7 +25,7 @@
 from spokeroute.register.acceptor import DiskDone, DiskWrite
 from spokeroute.register.ageing import CLAIM_KEEP_MS
 from spokeroute.register.cells import Cell, Roster
-from spokeroute.register.changes import Ask, Read, Settled
+from spokeroute.register.changes import Ask, Outcome, Read, Settled
 from spokeroute.register.numbers import (
     NUMBER_KEEP_MS,
     NUMBERS_KEPT,
@@ -85,7 +85,7 @@
 
 
 def settle(
-    state: operator.State, ask: Ask, value: bytes, version: int = 1, outcome: str = "done"
+    state: operator.State, ask: Ask, value: bytes, version: int = 1, outcome: Outcome = Outcome.DONE
 ) -> tuple[operator.State, Effects]:
     got = Settled(ask.op_id, ask.register, outcome, version, value, False)
     return operator.step(state, got, Ms(5))
@@ -103,8 +103,8 @@
     assert not state.open
 
 
-@pytest.mark.parametrize("outcome", ["done", "unsure"])
-def test_other_content_is_refused_and_nothing_is_written(outcome: str) -> None:
+@pytest.mark.parametrize("outcome", [Outcome.DONE, Outcome.UNSURE])
+def test_other_content_is_refused_and_nothing_is_written(outcome: Outcome) -> None:
     """Also where our binding was offered and another stands: a number is bound once, so what
     stands was never ours."""
     state, effects = operator.step(operator.State("m1"), order("b"), Ms(0))
@@ -119,7 +119,7 @@
 
 
 def test_a_number_that_can_t_be_bound_is_never_refused() -> None:
-    for outcome, status in (("timeout", 503), ("unsure", 504)):
+    for outcome, status in ((Outcome.TIMEOUT, 503), (Outcome.UNSURE, 504)):
         state, effects = operator.step(operator.State("m1"), order("b"), Ms(0))
         state, effects = settle(state, asked(effects), b"", 0, outcome)
         assert [e.answer.status for e in effects if isinstance(e, Reply)] == [status]
@@ -128,7 +128,7 @@
 def test_an_order_that_was_overtaken_after_its_offer_is_acknowledged() -> None:
     state, effects = operator.step(operator.State("m1"), order("a"), Ms(0))
     state, effects = settle(state, asked(effects), b"a")
-    state, effects = settle(state, asked(effects), NUMBER.pack(80), 9, "unsure")
+    state, effects = settle(state, asked(effects), NUMBER.pack(80), 9, Outcome.UNSURE)
     again = asked(effects)
     assert again.register == CONFIGURATION
     state, effects = settle(state, again, NUMBER.pack(80), 9)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -19,7 +19,7 @@
 from spokeroute.dispatch.role import Holder, Resign, pack_role
 from spokeroute.register import proposer
 from spokeroute.register.cells import Roster
-from spokeroute.register.changes import Ask, Read, Settled, Swap
+from spokeroute.register.changes import Ask, Outcome, Read, Settled, Swap
 from spokeroute.transport.frames import Envelope, encode
 from spokeroute.transport.messages import Finish, Heartbeat, Prepare, RoleFree
 from spokeroute.transport.net import Loop, monotonic_ms, parse_address
@@ -211,7 +211,7 @@
 def told(
     state: role.State, ask: Ask, holder: Holder, version: int, now_ms: int
 ) -> tuple[role.State, Effects]:
-    said = Settled(ask.op_id, "placement", "done", version, pack_role(holder), False)
+    said = Settled(ask.op_id, "placement", Outcome.DONE, version, pack_role(holder), False)
     return role.step(state, said, Ms(now_ms))
 
 
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -6,7 +6,7 @@
 from spokeroute.common.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
 from spokeroute.register import proposer
 from spokeroute.register.cells import Roster, digest_of
-from spokeroute.register.proposer import Ask, Settled, Swap
+from spokeroute.register.changes import Ask, Outcome, Settled, Swap
 from spokeroute.transport.messages import Accept, Copy, Prepare, Promise
 from tests.sim.cluster import Sim, configuration
 
@@ -45,7 +45,7 @@
             state, promise(member, again[0], 2, b"theirs", 9), Ms(now_ms)
         )
     told = [e.event for e in effects if isinstance(e, Tell) and isinstance(e.event, Settled)]
-    assert [t.outcome for t in told] == ["unsure"]
+    assert [t.outcome for t in told] == [Outcome.UNSURE]
 
 
 def test_a_key_on_a_repeatable_route_is_once_too(sim: Sim) -> None:
--- a/tools/model/history.py
+++ b/tools/model/history.py
@@ -15,7 +15,7 @@
 from spokeroute.common.ids import Ballot, MemberId, NodeId
 from spokeroute.register import acceptor
 from spokeroute.register.cells import EMPTY, Roster, digest_of, unpack_roster
-from spokeroute.register.changes import Ask, Read, Settled
+from spokeroute.register.changes import Ask, Outcome, Read, Settled
 from spokeroute.transport.messages import (
     Accept,
     Accepted,
@@ -84,13 +84,13 @@
     """A client hears of its ask."""
     ask, floor = history.asked[done.op_id]
     history = replace(history, asked=history.asked.delete(done.op_id))
-    if done.outcome == "unsure":
+    if done.outcome == Outcome.UNSURE:
         return history
     if not done.wrote and not isinstance(ask.change, Read):
         value = getattr(ask.change, "value", b"")
-        if done.outcome != "done" or value != done.value:
+        if done.outcome != Outcome.DONE or value != done.value:
             history = _refused(history, (ask.register, digest_of(value)))
-    if done.outcome != "done":
+    if done.outcome != Outcome.DONE:
         return history
     if done.version < floor:
         raise BrokenInvariantError(
