The acceptor's state and its events stand in modules of their own

No function moved: what the model checker and tests patch stays where it is called. Neighbours that only know the events, or the state's type, import those.

--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -15,7 +15,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import ROSTER, Address, Epoch, MemberId, Ms, NodeId
-from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
+from spokeroute.register.acceptor_events import Adopt, Adopted, TakeCells
 from spokeroute.register.cells import Roster, pack_roster, read_roster, unpack_roster
 from spokeroute.register.changes import Ask, Outcome, RosterIs, Settled, Swap
 from spokeroute.register.leave import Leave, Standing, parting
--- a/spokeroute/register/outage.py
+++ b/spokeroute/register/outage.py
@@ -25,7 +25,7 @@
 from spokeroute.transport.messages import CopyAsk, FetchAsk, HeldAsk, Probe
 
 if TYPE_CHECKING:
-    from spokeroute.register.acceptor import State
+    from spokeroute.register.acceptor_state import State
 
 FIRST_PAUSE_MS = 200
 LONGEST_PAUSE_MS = 1_000
--- a/spokeroute/register/probed.py
+++ b/spokeroute/register/probed.py
@@ -10,7 +10,7 @@
 from spokeroute.transport.messages import FetchGot, Probe, ProbeAck
 
 if TYPE_CHECKING:
-    from spokeroute.register.acceptor import State
+    from spokeroute.register.acceptor_state import State
 
 INLINE_BYTES = 128 * 1024
 
