Founding, heartbeats and the membership's state stand in modules of their own

Founding is a function to a roster, a heartbeat's news one to a status; what the model checker patches (_found, _copy, _copied, _news, Swap) stays in place.

--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -8,27 +8,28 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from immutables import Map
 
-from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
-from spokeroute.common.ids import ROSTER, Address, Epoch, MemberId, Ms, NodeId
+from spokeroute.common.ids import ROSTER, Address, Epoch, Ms, NodeId
 from spokeroute.register.acceptor_events import Adopt, Adopted, TakeCells
 from spokeroute.register.cells import Roster, pack_roster, read_roster, unpack_roster
 from spokeroute.register.changes import Ask, Outcome, RosterIs, Settled, Swap
-from spokeroute.register.leave import Leave, Standing, parting
+from spokeroute.register.founding import founded, outlived
+from spokeroute.register.heartbeats import everyone, heartbeats, status_of
+from spokeroute.register.leave import Leave, parting
 from spokeroute.register.membership_policy import (
     HEARTBEAT_MS,
     CoreView,
-    PeerStatus,
     absence,
     lost_disks,
     next_roster,
     succession,
 )
-from spokeroute.register.missing import Missing
+from spokeroute.register.membership_state import RosterChanged as RosterChanged
+from spokeroute.register.membership_state import State as State
 from spokeroute.register.store import StoreWritable
 from spokeroute.transport.messages import CopyAsk, CopyPart, Heartbeat, Probe, RosterNews, ViewEntry
 from spokeroute.transport.peers import ViewNow
@@ -38,44 +39,6 @@
 COPY_RETRY_MS = 1_000
 
 
-@dataclass(frozen=True, slots=True)
-class RosterChanged:
-    """To placement: the ledger should hear of it."""
-
-    roster: Roster
-
-
-@dataclass(frozen=True, slots=True)
-class State:
-    """What this member knows of the core."""
-
-    me: MemberId
-    address: Address
-    seeds: tuple[Address, ...]
-    found: bool
-    zone: str
-    roster: Roster | None = None
-    votes: bool = False
-    signs: Map[str, PeerStatus] = field(default_factory=Map)
-    addresses: Map[str, Address] = field(default_factory=Map)
-    zones: Map[str, str] = field(default_factory=Map)
-    started_ms: Ms = Ms(0)
-    next_ms: Ms = Ms(0)
-    copied: Map[str, str] = field(default_factory=Map)  # old member -> next page, "." when whole
-    copy_asked_ms: Map[str, Ms] = field(default_factory=Map)
-    proposing: str = ""
-    turn_ms: Ms = Ms(-1)  # when a lost disk is looked at again
-    draws: int = 0
-    changes: tuple[str, ...] = ("placement", "ledger", "role")
-    bounds: Bounds = Bounds()
-    writable: bool = True  # whether this member's store takes writes
-    leaving: bool = False  # whether this process was asked to stop
-    leaving_ms: Ms = Ms(-1)  # since when
-    standing: Standing = Standing.NEEDED  # whether this member, which leaves, may end
-    epoch_ms: Ms = Ms(0)  # since when it is at the roster's epoch
-    missing: Missing | None = None  # who is away where too many are, for long
-
-
 def step(state: State, event: object, now_ms: Ms) -> tuple[State, Effects]:
     """The steward's core.
 
@@ -123,7 +86,7 @@
 def _leave(state: State, now_ms: Ms) -> tuple[State, Effects]:
     """This process is asked to stop: everyone hears of it at once."""
     state = replace(state, leaving=True, leaving_ms=now_ms)
-    greetings = _greet(state, _everyone(state), now_ms)
+    greetings = heartbeats(state, everyone(state), now_ms)
     state, effects = _replace(state, now_ms)
     return state, (*greetings, *effects)
 
@@ -145,7 +108,7 @@
 def _round(state: State, now_ms: Ms) -> tuple[State, Effects]:
     started_ms = state.started_ms or now_ms
     state = replace(state, next_ms=Ms(now_ms + HEARTBEAT_MS), started_ms=started_ms)
-    effects: list[Effect] = _greet(state, _everyone(state), now_ms)
+    effects: list[Effect] = heartbeats(state, everyone(state), now_ms)
     if state.roster is None:
         effects.extend(_found(state, now_ms))
     state, more = _copy(state, now_ms)
@@ -170,27 +133,11 @@
     """The others hear at once whether this member's store takes writes. What was copied and not
     yet voted with may be lost with a failed write: copying begins anew."""
     state = replace(state, writable=writable, copied=Map(), copy_asked_ms=Map())
-    effects = _greet(state, _everyone(state), now_ms)
+    effects = heartbeats(state, everyone(state), now_ms)
     state, asks = _copy(state, now_ms)
     return state, (*effects, *asks)
 
 
-def _everyone(state: State) -> tuple[str, ...]:
-    return tuple(sorted({*state.addresses, *(state.roster.ids if state.roster else ())}))
-
-
-def _greet(state: State, nodes: tuple[str, ...], now_ms: Ms) -> list[Effect]:
-    """A sign of life to others of the core."""
-    silent_ms = state.bounds.catch_up_ms
-    hears = tuple(n for n, s in sorted(state.signs.items()) if now_ms - s.at_ms < silent_ms)
-    roster = state.roster
-    alive = Heartbeat(
-        roster.epoch if roster else 0, state.votes, roster is None, hears,
-        state.address if roster is None else "", state.writable, state.leaving,
-    )  # fmt: skip
-    return [Send(NodeId(node), alive) for node in nodes if node != state.me]
-
-
 def _viewed(state: State, known: tuple[ViewEntry, ...], now_ms: Ms) -> tuple[State, Effects]:
     """Whoever is new in the view is greeted at once."""
     core = [e for e in known if e.role == "registry"]
@@ -200,56 +147,27 @@
         addresses=Map({e.node: Address(e.address) for e in core}),
         zones=Map({state.me: state.zone, **{e.node: e.zone for e in core}}),
     )
-    return state, tuple(_greet(state, new, now_ms))
+    return state, tuple(heartbeats(state, new, now_ms))
 
 
 def _found(state: State, now_ms: Ms) -> list[Effect]:
-    """Found the core: every seed is a registry, alive, blank, and I am the least of them. Each
-    said so after it heard of all the others: one that adopted the roster of an earlier founding
-    together with a disk that was lost since can't have."""
-    if not state.found or state.address not in state.seeds:
+    roster = founded(state, now_ms)
+    if roster is None:
         return []
-    here = {
-        node: sign
-        for node, sign in state.signs.items()
-        if sign.address in state.seeds and now_ms - sign.at_ms < state.bounds.catch_up_ms
-    }
-    if not all(sign.blank for sign in here.values()):
-        return []
-    founders: dict[Address, MemberId] = {}
-    for node, sign in sorted(here.items(), key=lambda item: (item[1].at_ms, item[0])):
-        founders[sign.address] = MemberId(node)
-    founders[state.address] = state.me
-    ids = set(founders.values())
-    if len(founders) != len(state.seeds) or min(ids) != state.me:
-        return []
-    if not all(ids <= {node, *here[node].hears} for node in ids - {state.me}):
-        return []
-    roster = Roster(Epoch(1), tuple((founders[a], a) for a in state.seeds))
     value = pack_roster(roster)
     return [Send(m, RosterNews(value)) for m in roster.ids]
 
 
 def _heard(state: State, node: NodeId, alive: Heartbeat, now_ms: Ms) -> tuple[State, Effects]:
     old = state.signs.get(node)
-    known = state.addresses.get(node) or (old.address if old else Address(""))
-    address = Address(alive.address) or known
-    here = old is not None and now_ms - old.at_ms < state.bounds.catch_up_ms
-    since_ms = old.since_ms if old and here else now_ms
-    leaving_ms = old.leaving_ms if old and old.leaving and alive.leaving else now_ms
-    unwritable_ms = old.unwritable_ms if old and here and not old.writable else now_ms
-    sign = PeerStatus(
-        address, now_ms, since_ms, alive.epoch, alive.votes, alive.blank, alive.hears,
-        alive.writable, alive.leaving, Ms(-1) if alive.writable else unwritable_ms,
-        leaving_ms if alive.leaving else Ms(-1),
-    )  # fmt: skip
+    sign = status_of(state, node, alive, now_ms)
     state = replace(state, signs=state.signs.set(node, sign))
     effects: list[Effect] = []
     if state.roster and alive.epoch < state.roster.epoch:
         effects.append(Send(node, RosterNews(pack_roster(state.roster))))
     if state.roster is None and old is None:
         # Founding waits until all seeds said that they hear each other.
-        effects.extend(_greet(state, _everyone(state), now_ms))
+        effects.extend(heartbeats(state, everyone(state), now_ms))
     if alive.blank or alive.leaving:
         state, more = _replace(state, now_ms)
     else:
@@ -260,7 +178,7 @@
 def _news(state: State, node: NodeId, roster: Roster) -> tuple[State, Effects]:
     if state.roster and roster.epoch <= state.roster.epoch:
         return state, ()
-    if state.roster is None and _outlived(state, node):
+    if state.roster is None and outlived(state, node):
         return state, ()
     if state.me not in roster.ids:
         if state.roster is None or state.me not in state.roster.ids:
@@ -276,22 +194,12 @@
     return state, (Tell("acceptor", Adopt(roster, votes)),)
 
 
-def _outlived(state: State, node: NodeId) -> bool:
-    """Whether a blank disk was heard of at a node's address since that node was heard itself: a
-    late frame of its founds nothing, as this member may have told the new one that it is blank."""
-    old = state.signs.get(node)
-    return old is not None and any(
-        sign.blank and sign.address == old.address and sign.at_ms > old.at_ms
-        for sign in state.signs.values()
-    )
-
-
 def _adopted(state: State, roster: Roster, votes: bool, now_ms: Ms) -> tuple[State, Effects]:
     if state.roster and roster.epoch > state.roster.epoch:
         state = replace(state, copied=Map(), copy_asked_ms=Map(), epoch_ms=now_ms)
     state = replace(state, roster=roster, votes=votes)
     told = [Tell(name, RosterChanged(roster)) for name in state.changes]
-    greetings = _greet(state, _everyone(state), now_ms)  # newcomers wait for them to copy
+    greetings = heartbeats(state, everyone(state), now_ms)  # newcomers wait for them to copy
     state, asks = _copy(state, now_ms)
     return state, (Tell("proposer", RosterIs(roster)), *told, *greetings, *asks)
 
--- /dev/null
+++ b/spokeroute/register/membership_state.py
@@ -0,0 +1,52 @@
+"""What a member knows of the core, and what it tells of a changed roster."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.ids import Address, MemberId, Ms
+from spokeroute.register.cells import Roster
+from spokeroute.register.leave import Standing
+from spokeroute.register.membership_policy import PeerStatus
+from spokeroute.register.missing import Missing
+
+
+@dataclass(frozen=True, slots=True)
+class RosterChanged:
+    """To placement: the ledger should hear of it."""
+
+    roster: Roster
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """What this member knows of the core."""
+
+    me: MemberId
+    address: Address
+    seeds: tuple[Address, ...]
+    found: bool
+    zone: str
+    roster: Roster | None = None
+    votes: bool = False
+    signs: Map[str, PeerStatus] = field(default_factory=Map)
+    addresses: Map[str, Address] = field(default_factory=Map)
+    zones: Map[str, str] = field(default_factory=Map)
+    started_ms: Ms = Ms(0)
+    next_ms: Ms = Ms(0)
+    copied: Map[str, str] = field(default_factory=Map)  # old member -> next page, "." when whole
+    copy_asked_ms: Map[str, Ms] = field(default_factory=Map)
+    proposing: str = ""
+    turn_ms: Ms = Ms(-1)  # when a lost disk is looked at again
+    draws: int = 0
+    changes: tuple[str, ...] = ("placement", "ledger", "role")
+    bounds: Bounds = Bounds()
+    writable: bool = True  # whether this member's store takes writes
+    leaving: bool = False  # whether this process was asked to stop
+    leaving_ms: Ms = Ms(-1)  # since when
+    standing: Standing = Standing.NEEDED  # whether this member, which leaves, may end
+    epoch_ms: Ms = Ms(0)  # since when it is at the roster's epoch
+    missing: Missing | None = None  # who is away where too many are, for long
