--- /dev/null
+++ b/spokeroute/register/disk_format.py
@@ -0,0 +1,81 @@
+"""How cells and the roster stand on the disk: each under a checksum of its own."""
+
+from __future__ import annotations
+
+import json
+import zlib
+
+from spokeroute.common.ids import Ballot, MemberId
+from spokeroute.register.cells import Cell, digest_of
+from spokeroute.register.disk_errors import DiskError
+
+VOTED_FROM = 7  # a cell's head has so many fields since it says whether it was voted
+
+
+def pack_cell(cell: Cell) -> bytes:
+    """A cell as the disk has it: its head, under a checksum, and its value.
+
+    Example:
+        unpack_cell("floor", pack_cell(cell)) == cell
+    """
+    head = json.dumps([
+        cell.promised.counter, cell.promised.member,
+        cell.accepted.counter, cell.accepted.member, cell.version, cell.digest, cell.voted,
+    ]).encode()  # fmt: skip
+    size, check = len(head).to_bytes(4, "big"), zlib.crc32(head).to_bytes(4, "big")
+    return size + check + head + cell.value
+
+
+def unpack_cell(name: str, data: bytes) -> Cell:
+    """The cell that was packed; an error that names the remedy if it is not what was written.
+
+    Example:
+        unpack_cell("floor", pack_cell(cell)) == cell
+    """
+    try:
+        size, check = int.from_bytes(data[:4], "big"), int.from_bytes(data[4:8], "big")
+        if zlib.crc32(data[8 : 8 + size]) != check:
+            raise ValueError("its ballots are not what was written")
+        head = json.loads(data[8 : 8 + size])
+        value = bytes(data[8 + size :])
+        cell = Cell(
+            Ballot(head[0], MemberId(head[1])), Ballot(head[2], MemberId(head[3])),
+            head[4], head[5], value, len(head) < VOTED_FROM or bool(head[VOTED_FROM - 1]),
+        )  # fmt: skip
+    except (ValueError, LookupError, TypeError) as fault:
+        raise damaged(f"register {name!r}") from fault
+    if cell.digest and digest_of(value) != cell.digest:
+        raise damaged(f"register {name!r}")
+    return cell
+
+
+def sealed(raw: bytes) -> bytes:
+    """Bytes under a checksum.
+
+    Example:
+        opened(sealed(b"x")) == b"x"
+    """
+    return zlib.crc32(raw).to_bytes(4, "big") + raw
+
+
+def opened(data: bytes) -> bytes:
+    """What was sealed, if it still is what was written.
+
+    Example:
+        opened(sealed(b"x")) == b"x"
+    """
+    if zlib.crc32(data[4:]).to_bytes(4, "big") != data[:4]:
+        raise ValueError("it is not what was written")
+    return data[4:]
+
+
+def damaged(what: str) -> DiskError:
+    """The error of a store that is not what was written.
+
+    Example:
+        raise damaged("a page")
+    """
+    return DiskError(
+        f"{what} on this disk is damaged: move the data folder away and start blank; the member "
+        "joins again from the others"
+    )
--- /dev/null
+++ b/spokeroute/register/loaded.py
@@ -0,0 +1,43 @@
+"""What a member's disk held when it was opened."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from immutables import Map
+
+from spokeroute.common.ids import MemberId
+from spokeroute.register.cells import Cell, Roster
+
+BORN = b"born/"  # claims' births stand beside the other facts on this disk
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """What a disk held when it was opened, and how often it was: a later life of the member's
+    process has a greater number."""
+
+    member: MemberId
+    roster: Roster | None
+    votes: bool
+    cells: Map[str, Cell]
+    starts: int = 1
+    born: Map[str, int] = Map()  # claims: at which running time of this disk they came
+    ran_ms: int = 0  # how long this disk's processes ran, all lives together
+    copied: Map[str, str] = Map()  # while it joins: old members, and up to which name
+
+
+def births(txn: Any, meta: Any) -> Map[str, int]:
+    """At which running time of the disk its claims came.
+
+    Example:
+        births(txn, meta) == Map()
+    """
+    found: dict[str, int] = {}
+    cursor = txn.cursor(db=meta)
+    there = cursor.set_range(BORN)
+    while there and bytes(cursor.key()).startswith(BORN):
+        found[bytes(cursor.key())[len(BORN) :].decode()] = int(bytes(cursor.value()))
+        there = cursor.next()
+    return Map(found)
