--- /dev/null
+++ b/spokeroute/register/replica_state.py
@@ -0,0 +1,100 @@
+"""What a process holds of the spread registers, what it can prove, and what it tells of it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.ids import Ms, NodeId
+from spokeroute.register.cells import Roster
+from spokeroute.transport.messages import Copy, DemandReport, HeldReport, ProbeAck, Took
+
+
+@dataclass(frozen=True, slots=True)
+class Compile:
+    """A job for an edge thread: read a configuration into tables."""
+
+    copy: Copy
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Compiled:
+    """The tables of a configuration."""
+
+    copy: Copy
+    value: bytes
+    table: object
+
+
+@dataclass(frozen=True, slots=True)
+class Reports:
+    """From the calls' core: what goes to the core with the next probe."""
+
+    held: tuple[HeldReport, ...]
+    demand: tuple[DemandReport, ...]
+    took: tuple[Took, ...] = ()
+    leaving: bool = False
+    busy: tuple[str, ...] = ()
+    within_ms: int = 0  # calls wait for an instance: the next probe comes this soon; 0: in turn
+
+
+@dataclass(frozen=True, slots=True)
+class Fresh:
+    """To whoever decides: these copies were the newest at ``as_of_ms``; ``absent`` instances
+    are gone or going by a listing that some member read since."""
+
+    as_of_ms: Ms
+    versions: Mapping[str, int]
+    values: Mapping[str, bytes]
+    table: object
+    changed: bool
+    absent: frozenset[str] = frozenset()
+    number: int = 0  # the operator's, of the configuration
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """One probe and its answers."""
+
+    sent_ms: Ms
+    acks: Map[str, ProbeAck] = field(default_factory=Map)
+
+
+@dataclass(frozen=True, slots=True)
+class Got:
+    """A copy that is here."""
+
+    copy: Copy
+    value: bytes
+    table: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """What this process holds and what it can prove."""
+
+    listeners: tuple[str, ...]
+    roster: Roster | None = None
+    registries: tuple[NodeId, ...] = ()
+    probes: Map[int, Asked] = field(default_factory=Map)
+    nonce: int = 0
+    next_ms: Ms = Ms(0)
+    ruling: Map[str, Got] = field(default_factory=Map)
+    here: Map[str, Got] = field(default_factory=Map)  # newest fetched, perhaps not yet proved
+    target: Map[str, Copy] = field(default_factory=Map)
+    target_ms: Ms = Ms(-1)
+    source: NodeId = NodeId("")
+    proved_ms: Ms = Ms(-1)
+    reports: Reports = Reports((), ())
+    fetching_ms: Map[str, Ms] = field(default_factory=Map)
+    compiling: str = ""
+    probed_ms: Ms = Ms(0)  # when the last probe went out
+    absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
+    bounds: Bounds = Bounds()
+    address: str = ""
+    zone: str = ""
+    near: frozenset[str] = frozenset()  # registries of this process's own zone
