--- a/spokeroute/register/anti_entropy.py
+++ b/spokeroute/register/anti_entropy.py
@@ -12,15 +12,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from immutables import Map
 
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
-from spokeroute.common.ids import NO_BALLOT, Ballot, MemberId, Ms, NodeId
+from spokeroute.common.ids import NO_BALLOT, Ms, NodeId
 from spokeroute.register.anti_entropy_page import LEAST_PAGE_BYTES, MOST_PAGE_BYTES, page_of
-from spokeroute.register.cell_index import CatchUp, CellIndex, Synced, bucket_of, index_of
-from spokeroute.register.cells import EMPTY, Cell, Roster, ballot_of, digest_of
+from spokeroute.register.anti_entropy_state import Heard, Part, Transfer, all_due, others_of
+from spokeroute.register.anti_entropy_state import State as State
+from spokeroute.register.anti_entropy_state import start as start
+from spokeroute.register.cell_index import CatchUp, Synced, bucket_of, index_of
+from spokeroute.register.cells import EMPTY, ballot_of, digest_of
 from spokeroute.register.changes import Ask, Renew
 from spokeroute.transport.anti_entropy_messages import (
     CellPiece,
@@ -30,7 +33,7 @@
     DigestDiffers,
     HeldCell,
 )
-from spokeroute.transport.messages import Copy, HandOver, Heartbeat
+from spokeroute.transport.messages import HandOver, Heartbeat
 
 AWAY_MS = 1_500  # a member that was silent for so long, or heard nobody, has missed something
 BACK_MS = 3_000  # a member that was away is asked once it had time to become whole itself
@@ -41,84 +44,12 @@
 REFUSED_MS = 1_000  # a round that is open brings its own accept by then
 MOST_RENEWED = 64  # in one transfer
 TRIES = 3
-FIRST_PAGE_BYTES = 16 * 1024
 QUICK_MS, SLOW_MS = 60, 250  # a page that took less is followed by a larger one
 MOST_REST_MS = 500
 HELD_BYTES = 64  # what a register takes to be named in an ask, which is no larger than a page
 NOTHING = HeldCell("", 0, "")
 
 
-@dataclass(frozen=True, slots=True)
-class Heard:
-    """A member's last heartbeat."""
-
-    at_ms: Ms
-    epoch: int
-    votes: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Part:
-    """The beginning of a value that does not fit a page."""
-
-    copy: Copy
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Transfer:
-    """What is being taken from one member; at most one page is on its way."""
-
-    source: NodeId
-    asked_ms: Ms
-    buckets: tuple[int, ...] | None = None  # those that still differ; None before it is known
-    waits: bool = True  # for an answer
-    tries: int = 1
-    rest_until_ms: Ms = Ms(0)
-    handed: Map[int, Map[str, Ballot]] = field(default_factory=Map)  # by bucket; taken or not
-    unsynced: Map[str, Ballot] = field(default_factory=Map)
-    refused: Map[str, Ballot] = field(default_factory=Map)  # below a promise that was given here
-    cells: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class State:
-    """What this member has on disk, whom it hears, and whom it still has to ask."""
-
-    me: MemberId
-    roster: Roster | None
-    votes: bool
-    cells: Map[str, Cell] = field(default_factory=Map)
-    born: Map[str, Ms] = field(default_factory=Map)
-    index: CellIndex = CellIndex()
-    heard: Map[str, Heard] = field(default_factory=Map)
-    due: Map[NodeId, Ms] = field(default_factory=Map)  # whom to ask, and not before when
-    transfer: Transfer | None = None
-    part: Part | None = None  # outlives its transfer
-    number: int = 0
-    page_bytes: int = FIRST_PAGE_BYTES
-    idle_ms: Ms = Ms(-1)
-
-    @property
-    def epoch(self) -> int:
-        """The epoch on disk; 0 without a roster.
-
-        Example:
-            State(MemberId("m1"), None, False).epoch == 0
-        """
-        return self.roster.epoch if self.roster else 0
-
-
-def start(me: MemberId, roster: Roster | None, votes: bool, cells: Map[str, Cell]) -> State:
-    """The state as the disk has it: every other member is to be asked.
-
-    Example:
-        start(MemberId("m1"), None, False, Map()).due == Map()
-    """
-    state = State(me, roster, votes, cells, index=index_of(cells))
-    return replace(state, due=_all_due(state))
-
-
 def step(state: State, event: object, now_ms: Ms) -> tuple[State, Effects]:
     """Anti-entropy's core.
 
@@ -132,7 +63,7 @@
             return _heard(state, node, beat, now_ms), ()
         case CatchUp(cells, roster, votes):
             state = replace(state, cells=cells, index=index_of(cells), roster=roster, votes=votes)
-            return replace(state, due=_all_due(state), transfer=None, part=None), ()
+            return replace(state, due=all_due(state), transfer=None, part=None), ()
         case From(node, _, DigestAsk(epoch, number, digests)) if _answers(state, epoch):
             differs = DigestDiffers(epoch, number, state.index.differs(digests))
             return state, (Send(node, differs),)
@@ -151,14 +82,6 @@
     return state, ()
 
 
-def _others(state: State) -> tuple[NodeId, ...]:
-    return tuple(m for m in state.roster.ids if m != state.me) if state.roster else ()
-
-
-def _all_due(state: State) -> Map[NodeId, Ms]:
-    return Map({node: Ms(0) for node in _others(state)})
-
-
 def _answers(state: State, epoch: int) -> bool:
     return state.votes and epoch == state.epoch and epoch > 0
 
@@ -180,7 +103,7 @@
         index=state.index.changed(synced.names, synced.cells),
     )
     if joined or moved:
-        return replace(state, due=_all_due(state), transfer=None), ()
+        return replace(state, due=all_due(state), transfer=None), ()
     transfer = state.transfer
     if transfer is None or not transfer.unsynced:
         return state, ()
@@ -195,7 +118,7 @@
     old = state.heard.get(node)
     others = [h for n, h in state.heard.items() if n != node and now_ms - h.at_ms <= AWAY_MS]
     state = replace(state, heard=state.heard.set(node, Heard(now_ms, beat.epoch, beat.votes)))
-    if old is None or now_ms - old.at_ms <= AWAY_MS or node not in _others(state):
+    if old is None or now_ms - old.at_ms <= AWAY_MS or node not in others_of(state):
         return state
     not_before_ms = Ms(now_ms + BACK_MS) if others else now_ms
     return replace(state, due=state.due.set(node, not_before_ms))
@@ -220,7 +143,7 @@
     """Now and then, one of the others, each in its turn."""
     if state.idle_ms < 0:
         return replace(state, idle_ms=Ms(now_ms + IDLE_MS))
-    others = _others(state)
+    others = others_of(state)
     if now_ms < state.idle_ms or not others:
         return state
     node = others[(now_ms // IDLE_MS) % len(others)]
