--- a/spokeroute/register/acceptor_events.py
+++ b/spokeroute/register/acceptor_events.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Adopt:
-    """From the steward: a chosen roster, and whether this member votes under it."""
+    """From the membership: a chosen roster, and whether this member votes under it."""
 
     roster: Roster
     votes: bool
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Adopted:
-    """To the steward: the roster is on disk."""
+    """To the membership: the roster is on disk."""
 
     roster: Roster
     votes: bool
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TakeCells:
-    """From the steward: cells copied from an old member while joining."""
+    """From the membership: cells copied from an old member while joining."""
 
     cells: tuple[CopyCell, ...]
     reached: tuple[tuple[str, str], ...] = ()  # an old member, and up to where it was copied
--- a/spokeroute/register/changes.py
+++ b/spokeroute/register/changes.py
@@ -123,6 +123,6 @@
 
 @dataclass(frozen=True, slots=True)
 class RosterIs:
-    """From the steward: the roster that rounds go by."""
+    """From the membership: the roster that rounds go by."""
 
     roster: Roster
--- a/spokeroute/register/leave.py
+++ b/spokeroute/register/leave.py
@@ -32,52 +32,52 @@
     FREE = "nothing depends on it"
 
 
-def parting(sight: CoreView, votes: bool, proposing: bool) -> tuple[Standing, Hand | Hold]:
+def parting(view: CoreView, votes: bool, proposing: bool) -> tuple[Standing, Hand | Hold]:
     """Whether this member, which leaves, may end, and the order for its handover.
 
     Example:
-        parting(sight, True, False)[0] is Standing.HANDING
+        parting(view, True, False)[0] is Standing.HANDING
     """
-    if sight.me not in sight.roster.ids:
-        return (Standing.NEEDED if _newcomers(sight) else Standing.FREE), Hold()
+    if view.me not in view.roster.ids:
+        return (Standing.NEEDED if _newcomers(view) else Standing.FREE), Hold()
     if not votes:
         return Standing.FREE, Hold()  # it copies itself: nothing is on its disk alone
-    staying = stayers(sight)
+    staying = stayers(view)
     if not staying:
         return Standing.HANDING, Hand(())
-    waited_ms = sight.now_ms - sight.leaving_ms
-    taken = bool(succession(sight)) or proposing or newcomer_copies(sight)
-    if taken or waited_ms < SUCCESSOR_MS or len(_here(sight)) < sight.roster.majority:
+    waited_ms = view.now_ms - view.leaving_ms
+    taken = bool(succession(view)) or proposing or newcomer_copies(view)
+    if taken or waited_ms < SUCCESSOR_MS or len(_here(view)) < view.roster.majority:
         return Standing.NEEDED, Hold()
     return Standing.HANDING, Hand(staying)
 
 
-def stayers(sight: CoreView) -> tuple[MemberId, ...]:
+def stayers(view: CoreView) -> tuple[MemberId, ...]:
     """The other members that did not say that they leave, too.
 
     Example:
-        stayers(sight) == ()
+        stayers(view) == ()
     """
-    leaving = leavers(sight)
-    return tuple(m for m in sight.roster.ids if m != sight.me and m not in leaving)
+    leaving = leavers(view)
+    return tuple(m for m in view.roster.ids if m != view.me and m not in leaving)
 
 
-def _here(sight: CoreView) -> list[MemberId]:
+def _here(view: CoreView) -> list[MemberId]:
     """The other members that vote and were heard of lately, those that leave, too."""
-    signs = sight.signs
+    signs = view.signs
     return [
         m
-        for m in sight.roster.ids
-        if m in signs and signs[m].votes and sight.now_ms - signs[m].at_ms < RECENT_MS
+        for m in view.roster.ids
+        if m in signs and signs[m].votes and view.now_ms - signs[m].at_ms < RECENT_MS
     ]
 
 
-def _newcomers(sight: CoreView) -> list[MemberId]:
+def _newcomers(view: CoreView) -> list[MemberId]:
     """Members that joined by the epoch that this one left by, and are not known to vote in it."""
-    epoch = sight.roster.epoch
-    signs = sight.signs
+    epoch = view.roster.epoch
+    signs = view.signs
     return [
         m
-        for m in sight.roster.joining
+        for m in view.roster.joining
         if m not in signs or not (signs[m].votes and signs[m].epoch >= epoch)
     ]
--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -1,4 +1,4 @@
-"""The steward: founding, signs of life, and the roster's changes.
+"""The membership: founding, heartbeats, and the roster's changes.
 
 Founding needs every seed to be a blank disk, so a lost disk can't found a second core.
 Blank disks that come later are taken in as ``membership`` says: the roster register changes
@@ -40,7 +40,7 @@
 
 
 def step(state: State, event: object, now_ms: Ms) -> tuple[State, Effects]:
-    """The steward's core.
+    """The membership's core.
 
     Example:
         state, effects = step(state, Tick(), now_ms)
@@ -261,10 +261,10 @@
     roster = state.roster
     if roster is None or not state.votes or not state.writable or state.proposing:
         return state, ()
-    sight = _view(state, now_ms)
-    new = next_roster(sight)
+    view = _view(state, now_ms)
+    new = next_roster(view)
     if new is None:
-        if lost_disks(sight) or succession(sight):
+        if lost_disks(view) or succession(view):
             state = replace(state, turn_ms=Ms(now_ms + TURN_EVERY_MS))
         return state, ()
     op_id = f"roster/{state.me}/{state.draws + 1}"
--- a/spokeroute/register/membership_policy.py
+++ b/spokeroute/register/membership_policy.py
@@ -1,6 +1,6 @@
 """Membership: whose disks should count next, by what one member sees of the core.
 
-Pure functions over signs of life. The steward carries their answers out; the roster's
+Pure functions over heartbeats. The membership carries their answers out; the roster's
 register decides. Four things change a roster, in this order: a lost disk (another, blank
 member runs at a member's very address, and an address has one process), a planned leaver
 (it said that it was asked to stop, and a blank one waits elsewhere), growth (the core
@@ -57,244 +57,244 @@
     epoch_ms: Ms = Ms(0)  # since when this member is at the roster's epoch
 
 
-def next_roster(sight: CoreView) -> Roster | None:
+def next_roster(view: CoreView) -> Roster | None:
     """The roster that should come next; None where the present one should stay.
 
     Example:
-        next_roster(sight) is None
+        next_roster(view) is None
     """
-    if still_copying(sight):
+    if still_copying(view):
         return None
-    lost = lost_disks(sight)
+    lost = lost_disks(view)
     if lost:
-        return _changed(sight, lost) if _my_turn(sight, lost) else None
-    left = succession(sight)
+        return _changed(view, lost) if _my_turn(view, lost) else None
+    left = succession(view)
     if left:
-        return _changed(sight, left) if _successor_turn(sight, left) else None
-    grown = _grown(sight)
+        return _changed(view, left) if _successor_turn(view, left) else None
+    grown = _grown(view)
     if grown:
-        return _changed(sight, {}, grown)
-    gone = _gone(sight) if sight.now_ms - sight.started_ms >= sight.silent_ms else {}
-    return _changed(sight, gone) if gone else None
+        return _changed(view, {}, grown)
+    gone = _gone(view) if view.now_ms - view.started_ms >= view.silent_ms else {}
+    return _changed(view, gone) if gone else None
 
 
-def lost_disks(sight: CoreView) -> dict[MemberId, MemberId]:
+def lost_disks(view: CoreView) -> dict[MemberId, MemberId]:
     """Members whose disks are lost, and the blank member that runs at the address of each.
 
     Example:
-        lost_disks(sight) == {}
+        lost_disks(view) == {}
     """
     found: dict[MemberId, MemberId] = {}
-    for member, address in sight.roster.members:
-        old = sight.signs.get(member)
+    for member, address in view.roster.members:
+        old = view.signs.get(member)
         there = [
             n
-            for n, s in sight.signs.items()
-            if _waits(sight, n, 0) and s.address == address and (old is None or old.at_ms < s.at_ms)
+            for n, s in view.signs.items()
+            if _waits(view, n, 0) and s.address == address and (old is None or old.at_ms < s.at_ms)
         ]
-        if there and member != sight.me:
-            found[member] = MemberId(max(there, key=lambda n: (sight.signs[n].at_ms, n)))
+        if there and member != view.me:
+            found[member] = MemberId(max(there, key=lambda n: (view.signs[n].at_ms, n)))
     return found
 
 
-def leavers(sight: CoreView) -> dict[MemberId, Ms]:
+def leavers(view: CoreView) -> dict[MemberId, Ms]:
     """Members that said that they leave, and since when. One that came back and says so no more
     is none.
 
     Example:
-        leavers(sight) == {}
+        leavers(view) == {}
     """
     found: dict[MemberId, Ms] = {}
-    for member in sight.roster.ids:
-        sign = sight.signs.get(member)
-        if member == sight.me and sight.leaving_ms >= 0:
-            found[member] = sight.leaving_ms
-        elif member != sight.me and sign is not None and sign.leaving:
+    for member in view.roster.ids:
+        sign = view.signs.get(member)
+        if member == view.me and view.leaving_ms >= 0:
+            found[member] = view.leaving_ms
+        elif member != view.me and sign is not None and sign.leaving:
             found[member] = sign.leaving_ms
     return found
 
 
-def succession(sight: CoreView) -> dict[MemberId, MemberId]:
+def succession(view: CoreView) -> dict[MemberId, MemberId]:
     """One member that leaves, and the blank one that waits and takes its place: at once, since
     the leaver itself said that it goes, and goes on voting until its successor does.
 
     Example:
-        succession(sight) == {}
+        succession(view) == {}
     """
-    leaving = leavers(sight)
-    blanks = _free(sight, 0)
-    full = [m for m in leaving if m != sight.me and not sight.signs[m].writable]
-    if not leaving or not blanks or not _healthy(sight, _silent(sight) + full):
+    leaving = leavers(view)
+    blanks = _free(view, 0)
+    full = [m for m in leaving if m != view.me and not view.signs[m].writable]
+    if not leaving or not blanks or not _healthy(view, _silent(view) + full):
         return {}
     leaver = min(leaving, key=lambda m: (leaving[m], m))
-    return {leaver: _nearest(sight, blanks, leaver)}
+    return {leaver: _nearest(view, blanks, leaver)}
 
 
-def still_copying(sight: CoreView) -> bool:
+def still_copying(view: CoreView) -> bool:
     """Whether a member that joined by the present epoch is here and copies: the next change
     waits for its vote, though no longer than for a silent member. Else the next newcomer had
     to copy from a majority of a roster in which this one counts and has nothing.
 
     Example:
-        still_copying(sight) is False
+        still_copying(view) is False
     """
-    if sight.now_ms - sight.epoch_ms >= sight.silent_ms:
+    if view.now_ms - view.epoch_ms >= view.silent_ms:
         return False
-    signs = [sight.signs[m] for m in sight.roster.joining if m in sight.signs and m != sight.me]
+    signs = [view.signs[m] for m in view.roster.joining if m in view.signs and m != view.me]
     return any(
-        not s.votes and not s.blank and s.writable and sight.now_ms - s.at_ms < RECENT_MS
+        not s.votes and not s.blank and s.writable and view.now_ms - s.at_ms < RECENT_MS
         for s in signs
     )
 
 
-def _successor_turn(sight: CoreView, left: Mapping[MemberId, MemberId]) -> bool:
+def _successor_turn(view: CoreView, left: Mapping[MemberId, MemberId]) -> bool:
     """The leaver proposes its successor first, the others after it."""
     leaver, blank = next(iter(left.items()))
-    since_ms = max(leavers(sight)[leaver], sight.signs[blank].since_ms)
-    others = [leaver, *(m for m in sight.roster.ids if m != leaver)]
-    return sight.now_ms - since_ms >= others.index(sight.me) * TURN_MS
+    since_ms = max(leavers(view)[leaver], view.signs[blank].since_ms)
+    others = [leaver, *(m for m in view.roster.ids if m != leaver)]
+    return view.now_ms - since_ms >= others.index(view.me) * TURN_MS
 
 
-def _nearest(sight: CoreView, blanks: list[str], member: MemberId) -> MemberId:
-    zone = sight.zones.get(member, "")
-    return MemberId(min(blanks, key=lambda n: (sight.zones.get(n, "") != zone, n)))
+def _nearest(view: CoreView, blanks: list[str], member: MemberId) -> MemberId:
+    zone = view.zones.get(member, "")
+    return MemberId(min(blanks, key=lambda n: (view.zones.get(n, "") != zone, n)))
 
 
-def _my_turn(sight: CoreView, lost: Mapping[MemberId, MemberId]) -> bool:
-    living = [m for m in sight.roster.ids if m not in lost]
-    since_ms = max(sight.signs[n].since_ms for n in lost.values())
-    return sight.now_ms - since_ms >= living.index(sight.me) * TURN_MS
+def _my_turn(view: CoreView, lost: Mapping[MemberId, MemberId]) -> bool:
+    living = [m for m in view.roster.ids if m not in lost]
+    since_ms = max(view.signs[n].since_ms for n in lost.values())
+    return view.now_ms - since_ms >= living.index(view.me) * TURN_MS
 
 
-def _waits(sight: CoreView, node: str, for_ms: int) -> bool:
+def _waits(view: CoreView, node: str, for_ms: int) -> bool:
     """Whether a blank registry is here now, and was for a while."""
-    sign = sight.signs[node]
+    sign = view.signs[node]
     return (
         sign.blank
         and sign.writable
-        and node not in sight.roster.ids
+        and node not in view.roster.ids
         and sign.address != ""
-        and sight.now_ms - sign.at_ms < RECENT_MS
-        and sight.now_ms - sign.since_ms >= for_ms
+        and view.now_ms - sign.at_ms < RECENT_MS
+        and view.now_ms - sign.since_ms >= for_ms
     )
 
 
-def _silent(sight: CoreView) -> list[MemberId]:
+def _silent(view: CoreView) -> list[MemberId]:
     return [
         m
-        for m in sight.roster.ids
-        if m != sight.me
-        and (m not in sight.signs or sight.now_ms - sight.signs[m].at_ms > sight.silent_ms)
+        for m in view.roster.ids
+        if m != view.me
+        and (m not in view.signs or view.now_ms - view.signs[m].at_ms > view.silent_ms)
     ]
 
 
-def _unwritable(sight: CoreView) -> list[MemberId]:
+def _unwritable(view: CoreView) -> list[MemberId]:
     """Members that are here, and whose stores have taken no writes for long."""
-    signs = sight.signs
+    signs = view.signs
     return [
         m
-        for m in sight.roster.ids
-        if m != sight.me
+        for m in view.roster.ids
+        if m != view.me
         and m in signs
         and not signs[m].writable
-        and sight.now_ms - signs[m].unwritable_ms > sight.silent_ms
+        and view.now_ms - signs[m].unwritable_ms > view.silent_ms
     ]
 
 
-def absence(sight: CoreView) -> Missing | None:
+def absence(view: CoreView) -> Missing | None:
     """Who is missing, where a majority was silent for longer than a silent member is waited for.
 
     Example:
-        absence(sight) is None
+        absence(view) is None
     """
-    if sight.now_ms - sight.started_ms < sight.silent_ms:
+    if view.now_ms - view.started_ms < view.silent_ms:
         return None
-    silent = _silent(sight)
-    missing = missing_of(sight.roster, [m for m in sight.roster.ids if m not in silent])
+    silent = _silent(view)
+    missing = missing_of(view.roster, [m for m in view.roster.ids if m not in silent])
     return missing if missing.needed > 0 else None
 
 
-def _free(sight: CoreView, for_ms: int = CANDIDATE_MS) -> list[str]:
+def _free(view: CoreView, for_ms: int = CANDIDATE_MS) -> list[str]:
     """Blank registries that wait at addresses of their own, in the order to be taken."""
-    taken = {a for _, a in sight.roster.members}
+    taken = {a for _, a in view.roster.members}
     return sorted(
-        n for n, s in sight.signs.items() if _waits(sight, n, for_ms) and s.address not in taken
+        n for n, s in view.signs.items() if _waits(view, n, for_ms) and s.address not in taken
     )
 
 
-def _healthy(sight: CoreView, away: list[MemberId]) -> bool:
+def _healthy(view: CoreView, away: list[MemberId]) -> bool:
     """Whether all that are not away vote and take writes, and are a majority: a newcomer copies
     from them."""
-    here = [sight.signs[m] for m in sight.roster.ids if m != sight.me and m not in away]
+    here = [view.signs[m] for m in view.roster.ids if m != view.me and m not in away]
     whole = all(sign.votes and sign.writable for sign in here)
-    return whole and len(here) + 1 >= sight.roster.majority
+    return whole and len(here) + 1 >= view.roster.majority
 
 
-def _gone(sight: CoreView) -> dict[MemberId, MemberId]:
+def _gone(view: CoreView) -> dict[MemberId, MemberId]:
     """One member that went for good, and the blank one that takes its place, of its own zone
     if there is one.
 
     None of the others hears it: a member behind a cut is not a lost one. One whose store takes
     no writes says so itself.
     """
-    silent = _silent(sight)
-    unwritable = [m for m in _unwritable(sight) if m not in silent]
-    if not _healthy(sight, silent + unwritable):
+    silent = _silent(view)
+    unwritable = [m for m in _unwritable(view) if m not in silent]
+    if not _healthy(view, silent + unwritable):
         return {}
     unheard = [
         m
         for m in silent
         if not any(
-            m in sight.signs[other].hears
-            for other in sight.roster.ids
-            if other in sight.signs and other not in silent
+            m in view.signs[other].hears
+            for other in view.roster.ids
+            if other in view.signs and other not in silent
         )
     ]
-    blanks = _free(sight)
+    blanks = _free(view)
     away = unheard + unwritable
     if not away or not blanks or len(unheard) < len(silent):
         return {}
-    gone = min(away, key=lambda m: (sight.signs[m].at_ms if m in sight.signs else -1, m))
-    return {gone: _nearest(sight, blanks, gone)}
+    gone = min(away, key=lambda m: (view.signs[m].at_ms if m in view.signs else -1, m))
+    return {gone: _nearest(view, blanks, gone)}
 
 
-def _grown(sight: CoreView) -> list[MemberId]:
+def _grown(view: CoreView) -> list[MemberId]:
     """Blank registries to be taken in so that the core has as many members as it should, an odd
     number; from the zones that have the fewest."""
-    blanks = _free(sight)
-    size = len(sight.roster.members)
-    room = min(len(blanks), sight.members - size)
+    blanks = _free(view)
+    size = len(view.roster.members)
+    room = min(len(blanks), view.members - size)
     room -= (size + room + 1) % 2
-    if room <= 0 or _silent(sight) or not _healthy(sight, []):
+    if room <= 0 or _silent(view) or not _healthy(view, []):
         return []
     count: dict[str, int] = {}
-    for member in sight.roster.ids:
-        zone = sight.zones.get(member, "")
+    for member in view.roster.ids:
+        zone = view.zones.get(member, "")
         count[zone] = count.get(zone, 0) + 1
     taken: list[MemberId] = []
     for _ in range(room):
-        best = min(blanks, key=lambda n: (count.get(sight.zones.get(n, ""), 0), n))
+        best = min(blanks, key=lambda n: (count.get(view.zones.get(n, ""), 0), n))
         blanks.remove(best)
-        zone = sight.zones.get(best, "")
+        zone = view.zones.get(best, "")
         count[zone] = count.get(zone, 0) + 1
         taken.append(MemberId(best))
     return taken
 
 
 def _changed(
-    sight: CoreView, instead: Mapping[MemberId, MemberId], more: list[MemberId] | None = None
+    view: CoreView, instead: Mapping[MemberId, MemberId], more: list[MemberId] | None = None
 ) -> Roster:
     """The next epoch. Whoever joins, or joined and is not yet known to vote, copies first."""
-    old = sight.roster
+    old = view.roster
     members: list[tuple[MemberId, Address]] = []
     for member, address in old.members:
         newcomer = instead.get(member)
-        members.append((newcomer, sight.signs[newcomer].address) if newcomer else (member, address))
-    members.extend((m, sight.signs[m].address) for m in more or ())
+        members.append((newcomer, view.signs[newcomer].address) if newcomer else (member, address))
+    members.extend((m, view.signs[m].address) for m in more or ())
     joining = [*instead.values(), *(more or ())]
     ids = {m for m, _ in members}
     for member in old.joining:
-        sign = sight.signs.get(member)
-        if member in ids and member != sight.me and not (sign is not None and sign.votes):
+        sign = view.signs.get(member)
+        if member in ids and member != view.me and not (sign is not None and sign.votes):
             joining.append(member)
     return Roster(Epoch(old.epoch + 1), tuple(members), old.ids, tuple(sorted(joining)))
