--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -29,6 +29,7 @@
     WAIT_SHARE,
     Attempt,
     Call,
+    Phase,
 )
 from spokeroute.transport.call_messages import (
     Forward,
@@ -81,7 +82,7 @@
     if picked is None:
         if call.touched and not call.attempts and call.maybe:
             return unknown(state, call, now_ms)
-        held = replace(call, phase="waiting", next_ms=Ms(now_ms + HOLD_MS))
+        held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + HOLD_MS))
         return pressed(put(state, held), call.service.name, now_ms)
     placed = picked.placed
     why_again = allowed(call)
@@ -108,7 +109,7 @@
     attempt_id = f"{call.ask.call_id}.{call.draws}"
     each = Attempt(placed.id, placed.worker, placed.holder, placed.holder_incarnation, now_ms)
     call = replace(
-        call, phase="trying", unsent=False, draws=call.draws + 1,
+        call, phase=Phase.TRYING, unsent=False, draws=call.draws + 1,
         attempts=call.attempts.set(attempt_id, each), next_ms=Ms(now_ms + overdue_ms(call)),
     )  # fmt: skip
     ask = call.ask
@@ -160,7 +161,7 @@
         return send_on(state, call, now_ms)
     if call.touched:
         return send_on(state, call, now_ms)
-    held = replace(call, phase="waiting", next_ms=Ms(now_ms + HOLD_MS))
+    held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + HOLD_MS))
     return put(state, held), ()
 
 
@@ -183,7 +184,7 @@
     if backlog_ms > WAIT_SHARE * left_ms:
         why, back_s = queue_too_long(backlog_ms, left_ms)
         return refuse(state, replace(call, back_s=back_s), Kind.NO_ROOM, why, now_ms)
-    held = replace(call, phase="waiting", next_ms=Ms(now_ms + TURNED_HOLD_MS))
+    held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + TURNED_HOLD_MS))
     return put(state, held), ()
 
 
@@ -208,8 +209,12 @@
     """
     if call.maybe or call.attempts:
         return unknown(state, call, now_ms)
-    if call.ask.key and call.phase != "freeing" and (call.claimed or call.phase == "claiming"):
-        call = replace(call, phase="freeing", why=f"{kind.name}|{why}", next_ms=now_ms)
+    if (
+        call.ask.key
+        and call.phase != Phase.FREEING
+        and (call.claimed or call.phase == Phase.CLAIMING)
+    ):
+        call = replace(call, phase=Phase.FREEING, why=f"{kind.name}|{why}", next_ms=now_ms)
         return ask_core(state, call, "free", now_ms)
     return answer_call(state, call, not_run(call, kind, why), now_ms)
 
@@ -227,7 +232,7 @@
         return state, (*drops, *effects)
     if call.maybe:
         return unknown(state, call, now_ms)
-    kind = Kind.NO_CORE if call.phase == "claiming" else Kind.NO_ROOM
+    kind = Kind.NO_CORE if call.phase == Phase.CLAIMING else Kind.NO_ROOM
     return refuse(state, call, kind, call.why, now_ms)
 
 
@@ -240,7 +245,7 @@
     for attempt_id in call.attempts:
         state, _, _ = end_attempt(state, attempt_id)
     effects: list[Effect] = []
-    if call.claimed and call.phase != "freeing" and state.registries:
+    if call.claimed and call.phase != Phase.FREEING and state.registries:
         known = "may have run" if answer.status in (502, 504) else f"ended {answer.status}"
         op_id = f"{call.ask.call_id}/end/{state.draws}"
         effects.append(Send(state.registries[0], ask_claim(call, op_id, known, now_ms)))
--- a/tests/calls_made.py
+++ b/tests/calls_made.py
@@ -7,7 +7,7 @@
 from spokeroute.common.effects import SlotId
 from spokeroute.common.ids import CallId, Incarnation, InstanceId, Ms, NodeId, WorkerId
 from spokeroute.dispatch.configuration import Route, Service
-from spokeroute.exchange.types import Attempt, Call, CallIn
+from spokeroute.exchange.types import Attempt, Call, CallIn, Phase
 
 
 def call_to(holder: str, sent_ms: Ms, slot: SlotId) -> Call:
@@ -15,6 +15,6 @@
     ask = CallIn(slot, CallId("c1"), "a", "GET", "/x", "", (), b"", "5000", "", 0)
     each = Attempt(InstanceId("i"), WorkerId("w"), NodeId(holder), Incarnation(1), sent_ms)
     return Call(
-        ask, Route("/x", "s"), Service("s", 128, 4), sent_ms, Ms(sent_ms + 5_000), "trying",
+        ask, Route("/x", "s"), Service("s", 128, 4), sent_ms, Ms(sent_ms + 5_000), Phase.TRYING,
         Ms(sent_ms + 5_000), once=False, attempts=Map({"c1.0": each}),
     )  # fmt: skip
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -19,7 +19,7 @@
 from spokeroute.exchange import calls, entry
 from spokeroute.exchange.budget import WINDOW_MS, Budget
 from spokeroute.exchange.pick import pick
-from spokeroute.exchange.types import LISTS_AGE_MS, Attempt, Call, CallIn, Tables
+from spokeroute.exchange.types import LISTS_AGE_MS, Attempt, Call, CallIn, Phase, Tables
 from spokeroute.ledger.entries import Record, entry_text, picture_doc
 from spokeroute.ledger.replay import replay
 from spokeroute.transport.messages import Lists, Successors
@@ -37,7 +37,7 @@
     route, service = Route("/x", "s"), Service("s", 128, 4)
     row: list[Any] = [instance, worker, "ex1", 1, Ms(0)]
     each = Attempt(*row)
-    call = Call(ASK, route, service, Ms(0), Ms(5_000), "waiting", Ms(0), once=False)
+    call = Call(ASK, route, service, Ms(0), Ms(5_000), Phase.WAITING, Ms(0), once=False)
     return replace(call, failed=(each,), touched=frozenset((instance,)), maybe=True)
 
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -16,7 +16,15 @@
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.moves import TURNED_MS
 from spokeroute.exchange.seat import QUEUED_TOLD_MS, Handed, Seat, Waiting
-from spokeroute.exchange.types import BUSY, LEFT_QUEUE, NO_ROOM_IN_TIME, Call, Revoke, Tables
+from spokeroute.exchange.types import (
+    BUSY,
+    LEFT_QUEUE,
+    NO_ROOM_IN_TIME,
+    Call,
+    Phase,
+    Revoke,
+    Tables,
+)
 from spokeroute.transport.call_messages import (
     Forward,
     ForwardDrop,
@@ -161,8 +169,8 @@
     for reason in (BUSY, NO_ROOM_IN_TIME):
         call = call_to(HOLDER, sent_ms=Ms(0), slot=SlotId(1, 1))
         first, effects = calls.step(entry_with(call, placed("i")), no(reason), Ms(3))
-        assert effects == () and first.calls[1].phase == "waiting"
-        again = replace(first.calls[1], attempts=call.attempts, phase="trying")
+        assert effects == () and first.calls[1].phase == Phase.WAITING
+        again = replace(first.calls[1], attempts=call.attempts, phase=Phase.TRYING)
         state = entry_with(again, placed("i"))
         later, effects = calls.step(state, no(reason), Ms(3 + TURNED_MS - 1))
         assert effects == () and 1 in later.calls
