The causes that an entry decides by stand in one module, as typed constants

Cause: calls, moves, seat and holder took decisions by startswith of bare strings that sender, holder and entry wrote by hand elsewhere; a changed word would have changed what is sent again. exchange/reasons.py holds the five causes (Cause, caused_by) and the four whole reasons. The texts on the wire are the same.

--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -24,6 +24,7 @@
 )
 from spokeroute.exchange.filters import queue_too_long
 from spokeroute.exchange.pick import GUEST, pick, with_room
+from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.resend import allowed, noted
 from spokeroute.exchange.types import (
     WAIT_SHARE,
@@ -31,10 +32,7 @@
     Call,
     Phase,
 )
-from spokeroute.transport.call_messages import (
-    Forward,
-    ForwardDrop,
-)
+from spokeroute.transport.call_messages import Forward, ForwardDrop
 
 HOLD_MS = 30
 END_MARGIN_MS = 40
@@ -195,8 +193,8 @@
         state, effects = unknown(state, call, now_ms)
     """
     why = call.why
-    kind = Kind.BAD_ANSWER if why.startswith("bad answer") else Kind.UNKNOWN
-    if why.startswith("lost"):
+    kind = Kind.BAD_ANSWER if caused_by(why, Cause.BAD_ANSWER) else Kind.UNKNOWN
+    if caused_by(why, Cause.LOST):
         kind = Kind.LOST
     return answer_call(state, call, refusal(kind, Ran.MAYBE, why), now_ms)
 
@@ -274,5 +272,5 @@
     state, call, each = end_attempt(state, attempt_id)
     if call is None or each is None:
         return state, ()
-    call = replace(call, unsent=True, why="down: its holder can't be reached")
+    call = replace(call, unsent=True, why=Cause.DOWN.said("its holder can't be reached"))
     return go_on(state, call, now_ms)
--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/seat.py
@@ -10,13 +10,14 @@
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
+from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.types import WAIT_SHARE, AttemptDone
-from spokeroute.transport.call_messages import (
-    Forward,
-)
+from spokeroute.transport.call_messages import Forward
+from spokeroute.transport.messages import HeldReport
 
 CONNECT_WAIT_MS = 250
 RUN_SHARE = 0.2
+SAMPLE_MS = 1_000
 QUEUE_FACTOR = 4
 QUEUE_PLUS = 8
 QUEUED_TOLD_MS = 40  # a call that waits for this long is told to its entry
@@ -113,6 +114,32 @@
         busy_ms = self.busy_ms + len(self.handed) * span_ms
         return replace(self, busy_ms=busy_ms, sampled_ms=now_ms)
 
+    def measured(self, now_ms: Ms) -> Seat:
+        """With a new sample begun, and the mean of the last one, where that is long enough.
+
+        Example:
+            Seat(placed).measured(Ms(1_000)).mean_milli == 0
+        """
+        seat = self.sampled(now_ms)
+        span_ms = now_ms - seat.sample_start_ms
+        if span_ms < SAMPLE_MS:
+            return seat
+        mean_milli = int(seat.busy_ms * 1000 / max(1, span_ms))
+        return replace(
+            seat, mean_milli=mean_milli, busy_ms=0.0, sample_start_ms=now_ms, answered=0, failures=0
+        )
+
+    def report(self, mean_milli: int) -> HeldReport:
+        """What the core hears of it, with this mean of the last whole sample.
+
+        Example:
+            Seat(placed).report(0).confirmed is False
+        """
+        return HeldReport(
+            self.placed.id, mean_milli, self.answered, self.failures, self.confirmed,
+            self.quiet, self.refused, int(self.run_ms),
+        )  # fmt: skip
+
     def usual(self, took_ms: int) -> float:
         """How long a call usually takes here, after one that took this long.
 
@@ -174,7 +201,7 @@
                 seat, answered=seat.answered + 1, answered_ms=(*seat.answered_ms, now_ms)[-200:],
                 confirmed=True, down_ms=0, run_ms=seat.usual(now_ms - handed.sent_ms),
             )  # fmt: skip
-        if done.reason.startswith(("unreached", "bad answer", "lost")):
+        if caused_by(done.reason, Cause.UNREACHED, Cause.BAD_ANSWER, Cause.LOST):
             return replace(seat, failures=seat.failures + 1, confirmed=done.confirmed)
         return seat
 
@@ -209,7 +236,9 @@
         Example:
             Seat(placed).down(Ms(20)) == ""
         """
-        return "down: it could not be reached lately" if now_ms < self.down_until_ms else ""
+        if now_ms >= self.down_until_ms:
+            return ""
+        return Cause.DOWN.said("it could not be reached lately")
 
     def look(self) -> Connect:
         """The job that looks whether anything listens at its address.
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -27,7 +27,8 @@
 from spokeroute.exchange import calls, entry, holder
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.calls import _lost_holders
-from spokeroute.exchange.types import NOT_HELD, Tables
+from spokeroute.exchange.reasons import NOT_HELD
+from spokeroute.exchange.types import Tables
 from spokeroute.transport.call_messages import (
     Forward,
     Forwarded,
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -15,16 +15,9 @@
 from spokeroute.exchange.backlog import CROWD_CALLS, CROWD_MS, Backlog
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.moves import TURNED_MS
+from spokeroute.exchange.reasons import BUSY, LEFT_QUEUE, NO_ROOM_IN_TIME
 from spokeroute.exchange.seat import QUEUED_TOLD_MS, Handed, Seat, Waiting
-from spokeroute.exchange.types import (
-    BUSY,
-    LEFT_QUEUE,
-    NO_ROOM_IN_TIME,
-    Call,
-    Phase,
-    Revoke,
-    Tables,
-)
+from spokeroute.exchange.types import Call, Phase, Revoke, Tables
 from spokeroute.transport.call_messages import (
     Forward,
     ForwardDrop,
