What a holder keeps of an instance is a held instance, not a seat

Cause: seat is a house word; beside WorkerSeat (a worker of the platform's listing) it named two things. seat.py is held_instance.py, Seat is HeldInstance, State.seats is State.instances; the wait in line is a wait in a queue. The reason 'not seated yet' travels between exchanges and stays.

--- a/spokeroute/exchange/seat.py
+++ b/spokeroute/exchange/held_instance.py
@@ -47,8 +47,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Seat:
-    """One instance that this process holds."""
+class HeldInstance:
+    """One instance that this process holds, with its queue and its limit."""
 
     placed: Placed
     queue: tuple[Waiting, ...] = ()
@@ -64,7 +64,7 @@
     confirmed: bool = False
     down_ms: int = 0  # how long it is left alone after it could not be reached
     down_until_ms: Ms = Ms(-1)
-    seated_ms: Ms = Ms(0)  # since when this process holds it
+    held_since_ms: Ms = Ms(0)  # since when this process holds it
     reached: bool = False  # a connect succeeded while it started
     connecting: bool = False
     connect_ms: Ms = Ms(0)  # the next connect
@@ -78,7 +78,7 @@
         """Whether nothing may be sent yet: it starts, and was never reached.
 
         Example:
-            Seat(placed).booting is False
+            HeldInstance(placed).booting is False
         """
         return self.placed.state == STARTING and not self.reached
 
@@ -87,7 +87,7 @@
         """Whether it drains, and nothing runs there: nothing will be sent any more.
 
         Example:
-            Seat(placed).quiet is False
+            HeldInstance(placed).quiet is False
         """
         return self.placed.state == DRAINING and not self.handed and not self.queue
 
@@ -96,7 +96,7 @@
         """What the core should hear of it at once; empty for nothing.
 
         Example:
-            Seat(placed).word == ""
+            HeldInstance(placed).word == ""
         """
         if self.refused:
             return "refused"
@@ -104,36 +104,41 @@
             return "quiet"
         return "reached" if self.reached and self.placed.state == STARTING else ""
 
-    def sampled(self, now_ms: Ms) -> Seat:
+    def sampled(self, now_ms: Ms) -> HeldInstance:
         """With what was in flight since it was last asked.
 
         Example:
-            Seat(placed).sampled(Ms(20)).busy_ms == 0.0
+            HeldInstance(placed).sampled(Ms(20)).busy_ms == 0.0
         """
         span_ms = now_ms - self.sampled_ms
         busy_ms = self.busy_ms + len(self.handed) * span_ms
         return replace(self, busy_ms=busy_ms, sampled_ms=now_ms)
 
-    def measured(self, now_ms: Ms) -> Seat:
+    def measured(self, now_ms: Ms) -> HeldInstance:
         """With a new sample begun, and the mean of the last one, where that is long enough.
 
         Example:
-            Seat(placed).measured(Ms(1_000)).mean_milli == 0
+            HeldInstance(placed).measured(Ms(1_000)).mean_milli == 0
         """
-        seat = self.sampled(now_ms)
-        span_ms = now_ms - seat.sample_start_ms
+        instance = self.sampled(now_ms)
+        span_ms = now_ms - instance.sample_start_ms
         if span_ms < SAMPLE_MS:
-            return seat
-        mean_milli = int(seat.busy_ms * 1000 / max(1, span_ms))
+            return instance
+        mean_milli = int(instance.busy_ms * 1000 / max(1, span_ms))
         return replace(
-            seat, mean_milli=mean_milli, busy_ms=0.0, sample_start_ms=now_ms, answered=0, failures=0
+            instance,
+            mean_milli=mean_milli,
+            busy_ms=0.0,
+            sample_start_ms=now_ms,
+            answered=0,
+            failures=0,
         )
 
     def report(self, mean_milli: int) -> HeldReport:
         """What the core hears of it, with this mean of the last whole sample.
 
         Example:
-            Seat(placed).report(0).confirmed is False
+            HeldInstance(placed).report(0).confirmed is False
         """
         return HeldReport(
             self.placed.id, mean_milli, self.answered, self.failures, self.confirmed,
@@ -144,7 +149,7 @@
         """How long a call usually takes here, after one that took this long.
 
         Example:
-            Seat(placed).usual(40) == 40.0
+            HeldInstance(placed).usual(40) == 40.0
         """
         if not self.run_ms:
             return float(max(1, took_ms))
@@ -155,7 +160,7 @@
         usually take here; half of each run that is under way has passed. 0 before any ended.
 
         Example:
-            Seat(placed).turn_ms(3) == 0.0
+            HeldInstance(placed).turn_ms(3) == 0.0
         """
         return self.run_ms * (position + len(self.handed) / 2) / max(1, self.placed.limit)
 
@@ -164,52 +169,53 @@
         call's turn comes well within its wait.
 
         Example:
-            Seat(placed).takes_last(500)
+            HeldInstance(placed).takes_last(500)
         """
         most = QUEUE_FACTOR * self.placed.limit + QUEUE_PLUS
         if len(self.queue) > most:
             return False
         return self.turn_ms(len(self.queue) - 1) <= WAIT_SHARE * wait_ms
 
-    def handing(self, waiting: Waiting, now_ms: Ms) -> Seat:
+    def handing(self, waiting: Waiting, now_ms: Ms) -> HeldInstance:
         """With a call handed to the instance.
 
         Example:
-            Seat(placed).handing(waiting, Ms(20)).handed
+            HeldInstance(placed).handing(waiting, Ms(20)).handed
         """
         attempt_id = waiting.forward.attempt_id
         handed = Handed(attempt_id, waiting.origin, now_ms)
         kept = [t for t in self.cold_ms if now_ms - t < COLD_SPAN_MS]
         cold_ms = () if self.placed.warm else (*kept, now_ms)
-        seat = self.sampled(now_ms)
-        return replace(seat, handed=seat.handed.set(attempt_id, handed), cold_ms=cold_ms)
+        instance = self.sampled(now_ms)
+        return replace(instance, handed=instance.handed.set(attempt_id, handed), cold_ms=cold_ms)
 
-    def ended(self, done: AttemptDone, handed: Handed, run_ms: int, now_ms: Ms) -> Seat:
+    def ended(self, done: AttemptDone, handed: Handed, run_ms: int, now_ms: Ms) -> HeldInstance:
         """After an attempt's end. One that may still run keeps its place until it can't.
 
         Example:
-            Seat(placed).ended(done, handed, 1_000, Ms(20)).handed
+            HeldInstance(placed).ended(done, handed, 1_000, Ms(20)).handed
         """
         if done.ran == Ran.MAYBE:
             free_at_ms = Ms(max(now_ms, handed.sent_ms + run_ms))
             kept = replace(handed, reported=True, free_at_ms=free_at_ms)
-            seat = replace(self, handed=self.handed.set(done.attempt_id, kept))
+            instance = replace(self, handed=self.handed.set(done.attempt_id, kept))
         else:
-            seat = replace(self, handed=self.handed.delete(done.attempt_id))
+            instance = replace(self, handed=self.handed.delete(done.attempt_id))
         if done.ran == Ran.YES:
             return replace(
-                seat, answered=seat.answered + 1, answered_ms=(*seat.answered_ms, now_ms)[-200:],
-                confirmed=True, down_ms=0, run_ms=seat.usual(now_ms - handed.sent_ms),
+                instance, answered=instance.answered + 1,
+                answered_ms=(*instance.answered_ms, now_ms)[-200:], confirmed=True, down_ms=0,
+                run_ms=instance.usual(now_ms - handed.sent_ms),
             )  # fmt: skip
         if caused_by(done.reason, Cause.UNREACHED, Cause.BAD_ANSWER, Cause.LOST):
-            return replace(seat, failures=seat.failures + 1, confirmed=done.confirmed)
-        return seat
+            return replace(instance, failures=instance.failures + 1, confirmed=done.confirmed)
+        return instance
 
-    def freed(self, now_ms: Ms) -> Seat:
+    def freed(self, now_ms: Ms) -> HeldInstance:
         """Without the attempts that can't run any more, whose places were kept till now.
 
         Example:
-            Seat(placed).freed(Ms(20)).handed
+            HeldInstance(placed).freed(Ms(20)).handed
         """
         over = [h for h in self.handed.values() if h.reported and now_ms >= h.free_at_ms]
         if not over:
@@ -224,7 +230,7 @@
         waits for it: the entry chose so.
 
         Example:
-            Seat(placed).tells(waiting, Ms(40))
+            HeldInstance(placed).tells(waiting, Ms(40))
         """
         if self.booting or waiting.told:
             return False
@@ -234,16 +240,26 @@
         """Why nothing is sent after it could not be reached; empty where it may be.
 
         Example:
-            Seat(placed).down(Ms(20)) == ""
+            HeldInstance(placed).down(Ms(20)) == ""
         """
         if now_ms >= self.down_until_ms:
             return ""
         return Cause.DOWN.said("it could not be reached lately")
 
+    def look_due(self, now_ms: Ms) -> bool:
+        """Whether it should be looked now whether it is up: it starts, and no look is under way.
+
+        Example:
+            HeldInstance(placed).look_due(Ms(20)) is False
+        """
+        if not self.booting or self.connecting or not self.placed.address:
+            return False
+        return now_ms >= self.connect_ms
+
     def look(self) -> Connect:
         """The job that looks whether anything listens at its address.
 
         Example:
-            Seat(placed).look().address == placed.address
+            HeldInstance(placed).look().address == placed.address
         """
         return Connect(self.placed.id, self.placed.address, CONNECT_WAIT_MS)
--- a/tests/sends_model.py
+++ b/tests/sends_model.py
@@ -146,7 +146,7 @@
 
     def read_floor(self, node: NodeId) -> None:
         state = replace(self.holders[node], tables=self.tables())
-        state, effects = holder._seated(state, self.now_ms)
+        state, effects = holder._follow_floor(state, self.now_ms)
         self.holders[node] = state
         self.carry(node, effects)
 
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -98,8 +98,8 @@
     sim.run(5_000)
     next(e for e in sim.exchanges if e.name == holding(sim, "readings")[0]).kill()
     sim.run(2_000)
-    seats = [s for e in sim.exchanges if e.alive for s in e.state("holder").seats.values()]
-    assert seats and not any(s.guest for s in seats)
+    held = [s for e in sim.exchanges if e.alive for s in e.state("holder").instances.values()]
+    assert held and not any(s.guest for s in held)
     sim.close()
 
 
--- a/tests/test_own_names.py
+++ b/tests/test_own_names.py
@@ -21,7 +21,7 @@
 from spokeroute.exchange import holder
 from spokeroute.exchange.connect import Connect, ConnectDone
 from spokeroute.exchange.entry import HeldNow
-from spokeroute.exchange.seat import CONNECT_WAIT_MS
+from spokeroute.exchange.held_instance import CONNECT_WAIT_MS
 from spokeroute.exchange.types import SendAttempt
 from spokeroute.register.replica import Fresh
 from spokeroute.transport.call_messages import (
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,7 +107,7 @@
     sim.traffic(60, 36_000)
     sim.run(3_000)
     victim = sim.exchanges[0]
-    assert victim.state("holder").seats
+    assert victim.state("holder").instances
     others = [n for n in sim.nodes if n is not victim]
     if how in ("deaf", "both"):
         sim.net.cuts |= {(n.name, victim.name) for n in others}
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -14,9 +14,9 @@
 from spokeroute.exchange import calls, entry, holder, requeue
 from spokeroute.exchange.backlog import CROWD_CALLS, CROWD_MS, Backlog
 from spokeroute.exchange.budget import Budget
+from spokeroute.exchange.held_instance import QUEUED_TOLD_MS, Handed, HeldInstance, Waiting
 from spokeroute.exchange.moves import TURNED_MS
 from spokeroute.exchange.reasons import BUSY, LEFT_QUEUE, NO_ROOM_IN_TIME
-from spokeroute.exchange.seat import QUEUED_TOLD_MS, Handed, Seat, Waiting
 from spokeroute.exchange.types import Call, Phase, Revoke, Tables
 from spokeroute.transport.call_messages import (
     Forward,
@@ -42,10 +42,10 @@
     return Waiting(forward, ENTRY, Ms(left_ms))
 
 
-def held(*queue: Waiting, run_ms: float = 500.0) -> Seat:
+def held(*queue: Waiting, run_ms: float = 500.0) -> HeldInstance:
     """An instance of one slot where a call runs."""
     handed = Map({"runs": Handed("runs", ENTRY, Ms(0))})
-    return Seat(placed("i"), queue=queue, handed=handed, run_ms=run_ms)
+    return HeldInstance(placed("i"), queue=queue, handed=handed, run_ms=run_ms)
 
 
 def entry_with(call: Call, *instances: Placed, outstanding: Map[str, int] = ONE) -> entry.State:
@@ -68,17 +68,17 @@
 
 
 def test_an_entry_hears_once_that_a_call_waits_but_not_while_its_instance_starts() -> None:
-    seat = held(waiting("c"))
-    call = seat.queue[0]
-    assert not seat.tells(call, Ms(QUEUED_TOLD_MS - 1))
-    assert seat.tells(call, Ms(QUEUED_TOLD_MS))
-    assert not seat.tells(replace(call, told=True), Ms(QUEUED_TOLD_MS))
-    starts = replace(seat, placed=placed("i", state=STARTING))
+    instance = held(waiting("c"))
+    call = instance.queue[0]
+    assert not instance.tells(call, Ms(QUEUED_TOLD_MS - 1))
+    assert instance.tells(call, Ms(QUEUED_TOLD_MS))
+    assert not instance.tells(replace(call, told=True), Ms(QUEUED_TOLD_MS))
+    starts = replace(instance, placed=placed("i", state=STARTING))
     assert not starts.tells(call, Ms(QUEUED_TOLD_MS))
 
 
 def test_only_what_is_still_in_the_queue_is_given_back() -> None:
-    state = holder.State(HOLDER, 1, seats=Map({"i": held(waiting("queued"))}))
+    state = holder.State(HOLDER, 1, instances=Map({"i": held(waiting("queued"))}))
     same, effects = holder.step(
         state, From(ENTRY, Incarnation(1), ForwardDrop("runs", queued_only=True)), Ms(300)
     )
@@ -89,7 +89,7 @@
         state, From(ENTRY, Incarnation(1), ForwardDrop("queued", queued_only=True)), Ms(300)
     )
     assert effects == (Send(ENTRY, Forwarded("queued", "no", LEFT_QUEUE, 0, (), b"")),)
-    assert after.seats["i"].queue == () and "runs" in after.seats["i"].handed
+    assert after.instances["i"].queue == () and "runs" in after.instances["i"].handed
 
 
 def test_room_is_asked_for_only_where_it_may_be_and_not_at_every_tick() -> None:
@@ -113,8 +113,8 @@
 
 
 def test_a_holder_tells_of_room_only_where_a_call_would_not_wait() -> None:
-    def told(seat: Seat, tables: Tables) -> object:
-        state = holder.State(HOLDER, 1, tables=tables, seats=Map({"i": seat}))
+    def told(instance: HeldInstance, tables: Tables) -> object:
+        state = holder.State(HOLDER, 1, tables=tables, instances=Map({"i": instance}))
         return holder.step(state, From(ENTRY, Incarnation(1), RoomAsk("i")), Ms(300))[1]
 
     here = placed("i", limit=2)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -364,16 +364,16 @@
     sim.traffic(60, 12_000)
     sim.run(2_000)
     leaving = sim.exchanges[0]
-    held = set(leaving.state("holder").seats)
+    held = set(leaving.state("holder").instances)
     assert held
     leaving.report("holder", Stopping(), leaving.births)
     leaving.report("calls", Stopping(), leaving.births)
     stopped_ms = sim.env.now
-    assert sim.up_to(lambda: not leaving.state("holder").seats, 2_000)
+    assert sim.up_to(lambda: not leaving.state("holder").instances, 2_000)
     others = sim.exchanges[1:]
 
     def taken() -> bool:
-        now = {i for e in others for i in e.state("holder").seats}
+        now = {i for e in others for i in e.state("holder").instances}
         return held <= now
 
     assert sim.up_to(taken, 2_000)
