An instance without a living holder is unheld, its caller no guest

Cause: guest is a house word, and says neither whose it is nor what is missing. The frame's field (Forward.guest) and the ledger's rule 'guest' travel and are kept, so they stay.

--- a/spokeroute/exchange/held_instance.py
+++ b/spokeroute/exchange/held_instance.py
@@ -71,7 +71,7 @@
     refused: bool = False  # nothing listens there any more
     run_ms: float = 0.0  # how long a call usually takes there
     said: str = ""  # the last word that the core was told of it
-    guest: bool = False  # nobody living holds it: one call at a time, until somebody does
+    unheld: bool = False  # nobody living holds it: one call at a time, until somebody does
 
     @property
     def booting(self) -> bool:
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -23,7 +23,7 @@
     took_note,
 )
 from spokeroute.exchange.filters import queue_too_long
-from spokeroute.exchange.pick import GUEST, pick, with_room
+from spokeroute.exchange.pick import UNHELD, pick, with_room
 from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.resend import allowed, noted
 from spokeroute.exchange.types import (
@@ -115,7 +115,7 @@
     forward = Forward(
         attempt_id, name, placed.id, placed.holder_incarnation, ask.method, path, ask.headers,
         ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
-        picked.rule == GUEST,
+        picked.rule == UNHELD,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     state = replace(
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -99,7 +99,7 @@
     next(e for e in sim.exchanges if e.name == holding(sim, "readings")[0]).kill()
     sim.run(2_000)
     held = [s for e in sim.exchanges if e.alive for s in e.state("holder").instances.values()]
-    assert held and not any(s.guest for s in held)
+    assert held and not any(s.unheld for s in held)
     sim.close()
 
 
