--- a/spokeroute/exchange/held_instance.py
+++ b/spokeroute/exchange/held_instance.py
@@ -184,7 +184,7 @@
         """
         attempt_id = waiting.forward.attempt_id
         handed = Handed(attempt_id, waiting.origin, now_ms)
-        kept = [t for t in self.cold_ms if now_ms - t < COLD_SPAN_MS]
+        kept = [at_ms for at_ms in self.cold_ms if now_ms - at_ms < COLD_SPAN_MS]
         cold_ms = () if self.placed.warm else (*kept, now_ms)
         instance = self.sampled(now_ms)
         return replace(instance, handed=instance.handed.set(attempt_id, handed), cold_ms=cold_ms)
@@ -217,7 +217,9 @@
         Example:
             HeldInstance(placed).freed(Ms(20)).handed
         """
-        over = [h for h in self.handed.values() if h.reported and now_ms >= h.free_at_ms]
+        over = [
+            each for each in self.handed.values() if each.reported and now_ms >= each.free_at_ms
+        ]
         if not over:
             return self
         left = self.handed
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -23,7 +23,7 @@
     took_note,
 )
 from spokeroute.exchange.filters import queue_too_long
-from spokeroute.exchange.pick import UNHELD, pick, with_room
+from spokeroute.exchange.pick import UNHELD, Picked, pick, with_room
 from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.resend import allowed, noted
 from spokeroute.exchange.types import (
@@ -78,32 +78,47 @@
     if picked is None and state.bounds.rejection_safe:
         picked = adopt(state, call, now_ms)
     if picked is None:
-        if call.touched and not call.attempts and call.maybe:
-            return unknown(state, call, now_ms)
-        held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + HOLD_MS))
-        return pressed(put(state, held), call.service.name, now_ms)
-    placed = picked.placed
+        return _hold(state, call, now_ms)
     why_again = allowed(call)
     if why_again is None:
         return unknown(state, call, now_ms)
     name = call.service.name
-    budget = state.budget
-    if call.resend or (call.touched and placed.id not in call.touched):
+    if call.resend or (call.touched and picked.placed.id not in call.touched):
         spent = len(call.touched) >= call.route.attempts
-        if spent or not budget.allows(name, now_ms):
-            if call.maybe:
-                return unknown(state, call, now_ms)
-            why = f"{call.why}; {'as often as the route allows' if spent else 'budget spent'}"
-            return refuse(state, call, Kind.UNREACHED, why, now_ms)
-        budget = budget.second(name, now_ms)
+        if spent or not state.budget.allows(name, now_ms):
+            return _no_second(state, call, spent, now_ms)
         call = replace(call, resend=False)
-        state = took_note(state, call, placed.id, picked.rule, now_ms)
+        state = replace(state, budget=state.budget.second(name, now_ms))
+        state = took_note(state, call, picked.placed.id, picked.rule, now_ms)
     elif not call.failed and not call.attempts and call.draws == 0:
-        budget = budget.first(name, now_ms)
+        state = replace(state, budget=state.budget.first(name, now_ms))
     notes: tuple[Effect, ...] = ()
     if call.draws:
-        resends, note = noted(state.resends, call, why_again, placed.id)
+        resends, note = noted(state.resends, call, why_again, picked.placed.id)
         state, notes = replace(state, resends=resends), (note,)
+    state, sent = _hand_over(state, call, picked, now_ms)
+    return state, (*notes, sent)
+
+
+def _hold(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
+    """There is no instance for a call now: it waits, or ends where it may have run."""
+    if call.touched and not call.attempts and call.maybe:
+        return unknown(state, call, now_ms)
+    held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + HOLD_MS))
+    return pressed(put(state, held), call.service.name, now_ms)
+
+
+def _no_second(state: State, call: Call, spent: bool, now_ms: Ms) -> tuple[State, Effects]:
+    """A call that needs a second send gets none: its route's attempts or the budget are spent."""
+    if call.maybe:
+        return unknown(state, call, now_ms)
+    limit = "as often as the route allows" if spent else "budget spent"
+    return refuse(state, call, Kind.UNREACHED, f"{call.why}; {limit}", now_ms)
+
+
+def _hand_over(state: State, call: Call, picked: Picked, now_ms: Ms) -> tuple[State, Effect]:
+    """A new attempt of a call, to the holder of the picked instance."""
+    placed = picked.placed
     attempt_id = f"{call.ask.call_id}.{call.draws}"
     each = Attempt(placed.id, placed.worker, placed.holder, placed.holder_incarnation, now_ms)
     call = replace(
@@ -111,20 +126,20 @@
         attempts=call.attempts.set(attempt_id, each), next_ms=Ms(now_ms + overdue_ms(call)),
     )  # fmt: skip
     ask = call.ask
-    path = ask.target or (f"{ask.path}?{ask.query}" if ask.query else ask.path)
+    with_query = f"{ask.path}?{ask.query}" if ask.query else ask.path
+    path = ask.target or with_query
     forward = Forward(
-        attempt_id, name, placed.id, placed.holder_incarnation, ask.method, path, ask.headers,
-        ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
+        attempt_id, call.service.name, placed.id, placed.holder_incarnation, ask.method, path,
+        ask.headers, ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
         picked.rule == UNHELD,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     state = replace(
         put(state, call),
-        budget=budget,
         attempt_of=state.attempt_of.set(attempt_id, ask.slot.index),
         outstanding=state.outstanding.set(placed.id, count),
     )
-    return state, (*notes, Send(NodeId(placed.holder), forward, placed.holder_address))
+    return state, Send(NodeId(placed.holder), forward, placed.holder_address)
 
 
 def may_have_run(
@@ -224,7 +239,10 @@
         state, effects = end_call(state, call, now_ms)
     """
     if call.attempts:
-        drops = tuple(Send(NodeId(t.holder), ForwardDrop(n)) for n, t in call.attempts.items())
+        drops = tuple(
+            Send(NodeId(attempt.holder), ForwardDrop(attempt_id))
+            for attempt_id, attempt in call.attempts.items()
+        )
         call = replace(call, why=call.why or "no answer within the wait")
         state, effects = unknown(state, call, now_ms)
         return state, (*drops, *effects)
