--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -23,17 +23,16 @@
     took_note,
 )
 from spokeroute.exchange.filters import queue_too_long
-from spokeroute.exchange.pick import GUEST, pick, with_room
+from spokeroute.exchange.pick import UNHELD, Picked, pick, with_room
+from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.resend import allowed, noted
 from spokeroute.exchange.types import (
     WAIT_SHARE,
     Attempt,
     Call,
+    Phase,
 )
-from spokeroute.transport.call_messages import (
-    Forward,
-    ForwardDrop,
-)
+from spokeroute.transport.call_messages import Forward, ForwardDrop
 
 HOLD_MS = 30
 END_MARGIN_MS = 40
@@ -79,53 +78,68 @@
     if picked is None and state.bounds.rejection_safe:
         picked = adopt(state, call, now_ms)
     if picked is None:
-        if call.touched and not call.attempts and call.maybe:
-            return unknown(state, call, now_ms)
-        held = replace(call, phase="waiting", next_ms=Ms(now_ms + HOLD_MS))
-        return pressed(put(state, held), call.service.name, now_ms)
-    placed = picked.placed
+        return _hold(state, call, now_ms)
     why_again = allowed(call)
     if why_again is None:
         return unknown(state, call, now_ms)
     name = call.service.name
-    budget = state.budget
-    if call.resend or (call.touched and placed.id not in call.touched):
+    if call.resend or (call.touched and picked.placed.id not in call.touched):
         spent = len(call.touched) >= call.route.attempts
-        if spent or not budget.allows(name, now_ms):
-            if call.maybe:
-                return unknown(state, call, now_ms)
-            why = f"{call.why}; {'as often as the route allows' if spent else 'budget spent'}"
-            return refuse(state, call, Kind.UNREACHED, why, now_ms)
-        budget = budget.second(name, now_ms)
+        if spent or not state.budget.allows(name, now_ms):
+            return _no_second(state, call, spent, now_ms)
         call = replace(call, resend=False)
-        state = took_note(state, call, placed.id, picked.rule, now_ms)
+        state = replace(state, budget=state.budget.second(name, now_ms))
+        state = took_note(state, call, picked.placed.id, picked.rule, now_ms)
     elif not call.failed and not call.attempts and call.draws == 0:
-        budget = budget.first(name, now_ms)
+        state = replace(state, budget=state.budget.first(name, now_ms))
     notes: tuple[Effect, ...] = ()
     if call.draws:
-        resends, note = noted(state.resends, call, why_again, placed.id)
+        resends, note = noted(state.resends, call, why_again, picked.placed.id)
         state, notes = replace(state, resends=resends), (note,)
+    state, sent = _hand_over(state, call, picked, now_ms)
+    return state, (*notes, sent)
+
+
+def _hold(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
+    """There is no instance for a call now: it waits, or ends where it may have run."""
+    if call.touched and not call.attempts and call.maybe:
+        return unknown(state, call, now_ms)
+    held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + HOLD_MS))
+    return pressed(put(state, held), call.service.name, now_ms)
+
+
+def _no_second(state: State, call: Call, spent: bool, now_ms: Ms) -> tuple[State, Effects]:
+    """A call that needs a second send gets none: its route's attempts or the budget are spent."""
+    if call.maybe:
+        return unknown(state, call, now_ms)
+    limit = "as often as the route allows" if spent else "budget spent"
+    return refuse(state, call, Kind.UNREACHED, f"{call.why}; {limit}", now_ms)
+
+
+def _hand_over(state: State, call: Call, picked: Picked, now_ms: Ms) -> tuple[State, Effect]:
+    """A new attempt of a call, to the holder of the picked instance."""
+    placed = picked.placed
     attempt_id = f"{call.ask.call_id}.{call.draws}"
     each = Attempt(placed.id, placed.worker, placed.holder, placed.holder_incarnation, now_ms)
     call = replace(
-        call, phase="trying", unsent=False, draws=call.draws + 1,
+        call, phase=Phase.TRYING, unsent=False, draws=call.draws + 1,
         attempts=call.attempts.set(attempt_id, each), next_ms=Ms(now_ms + overdue_ms(call)),
     )  # fmt: skip
     ask = call.ask
-    path = ask.target or (f"{ask.path}?{ask.query}" if ask.query else ask.path)
+    with_query = f"{ask.path}?{ask.query}" if ask.query else ask.path
+    path = ask.target or with_query
     forward = Forward(
-        attempt_id, name, placed.id, placed.holder_incarnation, ask.method, path, ask.headers,
-        ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
-        picked.rule == GUEST,
+        attempt_id, call.service.name, placed.id, placed.holder_incarnation, ask.method, path,
+        ask.headers, ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
+        picked.rule == UNHELD,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     state = replace(
         put(state, call),
-        budget=budget,
         attempt_of=state.attempt_of.set(attempt_id, ask.slot.index),
         outstanding=state.outstanding.set(placed.id, count),
     )
-    return state, (*notes, Send(NodeId(placed.holder), forward, placed.holder_address))
+    return state, Send(NodeId(placed.holder), forward, placed.holder_address)
 
 
 def may_have_run(
@@ -160,7 +174,7 @@
         return send_on(state, call, now_ms)
     if call.touched:
         return send_on(state, call, now_ms)
-    held = replace(call, phase="waiting", next_ms=Ms(now_ms + HOLD_MS))
+    held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + HOLD_MS))
     return put(state, held), ()
 
 
@@ -183,7 +197,7 @@
     if backlog_ms > WAIT_SHARE * left_ms:
         why, back_s = queue_too_long(backlog_ms, left_ms)
         return refuse(state, replace(call, back_s=back_s), Kind.NO_ROOM, why, now_ms)
-    held = replace(call, phase="waiting", next_ms=Ms(now_ms + TURNED_HOLD_MS))
+    held = replace(call, phase=Phase.WAITING, next_ms=Ms(now_ms + TURNED_HOLD_MS))
     return put(state, held), ()
 
 
@@ -194,8 +208,8 @@
         state, effects = unknown(state, call, now_ms)
     """
     why = call.why
-    kind = Kind.BAD_ANSWER if why.startswith("bad answer") else Kind.UNKNOWN
-    if why.startswith("lost"):
+    kind = Kind.BAD_ANSWER if caused_by(why, Cause.BAD_ANSWER) else Kind.UNKNOWN
+    if caused_by(why, Cause.LOST):
         kind = Kind.LOST
     return answer_call(state, call, refusal(kind, Ran.MAYBE, why), now_ms)
 
@@ -208,8 +222,12 @@
     """
     if call.maybe or call.attempts:
         return unknown(state, call, now_ms)
-    if call.ask.key and call.phase != "freeing" and (call.claimed or call.phase == "claiming"):
-        call = replace(call, phase="freeing", why=f"{kind.name}|{why}", next_ms=now_ms)
+    if (
+        call.ask.key
+        and call.phase != Phase.FREEING
+        and (call.claimed or call.phase == Phase.CLAIMING)
+    ):
+        call = replace(call, phase=Phase.FREEING, why=f"{kind.name}|{why}", next_ms=now_ms)
         return ask_core(state, call, "free", now_ms)
     return answer_call(state, call, not_run(call, kind, why), now_ms)
 
@@ -221,13 +239,16 @@
         state, effects = end_call(state, call, now_ms)
     """
     if call.attempts:
-        drops = tuple(Send(NodeId(t.holder), ForwardDrop(n)) for n, t in call.attempts.items())
+        drops = tuple(
+            Send(NodeId(attempt.holder), ForwardDrop(attempt_id))
+            for attempt_id, attempt in call.attempts.items()
+        )
         call = replace(call, why=call.why or "no answer within the wait")
         state, effects = unknown(state, call, now_ms)
         return state, (*drops, *effects)
     if call.maybe:
         return unknown(state, call, now_ms)
-    kind = Kind.NO_CORE if call.phase == "claiming" else Kind.NO_ROOM
+    kind = Kind.NO_CORE if call.phase == Phase.CLAIMING else Kind.NO_ROOM
     return refuse(state, call, kind, call.why, now_ms)
 
 
@@ -240,7 +261,7 @@
     for attempt_id in call.attempts:
         state, _, _ = end_attempt(state, attempt_id)
     effects: list[Effect] = []
-    if call.claimed and call.phase != "freeing" and state.registries:
+    if call.claimed and call.phase != Phase.FREEING and state.registries:
         known = "may have run" if answer.status in (502, 504) else f"ended {answer.status}"
         op_id = f"{call.ask.call_id}/end/{state.draws}"
         effects.append(Send(state.registries[0], ask_claim(call, op_id, known, now_ms)))
@@ -269,5 +290,5 @@
     state, call, each = end_attempt(state, attempt_id)
     if call is None or each is None:
         return state, ()
-    call = replace(call, unsent=True, why="down: its holder can't be reached")
+    call = replace(call, unsent=True, why=Cause.DOWN.said("its holder can't be reached"))
     return go_on(state, call, now_ms)
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -27,7 +27,8 @@
 from spokeroute.exchange import calls, entry, holder
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.calls import _lost_holders
-from spokeroute.exchange.types import NOT_HELD, Tables
+from spokeroute.exchange.reasons import NOT_HELD
+from spokeroute.exchange.types import Tables
 from spokeroute.transport.call_messages import (
     Forward,
     Forwarded,
@@ -97,8 +98,8 @@
     sim.run(5_000)
     next(e for e in sim.exchanges if e.name == holding(sim, "readings")[0]).kill()
     sim.run(2_000)
-    seats = [s for e in sim.exchanges if e.alive for s in e.state("holder").seats.values()]
-    assert seats and not any(s.guest for s in seats)
+    held = [s for e in sim.exchanges if e.alive for s in e.state("holder").instances.values()]
+    assert held and not any(s.unheld for s in held)
     sim.close()
 
 
