A ledger entry that was lost on its way is sent again: acks name a range

Cause: an acknowledgement named its last entry and counted for all before it, so a share that was lost while a member was away was never sent again.

--- /dev/null
+++ b/tests/test_ledger_shares.py
@@ -0,0 +1,96 @@
+"""Ledger entries on their way to the other members: what is lost is sent again, in order."""
+
+from __future__ import annotations
+
+import pytest
+
+from spokeroute.common.effects import Effects, From, Launch, Send, Tick
+from spokeroute.common.ids import Incarnation, Ms, NodeId
+from spokeroute.ledger import writer
+from spokeroute.ledger.entries import Record
+from spokeroute.ledger.writer import LedgerWrite, LedgerWritten, unpack_share
+from spokeroute.transport.messages import LedgerAck, LedgerShare
+
+ME = NodeId("m0")
+AWAY = NodeId("m1")
+HERE = NodeId("m2")
+
+
+def recorded(state: writer.State, count: int, now_ms: int) -> tuple[writer.State, Effects]:
+    """Entries, and the beat that shares them."""
+    for _ in range(count):
+        state, _ = writer.step(state, Record("term", {}, 1, term=1), Ms(now_ms))
+    return writer.step(state, Tick(), Ms(now_ms))
+
+
+def shares(effects: Effects, to: NodeId) -> list[tuple[str, ...]]:
+    """The keys of each share that goes to a member."""
+    return [
+        tuple(key for key, _ in unpack_share(e.message.packed))
+        for e in effects
+        if isinstance(e, Send) and e.to == to and isinstance(e.message, LedgerShare)
+    ]
+
+
+def acknowledged(state: writer.State, member: NodeId, low: str, high: str) -> writer.State:
+    event = From(member, Incarnation(1), LedgerAck(low, high))
+    return writer.step(state, event, Ms(0))[0]
+
+
+def started() -> tuple[writer.State, list[str]]:
+    """Three entries that every member has."""
+    state = writer.State(ME, "m0.1", (AWAY, HERE))
+    state, effects = recorded(state, 3, 1_000)
+    (write,) = [e.job for e in effects if isinstance(e, Launch)]
+    assert isinstance(write, LedgerWrite)
+    keys = [key for key, _ in write.entries]
+    state, _ = writer.step(state, LedgerWritten(keys[0], keys[2], ME), Ms(1_001))
+    for member in (AWAY, HERE):
+        state = acknowledged(state, member, keys[0], keys[2])
+    assert state.unacked == () and state.durable == keys[2]
+    return state, keys
+
+
+def lost_share() -> tuple[writer.State, str, str]:
+    """One member was away for the fourth entry, twice, and is back for the fifth."""
+    state, _ = started()
+    state, effects = recorded(state, 1, 2_000)
+    ((fourth,),) = shares(effects, AWAY)
+    state = acknowledged(state, HERE, fourth, fourth)
+    state, effects = recorded(state, 1, 2_500)
+    ((fifth,), again) = shares(effects, AWAY)
+    assert again == (fourth,)
+    state = acknowledged(state, HERE, fifth, fifth)
+    return acknowledged(state, AWAY, fifth, fifth), fourth, fifth
+
+
+def test_an_acknowledgement_does_not_cover_a_share_that_was_lost() -> None:
+    state, fourth, fifth = lost_share()
+    assert state.acked[AWAY] < fourth
+    state, effects = writer.step(state, Tick(), Ms(4_600))
+    assert shares(effects, AWAY) == [(fourth, fifth)]
+    state = acknowledged(state, AWAY, fourth, fifth)
+    assert state.acked[AWAY] == fifth
+
+
+def test_an_acknowledgement_that_covers_what_was_lost_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    real = writer._acked
+    monkeypatch.setattr(
+        writer, "_acked", lambda state, node, low, high: real(state, node, "", high)
+    )
+    state, _, fifth = lost_share()
+    assert state.acked[AWAY] == fifth
+
+
+def test_full_pages_of_what_was_missed_follow_each_other_at_once() -> None:
+    state, _ = started()
+    state, _ = recorded(state, 450, 2_000)
+    sent: list[int] = []
+    for beat in range(5):
+        state, effects = writer.step(state, Tick(), Ms(4_500 + 300 * beat))
+        for page in shares(effects, AWAY):
+            sent.append(len(page))
+            state = acknowledged(state, AWAY, page[0], page[-1])
+    assert sent == [200, 200, 50]
--- a/tests/test_old_lives.py
+++ b/tests/test_old_lives.py
@@ -269,9 +269,9 @@
     state, _ = writer.step(state, Record("term", {}, 1, term=5), Ms(0))
     key = state.unacked[0][0]
     old = key.replace("m0.2", "m0.1").replace("-0000000001-", "-0000000900-")
-    state, _ = writer.step(state, From(MEMBERS[1], LIFE, LedgerAck(old)), Ms(5))
+    state, _ = writer.step(state, From(MEMBERS[1], LIFE, LedgerAck(old, old)), Ms(5))
     assert state.acked == Map()
-    state, _ = writer.step(state, From(MEMBERS[1], LIFE, LedgerAck(key)), Ms(5))
+    state, _ = writer.step(state, From(MEMBERS[1], LIFE, LedgerAck(key, key)), Ms(5))
     assert state.acked == Map({MEMBERS[1]: key})
 
 
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -247,7 +247,7 @@
     assert effects == ()
     for low, high in ((0, 199), (200, 399), (400, 430), (431, 440)):
         state, effects = ledger.step(state, LedgerWritten(keys[low], keys[high], OTHER), Ms(4))
-        assert sent(effects) == [LedgerAck(keys[high])], low
+        assert sent(effects) == [LedgerAck(keys[low], keys[high])], low
     assert not state.gaps
 
 
@@ -259,4 +259,5 @@
         key = f"k{number + 100}"
         state, effects = ledger.step(state, LedgerWritten(key, key, OTHER), Ms(3))
         given += sent(effects)
-    assert given == [LedgerAck(f"k{ledger.MOST_WITHHELD + 100}")]
+    last = f"k{ledger.MOST_WITHHELD + 100}"
+    assert given == [LedgerAck(last, last)]
