Model checker: two planted faults that take any epoch share one patch

Cause: the faults of prepare and accept were the same function written twice. No code of the product changed.

--- a/tools/model/patches.py
+++ b/tools/model/patches.py
@@ -22,13 +22,7 @@
     Example:
         prepare_any_epoch()
     """
-    real = acceptor._prepare
-
-    def faulty(state: Any, node: Any, life: int, ask: Any, now_ms: Any) -> Any:
-        after = real(state, node, life, replace(ask, epoch=state.epoch), now_ms)
-        return _with_epoch(state, after, ask.epoch)
-
-    return ((acceptor, "_prepare", faulty),)
+    return _any_epoch("_prepare")
 
 
 def accept_any_epoch() -> tuple[Patch, ...]:
@@ -37,13 +31,18 @@
     Example:
         accept_any_epoch()
     """
-    real = acceptor._accept
+    return _any_epoch("_accept")
+
+
+def _any_epoch(name: str) -> tuple[Patch, ...]:
+    """A function of the acceptor takes asks of any epoch for its own."""
+    real = getattr(acceptor, name)
 
     def faulty(state: Any, node: Any, life: int, ask: Any, now_ms: Any) -> Any:
         after = real(state, node, life, replace(ask, epoch=state.epoch), now_ms)
         return _with_epoch(state, after, ask.epoch)
 
-    return ((acceptor, "_accept", faulty),)
+    return ((acceptor, name, faulty),)
 
 
 def _with_epoch(before: Any, after: Any, epoch: int) -> Any:
