Sight: traffic by kind of message, and why a proof is overdue, in the ring log

What was recorded of the incident could not tell whole values from proofs that wait for everything, nor either from slow processors. Each process now notes its traffic every two seconds, and says once why it has had no proof for longer than the lease. No logic changes.

--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -95,6 +95,7 @@
     probed_ms: Ms = Ms(0)  # when the last probe went out
     absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
     bounds: Bounds = Bounds()
+    overdue: bool = False  # the newest proof is older than the lease, and this was noted
     address: str = ""
     zone: str = ""
     near: frozenset[str] = frozenset()  # registries of this process's own zone
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -15,6 +15,7 @@
 from spokeroute.daemon import RealWorld, http_fault, listen, on_signals
 from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformClient
+from spokeroute.figures import Figures
 from spokeroute.http.wsgi import WsgiApp, serve
 from spokeroute.ledger.ring import Ring
 from spokeroute.ledger.writer import LedgerWrite
@@ -93,7 +94,13 @@
         return may_end(process, settings.bounds, waited_ms)
 
     rereader = Rereader(process, ring, settings, read)
-    loop.on_tick = rereader.look
+    figures = Figures(process, loop, ring)
+
+    def each_turn() -> None:
+        rereader.look()
+        figures.look()
+
+    loop.on_tick = each_turn
     loop.before_stop = quiet
     on_signals(loop, first, rereader)
     loop.run(process)
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,51 @@
+"""What a process says of itself when something goes wrong: its traffic, and why it has no proof."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from immutables import Map
+
+from spokeroute.common.ids import FLOOR, Ms
+from spokeroute.figures import told
+from spokeroute.register.overdue import overdue_text
+from spokeroute.transport.traffic import Traffic, TrafficCounter
+from tests.sim.cluster import Sim
+from tests.sim.world import Node
+
+
+def test_the_kinds_that_carry_most_are_told_first() -> None:
+    counter = TrafficCounter()
+    for kind, size_bytes in (("Probe", 100), ("ProbeAck", 50_000), ("Probe", 100)):
+        counter.count(kind, size_bytes)
+    assert counter.taken() == {"Probe": Traffic(2, 200), "ProbeAck": Traffic(1, 50_000)}
+    assert counter.taken() == {}
+    counts = {f"k{number}": Traffic(1, 1024 * number) for number in range(6)}
+    assert told(counts, 1.0).split()[0] == "k5=5.0kB/s/1.0"
+    assert "k1=" not in told(counts, 1.0)
+
+
+def alarms(sim: Sim, node: Node) -> list[str]:
+    return [text for _, name, text in sim.notes if name == node.name and "proof" in text]
+
+
+def test_a_proof_that_is_overdue_is_said_once_and_so_is_the_next_one(sim: Sim) -> None:
+    sim.settle()
+    lone = sim.exchanges[0]
+    sim.net.cuts |= {(each.name, lone.name) for each in sim.registries}
+    sim.run(6_000)
+    assert len(alarms(sim, lone)) == 1
+    assert "answers to a question: 0 of 3 members" in alarms(sim, lone)[0]
+    sim.net.cuts.clear()
+    sim.run(1_000)
+    assert "proof again after" in alarms(sim, lone)[-1] and len(alarms(sim, lone)) == 2
+
+
+def test_a_value_that_is_missing_is_named(sim: Sim) -> None:
+    sim.settle()
+    state = sim.exchanges[0].state("replica")
+    newer = {name: replace(copy, version=copy.version + 1, digest="other")
+             for name, copy in state.target.items() if name == FLOOR}  # fmt: skip
+    text = overdue_text(replace(state, target=Map(newer)), Ms(state.proved_ms + 2_500))
+    here = state.here[FLOOR].copy.version
+    assert f"not here: {FLOOR} {here + 1} (here: {here})" in text
