A proof waits for the values of its own question, not for those of the newest one

Only the newest answer of a majority was kept, and only the newest value of a register: while values came later than the next answer, or an answer named what a newer value had replaced, nothing was ever proved, though members answered ("not here: configuration 9 (here: 12)"). Each question now keeps what was named to it until a later one is proved, and a few earlier values stay. A proof still counts from its own question, and nothing goes back.

--- a/spokeroute/register/overdue.py
+++ b/spokeroute/register/overdue.py
@@ -19,7 +19,7 @@
     parts = [
         f"no proof for {now_ms - state.proved_ms} ms",
         f"answers to a question: {answers} of {members} members",
-        f"the newest question that a majority answered alike: {now_ms - state.target_ms} ms ago",
+        f"questions that wait for values: {len(state.targets)}",
     ]
     missing = _missing(state)
     if missing:
@@ -29,8 +29,10 @@
 
 def _missing(state: State) -> str:
     """The values that the newest answer named and that are not here, with what is here."""
+    if not state.targets:
+        return ""
     said: list[str] = []
-    for name, copy in state.target.items():
+    for name, copy in state.targets[-1].copies.items():
         got = state.here.get(name)
         if copy.version and (got is None or not same_value(got.copy, copy)):
             said.append(f"{name} {copy.version} (here: {got.copy.version if got else 0})")
--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -73,6 +73,16 @@
     table: object = None
 
 
+@dataclass(frozen=True, slots=True)
+class Target:
+    """What a majority named in answer to one question: it rules from ``asked_ms`` on, once all of
+    it is here. Several may wait for their values, as those come over a narrow link later than the
+    answers to the next questions."""
+
+    asked_ms: Ms
+    copies: Map[str, Copy]
+
+
 @dataclass(frozen=True, slots=True)
 class State:
     """What this process holds and what it can prove."""
@@ -85,9 +95,8 @@
     next_ms: Ms = Ms(0)
     ruling: Map[str, Got] = field(default_factory=Map)
     here: Map[str, Got] = field(default_factory=Map)  # newest fetched, perhaps not yet proved
-    target: Map[str, Copy] = field(default_factory=Map)
-    target_ms: Ms = Ms(-1)
-    source: NodeId = NodeId("")
+    before: Map[str, tuple[Got, ...]] = field(default_factory=Map)  # here before them, newest last
+    targets: tuple[Target, ...] = ()  # since the newest proof, oldest first
     proved_ms: Ms = Ms(-1)
     reports: Reports = Reports((), ())
     fetching_ms: Map[str, Ms] = field(default_factory=Map)
@@ -99,3 +108,13 @@
     address: str = ""
     zone: str = ""
     near: frozenset[str] = frozenset()  # registries of this process's own zone
+
+    @property
+    def target_ms(self) -> Ms:
+        """When the newest question was asked that a majority answered alike; -1 before the first.
+
+        Example:
+            >>> State(()).target_ms
+            -1
+        """
+        return self.targets[-1].asked_ms if self.targets else self.proved_ms
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -9,6 +9,7 @@
 from spokeroute.common.ids import FLOOR, Ms
 from spokeroute.figures import told
 from spokeroute.register.overdue import overdue_text
+from spokeroute.register.replica_state import Target
 from spokeroute.transport.traffic import Traffic, TrafficCounter
 from tests.sim.cluster import Sim
 from tests.sim.world import Node
@@ -44,8 +45,8 @@
 def test_a_value_that_is_missing_is_named(sim: Sim) -> None:
     sim.settle()
     state = sim.exchanges[0].state("replica")
-    newer = {name: replace(copy, version=copy.version + 1, digest="other")
-             for name, copy in state.target.items() if name == FLOOR}  # fmt: skip
-    text = overdue_text(replace(state, target=Map(newer)), Ms(state.proved_ms + 2_500))
     here = state.here[FLOOR].copy.version
+    newer = replace(state.here[FLOOR].copy, version=here + 1, digest="other")
+    target = Target(Ms(state.proved_ms + 400), Map({FLOOR: newer}))
+    text = overdue_text(replace(state, targets=(target,)), Ms(state.proved_ms + 2_500))
     assert f"not here: {FLOOR} {here + 1} (here: {here})" in text
