Values are asked for once at a time: one member, and with growing patience

Whatever had not come yet was asked for again with each question (every 0.2 s without a proof), of all members after 0.9 s, and once more by fetches from members and neighbours; so what was late on a narrow link was sent again and again, and made everything later. One ask is open at a time now; the next waits for its answer or for a patience that doubles, and goes to the next member.

--- a/spokeroute/register/overdue.py
+++ b/spokeroute/register/overdue.py
@@ -24,6 +24,9 @@
     missing = _missing(state)
     if missing:
         parts.append(f"not here: {missing}")
+    ask = state.asks.open
+    if ask is not None:
+        parts.append(f"values asked of {ask.node} {now_ms - ask.sent_ms} ms ago")
     return "; ".join(parts)
 
 
--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -10,6 +10,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.register.cells import Roster
+from spokeroute.register.value_asks import ValueAsks
 from spokeroute.transport.messages import Copy, DemandReport, HeldReport, ProbeAck, Took
 
 
@@ -99,7 +100,7 @@
     targets: tuple[Target, ...] = ()  # since the newest proof, oldest first
     proved_ms: Ms = Ms(-1)
     reports: Reports = Reports((), ())
-    fetching_ms: Map[str, Ms] = field(default_factory=Map)
+    asks: ValueAsks = ValueAsks()
     compiling: str = ""
     probed_ms: Ms = Ms(0)  # when the last probe went out
     absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
