Placement tables and configurations go to the copies as patches of what they have

A change of one route or of ten instances sent the whole value to each node. Ruled out: changes as registers' values (a reader would need each of them), patches of compressed bytes (they share nothing).

--- a/spokeroute/register/acceptor_state.py
+++ b/spokeroute/register/acceptor_state.py
@@ -10,6 +10,7 @@
 from spokeroute.common.ids import MemberId, Ms
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.claim_ages import ClaimAges
+from spokeroute.register.earlier_values import EarlierValues
 from spokeroute.register.outage import FIRST_PAUSE_MS, Outage
 from spokeroute.register.store import DiskWrite
 
@@ -45,6 +46,7 @@
     quiet: bool = False  # it is about to end, and accepts nothing more
     ages: ClaimAges = ClaimAges()
     copied: Map[str, str] = field(default_factory=Map)  # under this epoch, while it joins
+    earlier: EarlierValues = EarlierValues()  # what patches for the copies elsewhere begin from
 
     @property
     def epoch(self) -> int:
--- a/spokeroute/register/probed.py
+++ b/spokeroute/register/probed.py
@@ -1,4 +1,5 @@
-"""A member's answer to a probe: the versions that it has synced, and small values."""
+"""A member's answer to a probe: the versions that it has synced, and what the asker lacks of their
+values, as patches where that is less."""
 
 from __future__ import annotations
 
@@ -7,7 +8,8 @@
 from spokeroute.common.effects import Effects, Send
 from spokeroute.common.ids import SPREAD, NodeId
 from spokeroute.register.cells import EMPTY
-from spokeroute.transport.messages import FetchGot, Probe, ProbeAck
+from spokeroute.register.patches import make_patch
+from spokeroute.transport.messages import Copy, FetchAsk, FetchGot, Probe, ProbeAck, ValuePatch
 
 if TYPE_CHECKING:
     from spokeroute.register.acceptor_state import State
@@ -25,12 +27,44 @@
     if roster is None or not state.synced_votes:
         return ()
     copies = tuple(synced.get(name, EMPTY).named_by(state.me, name) for name in SPREAD)
-    values = tuple(
-        FetchGot(copy, synced[copy.name].value)
-        for copy in copies
-        if probe.values
-        and copy.version
-        and copy.digest not in probe.have
-        and len(synced[copy.name].value) <= INLINE_BYTES
-    )
-    return (Send(node, ProbeAck(probe.nonce, roster.epoch, copies, values, state.absent)),)
+    values: list[FetchGot] = []
+    patches: list[ValuePatch] = []
+    for copy in copies if probe.values else ():
+        if not copy.version or copy.digest in probe.have:
+            continue
+        patch = patch_for(state, probe.have, copy)
+        value = synced[copy.name].value
+        if patch is not None:
+            patches.append(patch)
+        elif len(value) <= INLINE_BYTES:
+            values.append(FetchGot(copy, value))
+    ack = ProbeAck(probe.nonce, roster.epoch, copies, tuple(values), state.absent, tuple(patches))
+    return (Send(node, ack),)
+
+
+def fetched(state: State, node: NodeId, ask: FetchAsk) -> Effects:
+    """The one value that is asked for, if this member has synced it.
+
+    Example:
+        fetched(state, NodeId("e1"), FetchAsk("floor", 7, digest))
+    """
+    cell = state.synced.get(ask.name, EMPTY)
+    if (cell.version, cell.digest) != (ask.version, ask.digest):
+        return ()
+    copy = cell.copy(ask.name)
+    return (Send(node, patch_for(state, ask.have, copy) or FetchGot(copy, cell.value)),)
+
+
+def patch_for(state: State, have: tuple[str, ...], copy: Copy) -> ValuePatch | None:
+    """A patch to a synced value from one that the asker has, if that one is still kept here.
+
+    Example:
+        patch_for(state, probe.have, copy)
+    """
+    value = state.synced[copy.name].value
+    for digest in have:
+        base = state.earlier.find(copy.name, digest)
+        patch = make_patch(copy.name, base, copy, value) if base else None
+        if patch is not None:
+            return patch
+    return None
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -101,7 +101,7 @@
             nonce=first_nonce(me.incarnation),
         ),
         replica.step,
-        takes=(m.ProbeAck, m.FetchGot, m.RosterNews),
+        takes=(m.ProbeAck, m.FetchGot, m.ValuePatch, m.RosterNews),
     )
     process.add("claims", claims.State(), claims.step, takes=(m.ClaimAsk,))
     process.add("operator", operator.State(me.node, bounds=start.bounds), operator.step)
--- /dev/null
+++ b/tests/test_patches.py
@@ -0,0 +1,144 @@
+"""Patches between versions of the large registers: small, exact, dropped where they don't fit."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spokeroute.common.ids import (
+    CONFIGURATION,
+    FLOOR,
+    Address,
+    Incarnation,
+    InstanceId,
+    NodeId,
+    ServiceName,
+    Term,
+    WorkerId,
+    ZoneName,
+)
+from spokeroute.dispatch.configuration import Configuration, document_of, read_configuration
+from spokeroute.dispatch.configuration_value import pack_configuration, unpack_configuration
+from spokeroute.dispatch.placement_table import UP, Floor, Placed, pack_floor, unpack_floor
+from spokeroute.register.cells import digest_of
+from spokeroute.register.earlier_values import KEPT_BYTES, KEPT_VALUES, EarlierValues
+from spokeroute.register.patches import apply_patch, make_patch, runs_of
+from spokeroute.register.stamps import NUMBER, Made, number_of, stamped
+from spokeroute.transport.messages import Copy, ValuePatch
+from tests.test_narrow_links import wide
+
+LINES = st.lists(st.sampled_from([b"a\n", b"b\n", b"c\n", b"d\n", b"\n", b"no end"]), max_size=12)
+
+
+def placed(number: int, state: str = UP) -> Placed:
+    draw = random.Random(number)
+    return Placed(
+        InstanceId(f"f{number}-1-{number}"), ServiceName(f"f{number}"), WorkerId(f"w{number % 20}"),
+        ZoneName("north"), Address(f"10.1.{number // 250}.{number % 250}:8000"), 1, state, True,
+        True, NodeId(f"ex{number % 60}"), Incarnation(number % 60 + 10**12),
+        f"i-{draw.getrandbits(40):010x}", Address(f"10.0.0.{number % 60}:7000"),
+    )  # fmt: skip
+
+
+def table(sequence: int, changed: int = 0) -> bytes:
+    rows = tuple(placed(number, "draining" if number < changed else UP) for number in range(600))
+    return pack_floor(Floor(Term(3), sequence, rows))
+
+
+def copy_of(name: str, value: bytes) -> Copy:
+    return Copy(name, 2, digest_of(value), 2, "m1")
+
+
+def patched(name: str, base: bytes, value: bytes) -> ValuePatch:
+    patch = make_patch(name, base, copy_of(name, value), value)
+    assert patch is not None
+    return patch
+
+
+def test_a_change_of_some_instances_takes_a_fraction_of_the_table() -> None:
+    base, value = table(1), table(2, changed=10)
+    patch = patched(FLOOR, base, value)
+    assert apply_patch(patch, base) == value
+    assert len(patch.runs) < len(value) / 15
+    assert unpack_floor(value).instances[0].state == "draining"
+
+
+def configured(number: int, timeout_ms: int) -> bytes:
+    doc = wide("wide", timeout_ms)
+    read = read_configuration(json.dumps(doc).encode(), ())
+    assert isinstance(read, Configuration)
+    return pack_configuration(read, f"order-{number}", number, json.dumps(doc))
+
+
+def test_a_change_of_one_route_takes_a_fraction_of_the_configuration() -> None:
+    """Also with the orders that are remembered behind it, and the number before it."""
+    base = stamped(configured(7, 4_000), b"", Made("order-7", 1, "c1"))
+    value = stamped(configured(9, 5_000), base, Made("order-9", 2, "c2"))
+    patch = patched(CONFIGURATION, base, value)
+    got = apply_patch(patch, base)
+    assert got == value and number_of(got) == 9
+    assert len(patch.runs) + len(patch.tail) < len(value) / 15
+    assert json.loads(document_of(got)) == wide("wide", 5_000)
+    assert unpack_configuration(got)[0]["routes"][0]["timeoutMs"] == 5_000
+
+
+def test_a_document_reads_back_byte_for_byte() -> None:
+    for document in ("", "{}", '{"a": [{"b": "},{"},\n {"c": 1} ]}', "},},"):
+        read = read_configuration(json.dumps(wide("w")).encode(), ())
+        assert isinstance(read, Configuration)
+        assert document_of(pack_configuration(read, "a", 1, document)) == document
+
+
+@pytest.mark.parametrize("damage", ["base", "runs", "head", "digest", "name"])
+def test_a_patch_that_does_not_fit_brings_nothing(damage: str) -> None:
+    base, value = table(1), table(2, changed=3)
+    patch = patched(FLOOR, base, value)
+    other = table(3, changed=5)
+    bad = {
+        "base": replace(patch, base=digest_of(other)),
+        "runs": replace(patch, runs=patch.runs[:-3]),
+        "head": replace(patch, head=b"x"),
+        "digest": replace(patch, copy=replace(patch.copy, digest=digest_of(other))),
+        "name": replace(patch, copy=replace(patch.copy, name="roster")),
+    }[damage]
+    assert apply_patch(bad, base) is None
+    assert apply_patch(patch, other) is None
+
+
+def test_nothing_is_patched_where_the_whole_is_shorter_or_packed_otherwise() -> None:
+    base = table(1)
+    assert make_patch(FLOOR, base, copy_of(FLOOR, b""), b"") is None
+    few = pack_floor(Floor(Term(3), 2, (placed(900),)))
+    assert make_patch(FLOOR, base, copy_of(FLOOR, few), few) is None
+    assert make_patch("roster", b"{}", copy_of("roster", b"[]"), b"[]") is None
+    otherwise = NUMBER.pack(3) + configured(3, 4_000)[NUMBER.size :] + b"tail"
+    assert apply_patch(patched(CONFIGURATION, configured(2, 4_000), otherwise),
+                       configured(2, 4_000)) == otherwise  # fmt: skip
+
+
+@given(LINES, LINES)
+def test_runs_make_the_target_of_any_base(base: list[bytes], target: list[bytes]) -> None:
+    old, new = b"".join(base), b"".join(target)
+    lines = old.splitlines(keepends=True)
+    made = b"".join(
+        b"".join(lines[first : first + count]) + text for first, count, text in runs_of(old, new)
+    )
+    assert made == new
+
+
+def test_earlier_values_are_bounded_by_count_and_by_bytes() -> None:
+    kept = EarlierValues()
+    for number in range(3 * KEPT_VALUES):
+        kept = kept.noted(FLOOR, str(number), b"value")
+    assert len(kept.kept) == KEPT_VALUES and not kept.find(FLOOR, "0")
+    assert kept.find(FLOOR, str(3 * KEPT_VALUES - 1)) == b"value"
+    assert not kept.find(CONFIGURATION, str(3 * KEPT_VALUES - 1))
+    large = bytes(KEPT_BYTES // 2)
+    for number in range(5):
+        kept = kept.noted(CONFIGURATION, f"large {number}", large)
+    assert kept.size_bytes <= KEPT_BYTES and kept.find(CONFIGURATION, "large 4")
