Exchanges report what changed of the instances that they hold, to each member since its last answer

A member now gets what changed since the question that its present life answered; what it can't place it leaves alone until a whole report comes. Ruled out: reports to the role's holder alone (a successor would begin without them).

--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -10,6 +10,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.register.cells import Roster
+from spokeroute.register.report_changes import ReportChanges
 from spokeroute.register.value_asks import ValueAsks
 from spokeroute.transport.messages import Copy, DemandReport, HeldReport, ProbeAck, Took
 
@@ -101,6 +102,7 @@
     proved_ms: Ms = Ms(-1)
     reports: Reports = Reports((), ())
     asks: ValueAsks = ValueAsks()
+    changes: ReportChanges = ReportChanges()
     compiling: str = ""
     probed_ms: Ms = Ms(0)  # when the last probe went out
     absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
