LAAF's lists are pushed as changes since the last push, and encoded once for all exchanges

The lists of all functions went whole to each exchange each second and at each run of LAAF, and were encoded anew for each of them. A push is now one message with what changed since the one before; who did not get that one asks for whole lists. A message that goes to many nodes is encoded once. Ruled out: asking for lists with probes (they are pushed ahead of failures by design). Tests: any sequence of pushes with some missed gives the lists whole.

--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placing.py
@@ -11,6 +11,7 @@
 from spokeroute.common.ids import FLOOR, Ms, NodeId, WorkerId
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Picture, Ranking, Shift
+from spokeroute.dispatch.list_push import Pushed
 from spokeroute.dispatch.listing import Sighting, sightings_of
 from spokeroute.dispatch.placement_table import (
     NO_FLOOR,
@@ -73,6 +74,7 @@
     sequence: int = 0
     ranked_ms: Ms = Ms(-(10**6))
     pushed_ms: Ms = Ms(0)
+    pushed: Pushed = Pushed()
     shifts: tuple[Shift, ...] = ()
     shifted_ms: Map[tuple[str, str], int] = field(default_factory=Map)
     draws: int = 0
--- a/spokeroute/dispatch/steering.py
+++ b/spokeroute/dispatch/steering.py
@@ -5,14 +5,14 @@
 from dataclasses import replace
 
 from spokeroute.common.effects import Effect, Effects, Send
-from spokeroute.common.ids import CONFIGURATION, Ms
+from spokeroute.common.ids import CONFIGURATION, Ms, NodeId
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Limits, Picture, laaf, rome
+from spokeroute.dispatch.list_push import ListsHead, push, whole_lists
 from spokeroute.dispatch.placing import State, record_in, resting, seats_of
 from spokeroute.dispatch.reports import exchanges_of, live_holders, means_of, suspects_of
 from spokeroute.dispatch.sense import picture
 from spokeroute.ledger.entries import Record, picture_doc, ranking_doc
-from spokeroute.transport.messages import Lists, Successors
 
 RERANK_MS = 1_000
 PUSH_MS = 1_000
@@ -57,17 +57,31 @@
             state = replace(state, shifts=relief.shifts, shifted_ms=shifted)
     elif now_ms - state.pushed_ms < PUSH_MS:
         return state, tuple(effects)
-    lists = Lists(
+    holders = live_holders(state.reports, now_ms)
+    pushed, sends = push(_head(state, now_ms), state.pushed, state.rankings, holders)
+    effects.extend(sends)
+    return replace(state, pushed=pushed, pushed_ms=now_ms), tuple(effects)
+
+
+def _head(state: State, now_ms: Ms) -> ListsHead:
+    return ListsHead(
         state.term,
         state.sequence,
         state.versions.get(CONFIGURATION, 0),
-        0,
-        tuple(Successors(r.service, r.worker, r.instances) for r in state.rankings),
         exchanges_of(state.reports, now_ms),
     )
-    state = replace(state, pushed_ms=now_ms)
-    effects.extend(Send(n, lists) for n in sorted(live_holders(state.reports, now_ms)))
-    return state, tuple(effects)
+
+
+def whole_again(state: State, node: NodeId, now_ms: Ms) -> tuple[State, Effects]:
+    """An exchange missed a push: it gets the lists of the last one whole.
+
+    Example:
+        state, effects = whole_again(state, NodeId("ex1"), now_ms)
+    """
+    if not state.term or state.pushed.term != state.term:
+        return state, ()
+    head = replace(_head(state, now_ms), sequence=state.pushed.sequence)
+    return state, (Send(node, whole_lists(head, state.pushed.rankings)),)
 
 
 def _moved(state: State, now: Picture, trigger_pct: float, now_ms: Ms) -> bool:
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -115,7 +115,7 @@
     process.add(
         "placement",
         placement.State(me.node, frozenset((me.node,)), bounds=start.bounds), placement.step,
-        takes=(m.Probe, m.HeldWord),
+        takes=(m.Probe, m.HeldWord, m.ListsAsk),
     )  # fmt: skip
     others = tuple(x for x in ids if x != member)
     process.add(
--- /dev/null
+++ b/tests/test_list_push.py
@@ -0,0 +1,104 @@
+"""Successor lists go out as changes; an exchange that missed some asks for whole ones."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spokeroute.common.effects import Send
+from spokeroute.common.ids import Incarnation, Ms, NodeId
+from spokeroute.dispatch.flare import Ranking
+from spokeroute.dispatch.list_push import ListsHead, Pushed, push
+from spokeroute.exchange.successor_lists import ASK_AGAIN_MS, SuccessorLists, merged
+from spokeroute.transport.frames import Envelope, decode, encode
+from spokeroute.transport.messages import Lists, ListsAsk
+from tests.sim.cluster import Sim
+
+HOLDERS = {NodeId("ex1"): Incarnation(1), NodeId("ex2"): Incarnation(1)}
+RANKED = st.dictionaries(
+    st.tuples(st.sampled_from("abc"), st.sampled_from(["w1", "w2"])),
+    st.lists(st.sampled_from(["i1", "i2", "i3"]), max_size=3, unique=True).map(tuple),
+)
+
+
+def rankings(ranked: Mapping[tuple[str, str], tuple[str, ...]]) -> tuple[Ranking, ...]:
+    return tuple(Ranking(s, w, (), instances) for (s, w), instances in ranked.items())
+
+
+def lists_to(effects: list[object], node: str) -> Lists:
+    found = [e.message for e in effects if isinstance(e, Send) and e.to == node]
+    assert len(found) == 1 and isinstance(found[0], Lists)
+    return found[0]
+
+
+@given(st.lists(st.tuples(RANKED, st.booleans()), min_size=1, max_size=12))
+def test_who_got_each_push_or_asked_has_the_whole_lists(
+    pushes: list[tuple[dict[tuple[str, str], tuple[str, ...]], bool]],
+) -> None:
+    pushed, held, heard = Pushed(), SuccessorLists(), SuccessorLists()
+    for sequence, (ranked, comes) in enumerate(pushes):
+        now_ms = Ms(ASK_AGAIN_MS * sequence)
+        head = ListsHead(1, sequence, 1, 2)
+        pushed, effects = push(head, pushed, rankings(ranked), HOLDERS)
+        fit = {key: instances for key, instances in ranked.items() if instances}
+        heard, ask = merged(heard, lists_to([*effects], "ex1"), now_ms)
+        assert ask is None and dict(heard.ranked) == fit
+        if not comes:
+            continue
+        held, ask = merged(held, lists_to([*effects], "ex2"), now_ms)
+        if ask is None:
+            assert dict(held.ranked) == fit and held.sequence == sequence
+        else:
+            assert ask == ListsAsk(held.term, held.sequence)
+            whole = push(head, Pushed(), rankings(ranked), HOLDERS)[1]
+            held, ask = merged(held, lists_to([*whole], "ex2"), now_ms)
+            assert ask is None and dict(held.ranked) == fit
+
+
+def test_only_what_changed_goes_to_those_who_were_told() -> None:
+    many = {(f"s{number}", "w1"): (f"i{number}",) for number in range(100)}
+    pushed, effects = push(ListsHead(1, 1, 1, 2), Pushed(), rankings(many), HOLDERS)
+    assert len(lists_to([*effects], "ex1").successors) == 100
+    changed = {**many, ("s3", "w1"): ("i9",)}
+    del changed["s4", "w1"]
+    born = {NodeId("ex1"): Incarnation(1), NodeId("ex2"): Incarnation(2)}
+    _, effects = push(ListsHead(1, 2, 1, 2), pushed, rankings(changed), born)
+    news = lists_to([*effects], "ex1")
+    assert news.base == 1
+    assert {(s.service, s.ranked) for s in news.successors} == {("s3", ("i9",)), ("s4", ())}
+    assert lists_to([*effects], "ex2").base == -1  # another life has none
+
+
+def test_changes_of_lists_that_are_not_here_are_asked_for_now_and_then() -> None:
+    news = Lists(2, 9, 1, 0, (), 3, 8)
+    held, ask = merged(SuccessorLists(), news, Ms(1_000))
+    assert ask == ListsAsk(0, -1) and held.sequence == -1
+    assert merged(held, news, Ms(1_100))[1] is None
+    assert merged(held, news, Ms(1_000 + ASK_AGAIN_MS))[1] == ask
+
+
+def test_an_exchange_that_was_cut_off_has_the_lists_again(sim: Sim) -> None:
+    sim.settle()
+    lone = sim.exchanges[0]
+    sim.traffic(60, 12_000)
+    sim.run(2_000)
+    sim.net.cuts |= {(each.name, lone.name) for each in sim.registries}
+    sim.run(1_500)
+    sim.net.cuts.clear()
+    sim.run(3_000)
+    lists = [node.state("calls").lists for node in sim.exchanges]
+    holder = max(sim.registries, key=lambda each: int(each.state("placement").term))
+    now = {(r.service, r.worker): r.instances
+           for r in holder.state("placement").pushed.rankings if r.instances}  # fmt: skip
+    assert now and {each.sequence for each in lists} == {holder.state("placement").pushed.sequence}
+    assert all(dict(each.ranked) == now for each in lists)
+
+
+def test_a_message_to_many_is_the_same_bytes_to_each() -> None:
+    news, other = Lists(2, 9, 1, 0, (), 3, 8), Lists(2, 10, 1, 0, (), 3, 9)
+    for message in (news, news, other, news):
+        for node in ("ex1", "a longer name"):
+            frame = encode(Envelope("m1", 7, "h:1", node, message))
+            assert decode(frame) == Envelope("m1", 7, "h:1", node, message)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -19,6 +19,7 @@
 from spokeroute.exchange import calls, entry
 from spokeroute.exchange.budget import WINDOW_MS, Budget
 from spokeroute.exchange.pick import pick
+from spokeroute.exchange.successor_lists import SuccessorLists, merged
 from spokeroute.exchange.types import LISTS_AGE_MS, Attempt, Call, CallIn, Phase, Tables
 from spokeroute.ledger.entries import Record, entry_text, picture_doc
 from spokeroute.ledger.replay import replay
@@ -48,10 +49,11 @@
 def test_the_head_that_is_still_fit_takes_over() -> None:
     """The list's order decides, not the floor's; what is not fit any more is passed over."""
     here = [placed("a", "w1"), placed("b", "w2"), placed("c", "w3"), placed("d", "w4")]
-    lists = Lists(1, 1, 1, 0, (Successors("s", "w1", ("d", "c", "b")),))
+    pushed = Lists(1, 1, 1, 0, (Successors("s", "w1", ("d", "c", "b")),))
+    lists, _ = merged(SuccessorLists(), pushed, Ms(0))
 
     def head(now: Tables, shunned_ms: dict[str, int], now_ms: int = 0) -> tuple[str, str]:
-        got = pick(failed_on("w1", "a"), now, lists, 0, {}, shunned_ms, "ex1", now_ms)
+        got = pick(failed_on("w1", "a"), now, lists, {}, shunned_ms, "ex1", now_ms)
         assert got is not None
         return got.placed.id, got.rule
 
@@ -66,14 +68,16 @@
 
 def test_lists_of_an_older_term_or_sequence_are_dropped() -> None:
     state = entry.State(NodeId("ex1"), 1, Budget(0))
-    first = Lists(2, 5, 1, 0, ())
+    first = Lists(2, 5, 1, 0, (Successors("s", "w1", ("first",)),))
     state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), first), Ms(10))
-    for old in (Lists(1, 9, 1, 0, ()), Lists(2, 4, 1, 0, ())):
+    kept = state.lists
+    assert (kept.term, kept.sequence, kept.of("s", "w1")) == (2, 5, ("first",))
+    for old in (Lists(1, 9, 1, 0, ()), Lists(2, 4, 1, 0, ()), Lists(2, 4, 1, 0, (), 3, 3)):
         state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), old), Ms(20))
-        assert state.lists == first
-    newer = Lists(3, 1, 1, 0, ())
+        assert state.lists == kept
+    newer = Lists(3, 1, 1, 0, (Successors("s", "w1", ("newer",)),))
     state, _ = calls.step(state, From(NodeId("m"), Incarnation(1), newer), Ms(30))
-    assert state.lists == newer
+    assert (state.lists.term, state.lists.of("s", "w1")) == (3, ("newer",))
 
 
 def test_second_sends_stay_within_the_share() -> None:
