--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -39,26 +39,35 @@
     aim_ms = seen.table.aim_ms.get(service.name, 0)
     wanted = wanted_of(service, demand, running, seen.now_ms, aim_ms)
     total = wanted + spares_of(service, demand, wanted, seen.now_ms, aim_ms)
-    inputs: dict[str, object] = {
-        "service": service.to_dict(),
-        "level": demand.level,
-        "waiting": demand.waiting,
-        "idleForMs": seen.now_ms - demand.last_arrival_ms,
-        "gapMs": demand.gap_ms,
-        "have": len(here),
-        "up": running,
-        "aimMs": aim_ms,
-    }
     if len(here) < total:
+        inputs = _inputs(work, service, demand, here, running)
         _start(work, service, here, wanted, total, inputs)
     elif len(here) > total:
         work.surplus.add(service.name)
         since_ms = seen.now_ms - seen.surplus_ms.get(service.name, seen.now_ms)
         if since_ms >= min(SURPLUS_MS, patience_ms(service, demand)):
+            inputs = _inputs(work, service, demand, here, running)
             _drain(work, here, len(here) - total, wanted, inputs)
     _route(work, service, up, wanted)
 
 
+def _inputs(
+    work: Pass, service: Service, demand: Demand, here: list[Placed], running: int
+) -> dict[str, object]:
+    """What a decision on a service looked at, for its ledger entry."""
+    seen = work.seen
+    return {
+        "service": service.to_dict(),
+        "level": demand.level,
+        "waiting": demand.waiting,
+        "idleForMs": seen.now_ms - demand.last_arrival_ms,
+        "gapMs": demand.gap_ms,
+        "have": len(here),
+        "up": running,
+        "aimMs": seen.table.aim_ms.get(service.name, 0),
+    }
+
+
 def _start(
     work: Pass,
     service: Service,
--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -88,12 +88,39 @@
     surplus: frozenset[str]
 
 
+class Instances(dict[InstanceId, Placed]):
+    """Instances by id, in order, that can be found by their service."""
+
+    def __init__(self, instances: tuple[Placed, ...]) -> None:
+        super().__init__()
+        self._by_service: dict[str, dict[InstanceId, None]] = {}
+        for placed in instances:
+            self[placed.id] = placed
+
+    def __setitem__(self, name: InstanceId, placed: Placed) -> None:
+        super().__setitem__(name, placed)
+        self._by_service.setdefault(placed.service, {})[name] = None
+
+    def __delitem__(self, name: InstanceId) -> None:
+        del self._by_service[self[name].service][name]
+        super().__delitem__(name)
+
+    def of(self, service: str) -> list[Placed]:
+        """A service's instances, in order.
+
+        Example:
+            >>> Instances(()).of("readings")
+            []
+        """
+        return [self[name] for name in self._by_service.get(service, ())]
+
+
 class Pass:
     """A pass's workbook; it lives for one call of ``plan`` and no longer."""
 
     def __init__(self, floor: Floor, seen: Seen) -> None:
         self.seen = seen
-        self.now: dict[InstanceId, Placed] = {p.id: p for p in floor.instances}
+        self.now = Instances(floor.instances)
         self.decisions: list[Decision] = []
         self.surplus: set[str] = set()
         self.started = 0
@@ -104,7 +131,7 @@
 
     def of(self, service: str) -> list[Placed]:
         """A service's instances, as this pass has them."""
-        return [p for p in self.now.values() if p.service == service]
+        return self.now.of(service)
 
 
 def identity_of(placed: Placed) -> str:
