Listings keep to the rate that the platform takes from all nodes together

cloud-api.rate-per-s was read and never heeded: each registry read all pages every 0.4 s, which five members with four calls a listing turn into 50 calls a second of 52 allowed, and what is over is refused, so that the whole listing fails. A reader now waits as long as its calls, times the readers, take of four fifths of the rate; small fleets are as fast as before.

--- a/spokeroute/common/bounds.py
+++ b/spokeroute/common/bounds.py
@@ -32,6 +32,8 @@
     starts_burst: float = 15.0
     list_ms: int = 400
     """How often the placement role reads the platform's listing."""
+    list_calls_per_s: float = 0.0
+    """How many calls for listings the platform takes from all nodes together; 0: any number."""
     listing_lag_ms: int = 500
     """How late the platform's listing may be."""
     catch_up_ms: int = 6_000
--- a/spokeroute/dispatch/listing.py
+++ b/spokeroute/dispatch/listing.py
@@ -11,6 +11,7 @@
 
 from immutables import Map
 
+from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Ms
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, UP, Floor, Placed
 from spokeroute.dispatch.plan import LISTED_ENDED, LOST_AFTER_LISTINGS, going
@@ -18,6 +19,7 @@
 from spokeroute.dispatch.workbook import identity_of
 
 ORPHAN_MS = 10_000
+RATE_SHARE = 0.8  # of the platform's rate: pages grow in number, and members are replaced
 LATE_LAGS = 2  # a listing this many times later than the platform promises is not reckoned with
 LATE_PLUS_MS = 200
 
@@ -31,6 +33,20 @@
     missing: int = 0  # newer listings in a row that lack it
 
 
+def list_pause_ms(bounds: Bounds, calls: int, readers: int) -> int:
+    """How long a reader waits from one listing to the next, so that all of them together keep to
+    the rate that the platform takes.
+
+    Example:
+        >>> list_pause_ms(Bounds(list_ms=400, list_calls_per_s=25.0), 4, 5)
+        1000
+    """
+    if bounds.list_calls_per_s <= 0:
+        return bounds.list_ms
+    pause_ms = 1000 * calls * max(1, readers) / (RATE_SHARE * bounds.list_calls_per_s)
+    return max(bounds.list_ms, int(pause_ms))
+
+
 def sightings_of(
     floor: Floor, listing: PlatformListed, old: Map[str, Sighting], lag_ms: int, now_ms: int
 ) -> Map[str, Sighting]:
--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placing.py
@@ -52,6 +52,7 @@
     listing_ms: Ms = Ms(-(10**6))
     list_asked: bool = False
     list_asked_ms: Ms = Ms(-(10**6))
+    list_calls: int = 1  # of the platform, that the last listing took
     sightings: Map[str, Sighting] = field(default_factory=Map)
     bare: int = 0  # listings in a row that lacked everything
     orphan_ms: Map[str, int] = field(default_factory=Map)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -110,6 +110,8 @@
     assert settings.seeds == ("10.1.0.38:7160", "10.2.0.44:7160", "10.3.0.9:7160")
     assert settings.found and settings.bounds.grace_ms == 6_000
     assert settings.bounds.starts_per_s + settings.bounds.starts_burst < 120
+    rated = settings_of(read_lines(LINES + "cloud-api.rate-per-s=52.0\n"))
+    assert rated.bounds.list_calls_per_s == 52.0
     for line, named in (
         ("ip-address=nowhere", "ip-address"), ("zone=", "zone"),
         ("internal-port-range=9", "internal-port-range"), ("bounds.grace-s=soon", "bounds.grace-s"),
