--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,12 +8,20 @@
 import pytest
 
 from spokeroute.common.ids import Address, Ms, NodeId
+from spokeroute.transport import net
 from spokeroute.transport.call_messages import (
     Forward,
     Ping,
 )
 from spokeroute.transport.frames import Envelope, cut, decode, encode
-from spokeroute.transport.net import CONNECT_MS, MAX_OUT_BYTES, Loop, Wire, attempts_in
+from spokeroute.transport.net import (
+    CONNECT_MS,
+    LARGE_BYTES,
+    MAX_OUT_BYTES,
+    Loop,
+    Wire,
+    attempts_in,
+)
 
 OLD = Ms(CONNECT_MS + 100)
 
@@ -101,3 +109,21 @@
     monkeypatch.setattr(told.loop, "_connect", lambda address: None)
     told.loop.send(told.address, frame("c1.0"))
     assert told.lost == [("ex2", False, frozenset({"c1.0"}))]
+
+
+def test_peers_that_keep_up_with_nothing_do_not_take_the_memory(
+    told: Told, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each stays under its own bound; together they don't, and the one with most is given up."""
+    monkeypatch.setattr(net, "MOST_WAITING_BYTES", 8 * LARGE_BYTES)
+    body = b"x" * (LARGE_BYTES + 1)
+    others = [socket.create_server(("127.0.0.1", 0)) for _ in range(4)]
+    addresses = [Address(f"127.0.0.1:{other.getsockname()[1]}") for other in others]
+    for number, address in enumerate(addresses):
+        told.loop.books = ({**told.loop.books[0], NodeId(f"o{number}"): address},)
+        for turn in range(3 if number == 2 else 2):
+            told.loop.send(address, frame(f"{number}.{turn}", body))
+    assert [(name, len(unsent)) for name, _, unsent in told.lost] == [("o2", 3)]
+    assert sum(wire.out_bytes for wire in told.loop.out.values()) <= 8 * LARGE_BYTES
+    for other in others:
+        other.close()
