--- a/spokeroute/register/patches.py
+++ b/spokeroute/register/patches.py
@@ -28,13 +28,14 @@
 
 
 @lru_cache(maxsize=PATCHES_KEPT)
-def make_patch(name: str, base: bytes, target: Copy, value: bytes) -> ValuePatch | None:
-    """What makes a target's value of a base's; None where the whole value is the better way.
+def make_patch(digest: str, base: bytes, target: Copy, value: bytes) -> ValuePatch | None:
+    """What makes a target's value of a base's, which has this digest; None where the whole value is
+    the better way.
 
     Example:
-        make_patch("floor", base, copy, value).base == digest_of(base)
+        make_patch(digest_of(base), base, copy, value).base == digest_of(base)
     """
-    head_bytes = HEAD_BYTES.get(name)
+    head_bytes = HEAD_BYTES.get(target.name)
     if head_bytes is None or not base or not value:
         return None
     old, new = open_packed(base, head_bytes), open_packed(value, head_bytes)
@@ -44,7 +45,7 @@
     packed = pack(json.dumps(rows, separators=(",", ":")).encode())
     if len(packed) > MOST_SHARE * len(value):
         return None
-    return ValuePatch(target, digest_of(base), new.head, packed, new.tail)
+    return ValuePatch(target, digest, new.head, packed, new.tail)
 
 
 @lru_cache(maxsize=VALUES_KEPT)
@@ -82,7 +83,7 @@
     """The target's value; None where the patch is not of this base, or can't be read.
 
     Example:
-        apply_patch(make_patch("floor", base, copy, value), base) == value
+        apply_patch(make_patch(digest_of(base), base, copy, value), base) == value
     """
     head_bytes = HEAD_BYTES.get(patch.copy.name)
     if head_bytes is None or digest_of(base) != patch.base:
--- a/spokeroute/register/probed.py
+++ b/spokeroute/register/probed.py
@@ -64,7 +64,7 @@
     value = state.synced[copy.name].value
     for digest in have:
         base = state.earlier.find(copy.name, digest)
-        patch = make_patch(copy.name, base, copy, value) if base else None
+        patch = make_patch(digest, base, copy, value) if base else None
         if patch is not None:
             return patch
     return None
--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -55,7 +55,7 @@
 
 
 def patched(name: str, base: bytes, value: bytes) -> ValuePatch:
-    patch = make_patch(name, base, copy_of(name, value), value)
+    patch = make_patch(digest_of(base), base, copy_of(name, value), value)
     assert patch is not None
     return patch
 
@@ -112,10 +112,10 @@
 
 def test_nothing_is_patched_where_the_whole_is_shorter_or_packed_otherwise() -> None:
     base = table(1)
-    assert make_patch(FLOOR, base, copy_of(FLOOR, b""), b"") is None
+    assert make_patch("d", base, copy_of(FLOOR, b""), b"") is None
     few = pack_floor(Floor(Term(3), 2, (placed(900),)))
-    assert make_patch(FLOOR, base, copy_of(FLOOR, few), few) is None
-    assert make_patch("roster", b"{}", copy_of("roster", b"[]"), b"[]") is None
+    assert make_patch("d", base, copy_of(FLOOR, few), few) is None
+    assert make_patch("d", b"{}", copy_of("roster", b"[]"), b"[]") is None
     otherwise = NUMBER.pack(3) + configured(3, 4_000)[NUMBER.size :] + b"tail"
     assert apply_patch(patched(CONFIGURATION, configured(2, 4_000), otherwise),
                        configured(2, 4_000)) == otherwise  # fmt: skip
