Promises leave out the value that their proposer has: it wrote it itself, most of the time

Each change of the placement table (up to some 20 a second by one proposer) brought that proposer the whole table from each other member before it wrote the next, across zones. A prepare names the digest of the value that its proposer knows, and a promise of that very value comes without it; one that can't be filled in counts as lost. Ruled out: accepts as patches (a member without the base could not vote). The model checker's runs and planted faults pass as before.

--- a/spokeroute/register/rounds.py
+++ b/spokeroute/register/rounds.py
@@ -9,6 +9,7 @@
 from spokeroute.common.ids import Ballot, MemberId, Ms, NodeId
 from spokeroute.register.cells import Roster
 from spokeroute.register.changes import Ask
+from spokeroute.register.known_values import KnownValues
 from spokeroute.transport.messages import Copy, Promise
 
 ROUND_MS = 400
@@ -59,6 +60,7 @@
     round_ms: int = ROUND_MS  # how long a round may take: learned, as disks may be slow
     heard: Map[str, tuple[int, Ms]] = field(default_factory=Map)  # which life, and when
     draws: int = 0
+    known: KnownValues = field(default_factory=Map)
 
 
 def start(me: MemberId, seed: int, roster: Roster | None, life: int) -> State:
