Probes between two turns ask as many members as make a proof, the one that places among them

Where calls wait for an instance, which at hundreds of rare functions some always do, exchanges probe up to 25 times a second; each went to all five members and was answered by all. Between two full turns (0.4 s) they go to a majority now: the member that places (known by the lists that it pushes), then those of the own zone. A proof that does not come within a turn has all of them asked again.

--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -42,6 +42,7 @@
     leaving: bool = False
     busy: tuple[str, ...] = ()
     within_ms: int = 0  # calls wait for an instance: the next probe comes this soon; 0: in turn
+    placement: NodeId = NodeId("")  # the member that places, as far as this process knows
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +116,7 @@
     changes: ReportChanges = ReportChanges()
     compiling: str = ""
     probed_ms: Ms = Ms(0)  # when the last probe went out
+    all_probed_ms: Ms = Ms(-(10**6))  # when all members were asked last
     absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
     bounds: Bounds = Bounds()
     overdue: bool = False  # the newest proof is older than the lease, and this was noted
--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -9,6 +9,7 @@
 from spokeroute.ledger.writer import pack_share, unpack_share
 from spokeroute.register import replica
 from spokeroute.register.cells import Roster
+from spokeroute.register.replica import Reports
 from spokeroute.transport.messages import Copy, Probe, ProbeAck, ViewEntry
 from spokeroute.transport.peers import GossipHeard, ViewNow
 from tests.sim.cluster import Sim
@@ -130,3 +131,24 @@
     packed = pack_share(entries)
     assert unpack_share(packed) == entries
     assert len(packed) < sum(len(t) for _, t in entries) / 10
+
+
+def test_between_two_turns_only_as_many_are_asked_as_make_a_proof() -> None:
+    """Where calls wait for an instance, probes come up to 25 times a second."""
+    state = replace(with_roster(begun()), proved_ms=Ms(1_000), reports=Reports((), (), within_ms=40,
+                    placement=NodeId("m3")))  # fmt: skip
+    state, _ = beat(state, 1_010)
+    assert set(asked(state, 1_060)) == {"m2", "m3"}  # its zone's, and the one that places
+    anywhere = replace(state, reports=replace(state.reports, placement=NodeId("gone")))
+    assert len(asked(anywhere, 1_060)) == 2
+    assert set(asked(state, 1_410)) == {"m1", "m2", "m3"}  # in turn
+    unproved = replace(state, proved_ms=Ms(600))
+    assert set(asked(unproved, 1_060)) == {"m1", "m2", "m3"}  # one of the two may be gone
+
+
+def test_who_places_is_known_by_its_lists(sim: Sim) -> None:
+    sim.settle()
+    sim.run(2_000)
+    placing = [n for n in sim.registries if n.state("placement").term]
+    named = {n.state("replica").reports.placement for n in sim.exchanges}
+    assert len(placing) == 1 and named == {placing[0].state("placement").me}
