--- a/spokeroute/register/questions.py
+++ b/spokeroute/register/questions.py
@@ -1,4 +1,4 @@
-"""The questions that a process asks the members of the core: whom, how often, and what goes along."""
+"""What a process asks the members of the core: whom, how often, and what goes along."""
 
 from __future__ import annotations
 
