--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -4,7 +4,7 @@
 
 import json
 import random
-from dataclasses import replace
+from dataclasses import fields, replace
 
 import pytest
 from hypothesis import given
@@ -27,6 +27,7 @@
 from spokeroute.dispatch.placement_table import UP, Floor, Placed, pack_floor, unpack_floor
 from spokeroute.register.cells import digest_of
 from spokeroute.register.earlier_values import KEPT_BYTES, KEPT_VALUES, EarlierValues
+from spokeroute.register.packed import pack
 from spokeroute.register.patches import apply_patch, make_patch, runs_of
 from spokeroute.register.stamps import NUMBER, Made, number_of, stamped
 from spokeroute.transport.messages import Copy, ValuePatch
@@ -142,3 +143,17 @@
     for number in range(5):
         kept = kept.noted(CONFIGURATION, f"large {number}", large)
     assert kept.size_bytes <= KEPT_BYTES and kept.find(CONFIGURATION, "large 4")
+
+
+def test_a_table_reads_back_and_what_did_not_change_is_the_same_object() -> None:
+    for count in (0, 1, 600):
+        floor = Floor(Term(3), 9, tuple(placed(number) for number in range(count)))
+        assert unpack_floor(pack_floor(floor)) == floor
+    before, after = unpack_floor(table(1)), unpack_floor(table(2, changed=10))
+    same = sum(1 for a, b in zip(before.instances, after.instances, strict=True) if a is b)
+    assert same == 590 and before.instances[3] != after.instances[3]
+
+
+def test_a_table_that_was_packed_in_one_line_is_read_as_well() -> None:
+    rows = [[getattr(placed(1), field.name) for field in fields(Placed)]]
+    assert unpack_floor(pack(json.dumps([3, 9, rows]).encode())).instances == (placed(1),)
