Sight: processor time, compiles and stalls of the loop in a process's figures

The figures line in the ring log told traffic and the latest beat; whether a node's processor or its link is short could not be told from it. It now names the cores used, how many configurations were compiled and what that took; a loop that stalls for half a second writes the ring out, at most every 30 s. No logic is changed.

--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -94,7 +94,7 @@
         return may_end(process, settings.bounds, waited_ms)
 
     rereader = Rereader(process, ring, settings, read)
-    figures = Figures(process, loop, ring)
+    figures = Figures(process, loop, ring, world.compiled)
 
     def each_turn() -> None:
         rereader.look()
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from types import SimpleNamespace
 
+import pytest
 from immutables import Map
 
+from spokeroute import figures
 from spokeroute.common.ids import FLOOR, Ms
-from spokeroute.figures import told
+from spokeroute.figures import Figures, Work, WorkCounter, told
 from spokeroute.register.overdue import overdue_text
 from spokeroute.register.replica_state import Target
 from spokeroute.transport.traffic import Traffic, TrafficCounter
@@ -50,3 +53,56 @@
     target = Target(Ms(state.proved_ms + 400), Map({FLOOR: newer}))
     text = overdue_text(replace(state, targets=(target,)), Ms(state.proved_ms + 2_500))
     assert f"not here: {FLOOR} {here + 1} (here: {here})" in text
+
+
+def test_compiling_is_counted_with_its_processor_time() -> None:
+    counter = WorkCounter()
+    counter.count(0.25)
+    counter.count(0.5)
+    assert counter.taken() == Work(2, 0.75)
+    assert counter.taken() == Work()
+
+
+class Clock:
+    """The clocks that figures are reckoned by."""
+
+    def __init__(self) -> None:
+        self.now_s, self.used_s = 100.0, 1.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+    def process_time(self) -> float:
+        return self.used_s
+
+
+def figures_at(monkeypatch: pytest.MonkeyPatch, clock: Clock) -> tuple[Figures, list[str]]:
+    """Figures on a clock of the test's own, and what was written out as an alarm."""
+    monkeypatch.setattr(figures, "time", clock)
+    written: list[str] = []
+    ring = SimpleNamespace(note=lambda text, alarm: written.append(text) if alarm else None)
+    counters = SimpleNamespace(sent=TrafficCounter(), got=TrafficCounter())
+    loop = SimpleNamespace(out={})
+    made = Figures(counters, loop, ring, WorkCounter())  # type: ignore[arg-type]
+    return made, written
+
+
+def test_a_loop_that_stalls_writes_its_figures_out_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock()
+    made, written = figures_at(monkeypatch, clock)
+    made.compiled.count(0.3)
+    for gap_s in (0.02, 0.6, 2.0, 0.7, 2.0):
+        clock.now_s += gap_s
+        clock.used_s += gap_s / 4
+        made.look()
+    assert len(written) == 1
+    assert "beat_ms=2000 cores=0.250 compiled=1 in 300ms" in written[0]
+
+
+def test_beats_in_time_write_nothing_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock()
+    made, written = figures_at(monkeypatch, clock)
+    for _ in range(500):
+        clock.now_s += 0.02
+        made.look()
+    assert written == []
