--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -20,6 +20,7 @@
     "classes", "traffic", "workers", "troubles", "timing", "net", "discovery", "entry", "config",
     "tolerate", "bounds", "prices", "goal", "cloud", "day",
 }  # fmt: skip
+SERVICE = {"name", "servers", "copies", "slots", "queue", "conn_cap", "health", "function"}
 ENTRY = {
     "kind", "at", "for_s", "share", "count", "x", "gap_s", "how", "on", "zone", "class", "service",
 }  # fmt: skip
@@ -48,6 +49,7 @@
         assert {each["zone"] for each in site[part]} <= names
     assert {m["class"] for m in site["machines"]} == {"front", "core"}
     assert all(("disk" in m) == (m["class"] == "core") for m in site["machines"])
+    assert all(set(s) == SERVICE for s in site["services"])
     services = {s["name"] for s in site["services"]}
     assert {c["service"] for c in site["classes"]} == services
     classes = {c["name"] for c in site["classes"]}
--- a/tools/make_site.py
+++ b/tools/make_site.py
@@ -135,7 +135,7 @@
 
 def _service(each: Function) -> dict[str, Any]:
     return {
-        "name": each.name, "servers": [], "replica": each.services, "slots": each.slots,
+        "name": each.name, "servers": [], "copies": each.services, "slots": each.slots,
         "queue": 0, "conn_cap": each.connections, "health": False,
         "function": {"memory_mb": each.memory_mb, "boot_ms": spread(each.boot_ms, 0.3, 6.0)},
     }  # fmt: skip
