--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -13,7 +13,7 @@
 from spokeroute.common.answers import Answer, Ran
 from spokeroute.common.effects import SlotId
 from spokeroute.common.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
-from spokeroute.dispatch.configuration import build_table
+from spokeroute.dispatch.configuration import Table, build_table
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
@@ -30,12 +30,20 @@
 from spokeroute.transport.process import Me, Process
 from tests.sim import disk as disks
 from tests.sim.disk import SimDisk
+from tests.sim.processor import BEAT_MS, EVENT_MS, ROW_MS, Processor
 from tools.log import Down
 
 TICK_MS = 20
 Steps = Generator[Any, Any, None]
 
 
+def rows_of(table: Table) -> int:
+    """The routes and services that reading a table took."""
+    hosts = table.hosts.values()
+    routes = sum(len(host.exact) + len(host.prefixes) + len(host.below) for host in hosts)
+    return routes + len(table.services)
+
+
 class Node:
     """One process on its machine: the product's actors over simulated edges."""
 
@@ -57,6 +65,7 @@
         self.offset_ms = 0
         self.process: Process | None = None
         self.disk: SimDisk | None = None
+        self.processor: Processor | None = None  # None: as fast as need be
         self.backlog: list[Callable[[], None]] = []
         self.woken = self.env.event()
         self.slots: dict[int, Callable[[Answer], None]] = {}
@@ -118,8 +127,11 @@
     # the edges
 
     def _compile(self, actor: str, job: Compile, born: int) -> Steps:
-        yield self.env.timeout(5)
         table = build_table(Version(job.copy.version), job.copy.digest, job.value)
+        if self.processor is None:
+            yield self.env.timeout(5)
+        else:
+            yield from self.processor.run(ROW_MS * rows_of(table))
         self.report(actor, Compiled(job.copy, job.value, table), born)
 
     def report(self, actor: str, event: object, born: int) -> None:
@@ -134,7 +146,15 @@
         self.process.pump()
 
     def frame(self, data: bytes) -> None:
-        self._now(lambda: self._received(data))
+        if self.processor is None:
+            self._now(lambda: self._received(data))
+        else:
+            self.env.process(self._frame_in_turn(self.processor, data, self.births))
+
+    def _frame_in_turn(self, processor: Processor, data: bytes, born: int) -> Steps:
+        yield self.env.timeout(processor.done_ms(EVENT_MS) - self.env.now)
+        if self.births == born:
+            self._now(lambda: self._received(data))
 
     def _received(self, data: bytes) -> None:
         assert self.process is not None
@@ -255,6 +275,10 @@
                 yield self.woken
                 if self.births != born:
                     return
+            if self.processor is not None:
+                yield self.env.timeout(self.processor.done_ms(BEAT_MS) - self.env.now)
+                if self.births != born:
+                    return
             assert self.process is not None
             gap_ms = int(self.env.now - last_ms)
             last_ms = self.env.now
