--- a/tests/sim/processor.py
+++ b/tests/sim/processor.py
@@ -1,5 +1,5 @@
 """A simulated processor: a share of a core, on which a node's loop and its compile thread take
-turns. Costs are of a whole core, as measured with `tools` on the product's own code (2026-12-02)."""
+turns. Costs are of a whole core, as measured on the product's own code (2026-12-02)."""
 
 from __future__ import annotations
 
--- a/tests/sim/storms.py
+++ b/tests/sim/storms.py
@@ -38,7 +38,7 @@
 
 
 def wide_sim(seed: int, functions: int) -> Sim:
-    """Five members and four front nodes behind narrow links, which go by the first configuration."""
+    """Five members and four front nodes behind narrow links, under a first configuration."""
     bounds = Bounds(
         stale_ms=30_000, rejection_safe=True, stop_drains=True, starts_per_s=300.0,
         starts_burst=40.0, catch_up_ms=6_000, members=5,
--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -31,8 +31,9 @@
 from spokeroute.register.patches import apply_patch, make_patch, runs_of
 from spokeroute.register.stamps import NUMBER, Made, number_of, stamped
 from spokeroute.transport.messages import Copy, ValuePatch
-from tests.test_narrow_links import wide
+from tests.sim.storms import wide
 
+FUNCTIONS = 400
 LINES = st.lists(st.sampled_from([b"a\n", b"b\n", b"c\n", b"d\n", b"\n", b"no end"]), max_size=12)
 
 
@@ -70,7 +71,7 @@
 
 
 def configured(number: int, timeout_ms: int) -> bytes:
-    doc = wide("wide", timeout_ms)
+    doc = wide("wide", FUNCTIONS, timeout_ms)
     read = read_configuration(json.dumps(doc).encode(), ())
     assert isinstance(read, Configuration)
     return pack_configuration(read, f"order-{number}", number, json.dumps(doc))
@@ -84,13 +85,13 @@
     got = apply_patch(patch, base)
     assert got == value and number_of(got) == 9
     assert len(patch.runs) + len(patch.tail) < len(value) / 15
-    assert json.loads(document_of(got)) == wide("wide", 5_000)
+    assert json.loads(document_of(got)) == wide("wide", FUNCTIONS, 5_000)
     assert unpack_configuration(got)[0]["routes"][0]["timeoutMs"] == 5_000
 
 
 def test_a_document_reads_back_byte_for_byte() -> None:
     for document in ("", "{}", '{"a": [{"b": "},{"},\n {"c": 1} ]}', "},},"):
-        read = read_configuration(json.dumps(wide("w")).encode(), ())
+        read = read_configuration(json.dumps(wide("w", FUNCTIONS)).encode(), ())
         assert isinstance(read, Configuration)
         assert document_of(pack_configuration(read, "a", 1, document)) == document
 
--- a/tests/test_small_processors.py
+++ b/tests/test_small_processors.py
@@ -1,5 +1,5 @@
-"""Front nodes with a small share of a core, a thousand functions: what an operator changes again and
-again costs a node no more of its processor than it can spare."""
+"""Front nodes with a small share of a core, a thousand functions: what an operator changes again
+and again costs a node no more of its processor than it can spare."""
 
 from __future__ import annotations
 
