Configurations are compiled one at a time, the newest first, with rests between

Now after each comes a rest of four times as long (500 ms at most), and only the newest that came meanwhile is next; placement tables come on meanwhile (a probe names what it does not want). Weighed: a fixed pause (right for one size of configuration and processor only); a slower operator (refuses orders).

--- a/spokeroute/dispatch/table_reader.py
+++ b/spokeroute/dispatch/table_reader.py
@@ -60,6 +60,16 @@
         self._routes = Rows({})
         self._services = Rows({})
 
+    @property
+    def rows(self) -> int:
+        """How many rows the last table has.
+
+        Example:
+            >>> TableReader().rows
+            0
+        """
+        return len(self._routes.read) + len(self._services.read)
+
     @property
     def rows_read(self) -> int:
         """How many rows the last table took to read.
--- a/spokeroute/register/probed.py
+++ b/spokeroute/register/probed.py
@@ -30,7 +30,7 @@
     values: list[FetchGot] = []
     patches: list[ValuePatch] = []
     for copy in copies if probe.values else ():
-        if not copy.version or copy.digest in probe.have:
+        if not copy.version or copy.digest in probe.have or copy.name in probe.unwanted:
             continue
         patch = patch_for(state, probe.have, copy)
         value = synced[copy.name].value
--- /dev/null
+++ b/spokeroute/register/replica_jobs.py
@@ -0,0 +1,24 @@
+"""What the copies' core has done on an edge thread, and what comes of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from spokeroute.transport.messages import Copy
+
+
+@dataclass(frozen=True, slots=True)
+class Compile:
+    """A job for an edge thread: read a configuration into tables."""
+
+    copy: Copy
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Compiled:
+    """The tables of a configuration."""
+
+    copy: Copy
+    value: bytes
+    table: object
--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -10,28 +10,12 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Ballot, Ms, NodeId
 from spokeroute.register.cells import Roster
+from spokeroute.register.compile_queue import CompileQueue
 from spokeroute.register.report_changes import ReportChanges
 from spokeroute.register.value_asks import ValueAsks
 from spokeroute.transport.messages import Copy, DemandReport, HeldReport, ProbeAck, Took
 
 
-@dataclass(frozen=True, slots=True)
-class Compile:
-    """A job for an edge thread: read a configuration into tables."""
-
-    copy: Copy
-    value: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Compiled:
-    """The tables of a configuration."""
-
-    copy: Copy
-    value: bytes
-    table: object
-
-
 @dataclass(frozen=True, slots=True)
 class Reports:
     """From the calls' core: what goes to the core with the next probe."""
@@ -114,7 +98,7 @@
     back_ms: Ms = Ms(-(10**6))  # when members answered again after a silence of all of them
     asks: ValueAsks = ValueAsks()
     changes: ReportChanges = ReportChanges()
-    compiling: str = ""
+    compiles: CompileQueue = CompileQueue()
     probed_ms: Ms = Ms(0)  # when the last probe went out
     all_probed_ms: Ms = Ms(-(10**6))  # when all members were asked last
     absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
--- a/tests/sim/processor.py
+++ b/tests/sim/processor.py
@@ -14,6 +14,7 @@
 EVENT_MS = 0.25  # a frame: read, decided by, and what it tells the other actors
 BEAT_MS = 0.4
 ROW_MS = 0.008  # a route or a service that is read from its text
+KEPT_ROW_MS = 0.0025  # one that is kept: its part of patching, packing and unpacking the text
 
 
 class Processor:
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -30,7 +30,7 @@
 from spokeroute.transport.process import Me, Process
 from tests.sim import disk as disks
 from tests.sim.disk import SimDisk
-from tests.sim.processor import BEAT_MS, EVENT_MS, ROW_MS, Processor
+from tests.sim.processor import BEAT_MS, EVENT_MS, KEPT_ROW_MS, ROW_MS, Processor
 from tools.log import Down
 
 TICK_MS = 20
@@ -126,7 +126,8 @@
         if self.processor is None:
             yield self.env.timeout(5)
         else:
-            yield from self.processor.run(ROW_MS * reader.rows_read)
+            kept = reader.rows - reader.rows_read
+            yield from self.processor.run(ROW_MS * reader.rows_read + KEPT_ROW_MS * kept)
         self.report(actor, Compiled(job.copy, job.value, table), born)
 
     def report(self, actor: str, event: object, born: int) -> None:
--- /dev/null
+++ b/tests/test_compile_queue.py
@@ -0,0 +1,59 @@
+"""Compiling configurations: one at a time, the newest first, a bounded share of the time."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spokeroute.common.effects import Launch
+from spokeroute.common.ids import CONFIGURATION, Ms
+from spokeroute.register.compile_queue import MOST_REST_MS, RESTS, CompileQueue
+from spokeroute.register.replica_jobs import Compile
+from spokeroute.transport.messages import Copy
+
+SPAN_MS = 20_000
+
+
+def job(version: int) -> Compile:
+    return Compile(Copy(CONFIGURATION, version, f"d{version}", version, "m1"), b"value")
+
+
+def test_of_what_comes_during_a_compilation_only_the_newest_is_compiled() -> None:
+    queue, effects = CompileQueue().offered(job(1)).next(Ms(0))
+    assert effects == (Launch(job(1)),)
+    for version in (2, 4, 3):
+        queue, effects = queue.offered(job(version)).next(Ms(5))
+        assert effects == ()
+    assert queue.has("d1") and queue.has("d4") and not queue.has("d3")
+    queue = queue.ended("d1", Ms(10))
+    assert queue.next(Ms(10 + 10 * RESTS - 1))[1] == ()
+    assert queue.next(Ms(10 + 10 * RESTS))[1] == (Launch(job(4)),)
+
+
+def test_another_ones_end_frees_nothing() -> None:
+    queue, _ = CompileQueue().offered(job(1)).next(Ms(0))
+    assert queue.ended("d9", Ms(10)) is queue
+    assert not queue.idle(Ms(10))
+
+
+def test_a_rest_is_bounded() -> None:
+    queue, _ = CompileQueue().offered(job(1)).next(Ms(0))
+    assert queue.ended("d1", Ms(3_000)).idle(Ms(3_000 + MOST_REST_MS))
+
+
+@given(st.integers(1, MOST_REST_MS // RESTS), st.integers(1, 50))
+def test_however_often_one_comes_it_takes_a_fifth_of_the_time(took_ms: int, gap_ms: int) -> None:
+    queue, busy_ms, newest, compiled = CompileQueue(), 0, 0, 0
+    for now_ms in range(0, SPAN_MS):
+        if now_ms % gap_ms == 0:
+            newest += 1
+            queue = queue.offered(job(newest))
+        if queue.running is not None and now_ms - queue.began_ms >= took_ms:
+            busy_ms += took_ms
+            queue = queue.ended(queue.running.copy.digest, Ms(now_ms))
+        queue, launched = queue.next(Ms(now_ms))
+        if launched and queue.running is not None:
+            assert queue.running.copy.version > compiled
+            compiled = queue.running.copy.version
+    assert busy_ms <= SPAN_MS / (1 + RESTS) + took_ms
+    assert newest - compiled <= ((1 + RESTS) * took_ms + 2 * gap_ms) / gap_ms
--- a/tests/test_table_reader.py
+++ b/tests/test_table_reader.py
@@ -93,7 +93,7 @@
     table = reader.read(Version(4), "", value_of(300, 1_001))
     assert reader.rows_read == 0
     assert len(table.services) == 300
-    assert len(reader._routes.read) == 300  # what is gone is not kept
+    assert reader.rows == 600  # what is gone is not kept
 
 
 def test_orders_behind_the_packed_part_change_nothing() -> None:
