--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -120,6 +120,21 @@
         del self.processes[old]
         self.start(new)
 
+    def add_front(self) -> str:
+        """Start one front node more; its name."""
+        trunk, http = (f"127.0.0.1:{port}" for port in free_ports(2))
+        fronts = [name for name in self.commands if name.startswith("ex")]
+        name = f"ex{len(fronts) + 1}"
+        command = list(self.commands[fronts[0]])
+        changes = {"--name": name, "--zone": ZONES[len(fronts) % 3], "--trunk": trunk,
+                   "--http": http}  # fmt: skip
+        for flag, value in changes.items():
+            command[command.index(flag) + 1] = value
+        self.commands[name] = command
+        self.http[name] = http
+        self.start(name)
+        return name
+
     def trunk_of(self, name: str) -> str:
         """Where a process listens for peers."""
         command = self.commands[name]
--- a/tools/load.py
+++ b/tools/load.py
@@ -173,14 +173,14 @@
         elif e["kind"] == "run":
             run = Run(
                 e["atMs"], e["instance"], e["service"], e["worker"], zone_of(e["worker"]),
-                e["call"], keys.get(e["call"], ""), e["path"], e["attemptId"], e["running"],
+                e["call"], keys.get(e["call"], ""), e["path"], e["attempt_id"], e["running"],
                 e["limit"], e["atMs"] - up.get(e["instance"], 0.0),
             )  # fmt: skip
             runs.append(run)
             by_try[run.attempt_id] = run
         elif e["kind"] == "answer":
-            answers[e["attemptId"]] = e["body"].encode()
-            by_try[e["attemptId"]].done_ms = e["atMs"]
+            answers[e["attempt_id"]] = e["body"].encode()
+            by_try[e["attempt_id"]].done_ms = e["atMs"]
         elif e["kind"] == "start":
             starts.append((e["atMs"], zone_of(e["worker"])))
         elif e["kind"] == "stop" and e["why"] == "asked":
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,56 @@
+"""Soaks a real fleet: kept connections, and signals, restarts and changes in series, overlapping.
+
+python -m tools.soak --seed 7                    one run, on the small fleet
+python -m tools.soak --seed 1 --count 50         many seeds, one after the other
+python -m tools.soak --seed 1 --largest          as many processes as this machine bears
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+from pathlib import Path
+
+from tools.soak.run import SMALL_FRONTS, Soak
+from tools.soak.sizes import largest_fleet
+
+
+def main() -> None:
+    """The program's entry."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=_Raw)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--count", type=int, default=1, help="so many seeds, from the first one on")
+    parser.add_argument(
+        "--seconds", type=float, default=35.0, help="of each run, with its calm ends"
+    )
+    parser.add_argument("--fronts", type=int, default=SMALL_FRONTS, help="front nodes")
+    parser.add_argument("--clients", type=int, default=24)
+    parser.add_argument("--largest", action="store_true", help="as many as this machine bears")
+    parser.add_argument("--folder", default="", help="for data and logs; kept where a run fails")
+    args = parser.parse_args()
+    fronts = largest_fleet() if args.largest else args.fronts
+    size = "--largest" if args.largest else f"--fronts {fronts}"
+    print(f"{fronts} front nodes, 3 members, {args.clients} clients, {args.seconds:g} s a run")
+    failed: list[int] = []
+    for seed in range(args.seed, args.seed + args.count):
+        folder = Path(args.folder or tempfile.mkdtemp(prefix="spokeroute-soak-")) / str(seed)
+        soak = Soak(folder, seed, args.seconds, fronts, args.clients)
+        found = soak.run()
+        print(f"seed {seed}: {soak.told()}", flush=True)
+        if found:
+            failed.append(seed)
+            print(f"  FAILED; logs in {folder}; again: python -m tools.soak --seed {seed} "
+                  f"--seconds {args.seconds:g} --clients {args.clients} {size}")  # fmt: skip
+        for text in found:
+            print("  ", text, flush=True)
+    print(f"{args.count - len(failed)} of {args.count} seeds clean; failed: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+class _Raw(argparse.RawDescriptionHelpFormatter):
+    """Keeps the lines of the description."""
+
+
+if __name__ == "__main__":
+    main()
