--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -29,6 +30,8 @@
     parser.add_argument("--largest", action="store_true", help="as many as this machine bears")
     parser.add_argument("--folder", default="", help="for data and logs; kept where a run fails")
     args = parser.parse_args()
+    signal.signal(signal.SIGTERM, _interrupted)  # so that the fleet is ended
+    signal.signal(signal.SIGINT, _interrupted)
     fronts = largest_fleet() if args.largest else args.fronts
     size = "--largest" if args.largest else f"--fronts {fronts}"
     print(f"{fronts} front nodes, 3 members, {args.clients} clients, {args.seconds:g} s a run")
@@ -48,6 +51,10 @@
     sys.exit(1 if failed else 0)
 
 
+def _interrupted(number: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
 class _Raw(argparse.RawDescriptionHelpFormatter):
     """Keeps the lines of the description."""
 
