--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tools.log import Asked, Down, Log, Run
+from tools.log import Asked, Down, Log, Run, Told
 from tools.soak.judges import RECOVERY_MS, judge_soak, recovery_ms
 from tools.soak.plan import (
     CALM_AFTER_S,
@@ -163,6 +163,22 @@
     soak.read_back = False
 
 
+def acked(number: int) -> Told:
+    return Told("apply", 5_000.0, 5_020.0, 200, {"version": 3, "number": number}, number=number)
+
+
+def read(number: int, whole: bool) -> Told:
+    return Told("read", 5_100.0, 5_120.0, 200, {"number": number, "whole": whole})
+
+
+def read_older(soak: SoakLog) -> None:
+    soak.log.told += [acked(7), read(6, whole=True)]
+
+
+def read_other_content(soak: SoakLog) -> None:
+    soak.log.told += [acked(7), read(7, whole=False)]
+
+
 @pytest.mark.parametrize(
     ("fault", "judge"),
     [
@@ -178,6 +194,8 @@
         (threads_creep, "nothing_creeps"),
         (stays_down, "comes_back"),
         (configuration_gone, "comes_back"),
+        (read_older, "numbers_read_back"),
+        (read_other_content, "numbers_read_back"),
     ],
 )
 def test_each_judge_speaks_at_its_fault(fault: Callable[[SoakLog], None], judge: str) -> None:
@@ -196,8 +214,9 @@
 
 
 @pytest.mark.xdist_group("fleet")
-def test_a_short_soak_of_real_processes_is_clean(tmp_path: Path) -> None:
-    soak = Soak(tmp_path / "soak", CI_SEED, CI_SECONDS, fronts=3, clients=12)
+@pytest.mark.parametrize("adapter", [False, True])
+def test_a_short_soak_of_real_processes_is_clean(tmp_path: Path, adapter: bool) -> None:
+    soak = Soak(tmp_path / "soak", CI_SEED, CI_SECONDS, fronts=3, clients=12, adapter=adapter)
     found = soak.run()
     assert len(soak.acts) >= 5
     assert found == [], (soak.told(), found)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import signal
 import socket
 import subprocess
@@ -55,6 +56,8 @@
     http: dict[str, str] = field(default_factory=dict)
     platform: str = ""
     downs: list[Down] = field(default_factory=list)
+    environment: dict[str, dict[str, str]] = field(default_factory=dict)
+    ready_path: str = "/spokeroute/ready"  # of a front node
 
     def plan(self) -> None:
         """Choose addresses and write each process's command."""
@@ -98,14 +101,19 @@
         self._over(name)
         out = open(self.folder / f"{name}.out", "ab")  # noqa: SIM115
         self.processes[name] = subprocess.Popen(
-            self.commands[name], stdout=out, stderr=out, cwd=Path(__file__).parent.parent
-        )
+            self.commands[name], stdout=out, stderr=out, cwd=Path(__file__).parent.parent,
+            env=os.environ | self.environment.get(name, {}),
+        )  # fmt: skip
         out.close()
 
     def swap(self, old: str, new: str) -> None:
-        """End a registry for good and start another machine's in its place: other addresses, a
-        blank disk, and seeds that are alive."""
+        """End a registry for good and start another machine's in its place."""
         self.signal(old, signal.SIGKILL)
+        self.replace(old, new)
+
+    def replace(self, old: str, new: str) -> None:
+        """Start a blank registry in the place of one that is gone: other addresses, a blank disk,
+        and seeds that are alive."""
         trunk, http = (f"127.0.0.1:{p}" for p in free_ports(2))
         living = [n for n in self.processes if n not in (old, "platform")]
         living.sort(key=lambda n: not n.startswith("reg"))
@@ -154,8 +162,7 @@
             left = [
                 n
                 for n in left
-                if get(self.http[n], "/ready" if n.startswith("reg") else "/spokeroute/ready")[0]
-                != 200
+                if get(self.http[n], "/ready" if n.startswith("reg") else self.ready_path)[0] != 200
             ]
             if left:
                 time.sleep(0.1)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -28,17 +28,19 @@
     parser.add_argument("--fronts", type=int, default=SMALL_FRONTS, help="front nodes")
     parser.add_argument("--clients", type=int, default=24)
     parser.add_argument("--largest", action="store_true", help="as many as this machine bears")
+    parser.add_argument("--adapter", action="store_true", help="the platform's dialect")
     parser.add_argument("--folder", default="", help="for data and logs; kept where a run fails")
     args = parser.parse_args()
     signal.signal(signal.SIGTERM, _interrupted)  # so that the fleet is ended
     signal.signal(signal.SIGINT, _interrupted)
     fronts = largest_fleet() if args.largest else args.fronts
     size = "--largest" if args.largest else f"--fronts {fronts}"
+    size += " --adapter" if args.adapter else ""
     print(f"{fronts} front nodes, 3 members, {args.clients} clients, {args.seconds:g} s a run")
     failed: list[int] = []
     for seed in range(args.seed, args.seed + args.count):
         folder = Path(args.folder or tempfile.mkdtemp(prefix="spokeroute-soak-")) / str(seed)
-        soak = Soak(folder, seed, args.seconds, fronts, args.clients)
+        soak = Soak(folder, seed, args.seconds, fronts, args.clients, args.adapter)
         found = soak.run()
         print(f"seed {seed}: {soak.told()}", flush=True)
         if found:
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -48,6 +48,8 @@
 
     headers: Callable[[Asked], dict[str, str]]
     refusal_of: Callable[[http.client.HTTPResponse, bytes, Asked], None]
+    path: Callable[[Asked], str]
+    host: str = ""  # what calls name as theirs; empty: the address
 
 
 def own_headers(asked: Asked) -> dict[str, str]:
@@ -73,7 +75,16 @@
     asked.retry_after = answer.headers.get("Retry-After", "")
 
 
-OWN_WIRE = Wire(own_headers, own_refusal)
+def own_path(asked: Asked) -> str:
+    """Where a call goes.
+
+    Example:
+        own_path(asked).startswith("/")
+    """
+    return asked.path.replace("*", "x")
+
+
+OWN_WIRE = Wire(own_headers, own_refusal, own_path)
 
 
 class Client:
@@ -160,7 +171,9 @@
         assert connection is not None and connection.sock is not None
         connection.sock.settimeout(asked.wait_ms / 1000 + BEYOND_WAIT_S)
         body = json.dumps({"of": asked.call}).encode() if asked.method == "POST" else b""
-        connection.putrequest(asked.method, asked.path.replace("*", "x"))
+        connection.putrequest(asked.method, self.wire.path(asked), skip_host=bool(self.wire.host))
+        if self.wire.host:
+            connection.putheader("Host", self.wire.host)
         for name, value in self.wire.headers(asked).items():
             connection.putheader(name, value)
         if body:
--- a/tools/soak/judges.py
+++ b/tools/soak/judges.py
@@ -141,6 +141,20 @@
     return found
 
 
+def numbers_read_back(soak: SoakLog) -> list[str]:
+    """Behind the adapter: what is read is whole, and no older than what was acknowledged before."""
+    applies = [t for t in soak.log.told if t.what == "apply" and t.number]
+    found: list[str] = []
+    for read in (t for t in soak.log.told if t.what == "read" and t.status in (200, 404)):
+        before = [t.number for t in applies if t.status == 200 and t.done_ms <= read.at_ms]
+        number = int(read.doc.get("number", 0))
+        if number < max(before, default=0):
+            found.append(f"{read.detail} reads {number}, acknowledged {max(before)}")
+        elif read.status == 200 and not read.doc["whole"]:
+            found.append(f"{read.detail} reads {number} with other content")
+    return found
+
+
 def recovery_ms(soak: SoakLog) -> float:
     """From the last trouble until calls are served as a rule again; -1 where that never came."""
     asked = sorted((a for a in soak.log.asked if a.status != -1), key=lambda a: a.at_ms)
@@ -160,6 +174,7 @@
 )  # fmt: skip
 SOAK_JUDGES: tuple[SoakJudge, ...] = (
     none_lost, one_final_answer, no_work_for_the_gone, ends_in_order, nothing_creeps, comes_back,
+    numbers_read_back,
 )  # fmt: skip
 MOST_TOLD = 5
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -16,7 +16,8 @@
 from tools.load import EXAMPLES, Load, now_ms, read_log
 from tools.log import Asked, Told
 from tools.soak.acts import Acts
-from tools.soak.clients import OWN_WIRE, Client
+from tools.soak.adapter import ADAPTER_WIRE, AdapterFleet, AdapterLoad
+from tools.soak.clients import OWN_WIRE, Client, Wire
 from tools.soak.judges import judge_soak, recovery_ms
 from tools.soak.plan import Act, plan_of
 from tools.soak.records import SoakLog
@@ -44,12 +45,24 @@
         Soak(Path("soak"), 7, 35.0, 6, 24).run() == []
     """
 
-    def __init__(self, folder: Path, seed: int, seconds: float, fronts: int, clients: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        seconds: float,
+        fronts: int,
+        clients: int,
+        adapter: bool = False,
+    ) -> None:
         self.folder = folder
         self.seed = seed
         self.seconds = seconds
-        self.fleet = Fleet(folder, fronts)
         self.doc: dict[str, Any] = json.loads((EXAMPLES / "tooluur.json").read_text())
+        limits = {each["name"]: each["limit"] for each in self.doc["services"]}
+        self.fleet = (
+            AdapterFleet(folder, fronts, limits=limits) if adapter else Fleet(folder, fronts)
+        )
+        self.wire: Wire = ADAPTER_WIRE if adapter else OWN_WIRE
         self.clients = clients
         self.lock = threading.Lock()
         self.stop = threading.Event()
@@ -75,7 +88,7 @@
         soak = self.soak
         assert soak is not None
         served = sum(1 for a in soak.log.asked if 200 <= a.status < 300)
-        reads = sum(1 for t in soak.log.told if t.what == "show")
+        reads = sum(1 for t in soak.log.told if t.what in ("show", "read"))
         applies = sum(1 for t in soak.log.told if t.what == "apply" and t.status == 200)
         return (
             f"{len(self.acts)} acts; {served} of {len(soak.log.asked)} calls served, "
@@ -84,12 +97,13 @@
         )
 
     def _played(self) -> SoakLog:
-        load = Load(self.fleet, self.doc, self.seed)
+        load_of = AdapterLoad if isinstance(self.fleet, AdapterFleet) else Load
+        load = load_of(self.fleet, self.doc, self.seed)
         load.small = load.small[:SMALL_SHARE]
         self._await_service(load)
         addresses = {name: self.fleet.http[name] for name in load.exchanges}
         clients = [
-            Client(number, self.seed, addresses, lambda: self._choose(load), OWN_WIRE)
+            Client(number, self.seed, addresses, lambda: self._choose(load), self.wire)
             for number in range(self.clients)
         ]
         threads = [threading.Thread(target=each.run) for each in clients]
@@ -164,6 +178,10 @@
                 self._show(load, pool, names[turn % len(names)])
 
     def _show(self, load: Load, pool: urllib3.PoolManager, name: str) -> Told:
+        if isinstance(load, AdapterLoad):
+            told = load.show_at(pool, name, READ_S)
+            load.told.append(told)
+            return told
         told = Told("show", now_ms(), detail=name)
         try:
             url = f"http://{self.fleet.http[name]}/configuration"
--- a/tools/standin.py
+++ b/tools/standin.py
@@ -304,8 +304,8 @@
     return Handler
 
 
-def main() -> None:
-    """The program's entry."""
+def parser_of() -> argparse.ArgumentParser:
+    """The flags of a stand-in platform."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--listen", required=True)
     parser.add_argument("--log", required=True)
@@ -319,7 +319,12 @@
     parser.add_argument("--list-delay-ms", type=int, default=500)
     parser.add_argument("--cap", type=int, default=110)
     parser.add_argument("--seed", type=int, default=1)
-    standin = Standin(parser.parse_args())
+    return parser
+
+
+def main() -> None:
+    """The program's entry."""
+    standin = Standin(parser_of().parse_args())
     threading.Thread(target=standin.snap, daemon=True).start()
     host, _, port = standin.args.listen.rpartition(":")
     server = QuietServer((host, int(port)), platform_handler(standin))
