--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -106,8 +106,9 @@
             Client(number, self.seed, addresses, lambda: self._choose(load), self.wire)
             for number in range(self.clients)
         ]
-        threads = [threading.Thread(target=each.run) for each in clients]
-        reader = threading.Thread(target=self._read, args=(load,))
+        # Daemon threads: an interrupted run ends with its fleet.
+        threads = [threading.Thread(target=each.run, daemon=True) for each in clients]
+        reader = threading.Thread(target=self._read, args=(load,), daemon=True)
         for thread in (*threads, reader):
             thread.start()
         time.sleep(SETTLE_S)
