--- a/spokeroute/common/settings.py
+++ b/spokeroute/common/settings.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass, fields, replace
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
 from spokeroute.common.bounds import Bounds
+from spokeroute.common.replacing import replace
 
 
 class SettingsError(Exception):
--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placing.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import Effects, Tell
 from spokeroute.common.ids import FLOOR, Ms, NodeId, WorkerId
+from spokeroute.common.replacing import replace
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Picture, Ranking, Shift
 from spokeroute.dispatch.list_push import Pushed
--- a/spokeroute/dispatch/steering.py
+++ b/spokeroute/dispatch/steering.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from spokeroute.common.effects import Effect, Effects, Send
 from spokeroute.common.ids import CONFIGURATION, Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Limits, Picture, laaf, rome
 from spokeroute.dispatch.list_push import ListsHead, push, whole_lists
--- a/spokeroute/exchange/backlog.py
+++ b/spokeroute/exchange/backlog.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Ms
+from spokeroute.common.replacing import replace
 from spokeroute.exchange.counts import Counts
 
 PACE_MS = 500
--- a/spokeroute/exchange/held_instance.py
+++ b/spokeroute/exchange/held_instance.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.answers import Ran
 from spokeroute.common.ids import Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.reasons import Cause, caused_by
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from spokeroute.common.answers import Answer, Kind, Ran, refusal
 from spokeroute.common.effects import Effect, Effects, Reply, Send
 from spokeroute.common.ids import Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.exchange.claiming import ask_claim, not_run
 from spokeroute.exchange.entry import (
     State,
--- a/spokeroute/exchange/requeue.py
+++ b/spokeroute/exchange/requeue.py
@@ -11,10 +11,10 @@
 
 import zlib
 from collections.abc import Iterator
-from dataclasses import replace
 
 from spokeroute.common.effects import Effect, Effects, Send
 from spokeroute.common.ids import Ms
+from spokeroute.common.replacing import replace
 from spokeroute.dispatch.placement_table import Placed
 from spokeroute.exchange.entry import PRESSING_MS, State, lost_to, put
 from spokeroute.exchange.pick import soon_usable, usable
--- a/spokeroute/exchange/silence.py
+++ b/spokeroute/exchange/silence.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.exchange.types import Call
 
 ASK_MS = 100  # an attempt without a word for this long: its holder is asked
--- a/spokeroute/exchange/successor_lists.py
+++ b/spokeroute/exchange/successor_lists.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Ms
+from spokeroute.common.replacing import replace
 from spokeroute.transport.messages import Lists, ListsAsk
 
 WHOLE = -1  # the base of lists that stand for themselves
--- a/spokeroute/register/anti_entropy.py
+++ b/spokeroute/register/anti_entropy.py
@@ -12,12 +12,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from immutables import Map
 
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import NO_BALLOT, Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.register.anti_entropy_page import LEAST_PAGE_BYTES, MOST_PAGE_BYTES, page_of
 from spokeroute.register.anti_entropy_state import Heard, Part, Transfer, all_due, others_of
 from spokeroute.register.anti_entropy_state import State as State
--- a/spokeroute/register/anti_entropy_state.py
+++ b/spokeroute/register/anti_entropy_state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Ballot, MemberId, Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.register.cell_index import CellIndex, index_of
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.transport.messages import Copy
--- a/spokeroute/register/cell_index.py
+++ b/spokeroute/register/cell_index.py
@@ -9,11 +9,12 @@
 import hashlib
 import struct
 import zlib
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import NO_BALLOT, Ballot, Ms
+from spokeroute.common.replacing import replace
 from spokeroute.register.cells import EMPTY, Cell, Roster
 
 BUCKETS = 256
--- a/spokeroute/register/claim_ages.py
+++ b/spokeroute/register/claim_ages.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import CLAIM_PREFIX, Ms
+from spokeroute.common.replacing import replace
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokeroute/register/compile_queue.py
+++ b/spokeroute/register/compile_queue.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from spokeroute.common.effects import Effects, Launch
 from spokeroute.common.ids import Ms
+from spokeroute.common.replacing import replace
 from spokeroute.register.replica_jobs import Compile
 
 RESTS = 4  # times as long as the compilation took: a fifth of the time goes into them at most
--- a/spokeroute/register/copy_page.py
+++ b/spokeroute/register/copy_page.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import replace
 
 from spokeroute.common.ids import NO_BALLOT, Ballot, MemberId
+from spokeroute.common.replacing import replace
 from spokeroute.register.cells import Cell, ballot_of
 from spokeroute.transport.messages import CopyCell, CopyPart
 
--- a/spokeroute/register/earlier_values.py
+++ b/spokeroute/register/earlier_values.py
@@ -4,9 +4,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from spokeroute.common.ids import CONFIGURATION, FLOOR
+from spokeroute.common.replacing import replace
 from spokeroute.register.cells import EMPTY, Cell
 
 PATCHED = (CONFIGURATION, FLOOR)
--- a/spokeroute/register/handover.py
+++ b/spokeroute/register/handover.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import NO_BALLOT, Ballot, MemberId, Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.register.cells import ballot_of
 from spokeroute.register.held import HandNames, Quiet
 from spokeroute.transport.messages import HeldAsk, HeldPart
--- a/spokeroute/register/held.py
+++ b/spokeroute/register/held.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from spokeroute.common.effects import Effects, From, Send
 from spokeroute.common.ids import NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.register.cells import EMPTY, Cell, ballot_of
 from spokeroute.transport.messages import Copy, HandOver, HeldAsk, HeldPart
 
--- a/spokeroute/register/hints.py
+++ b/spokeroute/register/hints.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from immutables import Map
 
 from spokeroute.common.effects import Effects, Tell
 from spokeroute.common.ids import NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.register.held import HandTo
 from spokeroute.register.rounds import State
 from spokeroute.transport.messages import Copy
--- a/spokeroute/register/known_values.py
+++ b/spokeroute/register/known_values.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from immutables import Map
 
 from spokeroute.common.ids import SPREAD
+from spokeroute.common.replacing import replace
 from spokeroute.transport.messages import Copy, Promise
 
 
--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership.py
@@ -8,12 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from immutables import Map
 
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import ROSTER, Address, Epoch, Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.register.acceptor_events import Adopt, Adopted, TakeCells
 from spokeroute.register.cells import Roster, pack_roster, read_roster, unpack_roster
 from spokeroute.register.changes import Ask, Outcome, RosterIs, Settled, Swap
--- a/spokeroute/register/outage.py
+++ b/spokeroute/register/outage.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from immutables import Map
 
 from spokeroute.common.effects import Effects, From, Launch, Note, Tell, Tick
 from spokeroute.common.ids import Ms
+from spokeroute.common.replacing import replace
 from spokeroute.register.cells import EMPTY, Cell
 from spokeroute.register.store import (
     DiskWrite,
--- a/spokeroute/register/report_changes.py
+++ b/spokeroute/register/report_changes.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Incarnation
+from spokeroute.common.replacing import replace
 from spokeroute.transport.messages import HeldReport
 
 WHOLE = 0  # the base of a report that stands for itself
--- a/spokeroute/register/rounds.py
+++ b/spokeroute/register/rounds.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Ballot, MemberId, Ms, NodeId
+from spokeroute.common.replacing import replace
 from spokeroute.register.cells import Roster
 from spokeroute.register.changes import Ask
 from spokeroute.register.known_values import KnownValues
--- a/spokeroute/register/value_asks.py
+++ b/spokeroute/register/value_asks.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import zlib
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Ms, NodeId
+from spokeroute.common.replacing import replace
 
 FIRST_PATIENCE_MS = 400
 LONGEST_PATIENCE_MS = 6_400
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Incarnation, MemberId
+from spokeroute.common.replacing import replace
 from spokeroute.dispatch import placement, role
 from spokeroute.dispatch.role import Resign
 from spokeroute.ledger import writer as ledger
