A planning pass leaves out the services that are asleep

A pass went over all services ten times a second and more, also over those without instance, call or minimum: 1,030 there, most of them asleep.

--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from spokeroute.common.ids import Address, Incarnation, InstanceId, NodeId, ServiceName
+from spokeroute.common.replacing import replace
 from spokeroute.dispatch.configuration import Service
 from spokeroute.dispatch.placement_table import DRAINING, STARTING, UP, Placed
 from spokeroute.dispatch.scaler import (
     Demand,
     best_worker,
+    boot_fits,
     counted,
+    is_idle,
     patience_ms,
     room_of,
     sleepers_mb,
@@ -20,10 +21,26 @@
 from spokeroute.dispatch.workbook import Pass
 
 SURPLUS_MS = 15_000
+NO_DEMAND = Demand()
 NO_NODE = NodeId("")
 NO_PROCESS = Incarnation(0)
 
 
+def asleep(work: Pass, service: Service) -> bool:
+    """Whether there is nothing to decide on a service: it has no instance, nobody calls it, and it
+    keeps none. Most of a large deployment's services are so most of the time.
+
+    Example:
+        asleep(work, service)
+    """
+    if work.has(service.name):
+        return False
+    demand = work.seen.demand.get(service.name, NO_DEMAND)
+    if service.min_instances or not is_idle(service, demand, work.seen.now_ms):
+        return False
+    return boot_fits(service, work.seen.table.aim_ms.get(service.name, 0))
+
+
 def scale(work: Pass, service: Service) -> None:
     """Start, drain and route one service's instances.
 
--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -105,6 +105,15 @@
         del self._by_service[self[name].service][name]
         super().__delitem__(name)
 
+    def has(self, service: str) -> bool:
+        """Whether a service has an instance.
+
+        Example:
+            >>> Instances(()).has("readings")
+            False
+        """
+        return bool(self._by_service.get(service))
+
     def of(self, service: str) -> list[Placed]:
         """A service's instances, in order.
 
@@ -129,6 +138,10 @@
         """Add a decision to the ledger entries of this pass."""
         self.decisions.append(Decision(kind, inputs, output))
 
+    def has(self, service: str) -> bool:
+        """Whether a service has an instance, as this pass has them."""
+        return self.now.has(service)
+
     def of(self, service: str) -> list[Placed]:
         """A service's instances, as this pass has them."""
         return self.now.of(service)
