--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -54,6 +54,9 @@
 
 
 def _interrupted(number: int, frame: object) -> None:
+    """End the run; another signal must not cut the fleet's end short."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
     raise KeyboardInterrupt
 
 
