The soak's stand-in tells both runs of a repeated attempt apart

Traced: a repeatable call was sent to a second instance 2.3 s after the first, under its caller's one id, as this dialect has it; the log keeps answers by that id, so the first instance's whole answer was overwritten by the second one's. The product was right, the stand-in's log was not; the test failed before. Ids of runs name their instance now.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,16 +3,20 @@
 
 from __future__ import annotations
 
+import json
 import signal
+import threading
 from collections.abc import Callable
 from itertools import pairwise
 from pathlib import Path
 
 import pytest
+import urllib3
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tools.log import Asked, Down, Log, Run, Told
+from tools.soak.cloud_standin import CloudStandin, sealed_handler
 from tools.soak.judges import RECOVERY_MS, judge_soak, recovery_ms
 from tools.soak.plan import (
     CALM_AFTER_S,
@@ -24,6 +28,7 @@
 from tools.soak.records import Broken, Ended, Left, Size, SoakLog
 from tools.soak.run import Soak
 from tools.soak.sizes import largest_fleet
+from tools.standin import Instance, QuietServer, parser_of
 
 FRONTS = tuple(f"ex{number}" for number in range(1, 7))
 MEMBERS = ("reg1", "reg2", "reg3")
@@ -220,3 +225,28 @@
     found = soak.run()
     assert len(soak.acts) >= 5
     assert found == [], (soak.told(), found)
+
+
+def test_both_runs_of_a_repeated_attempt_are_told_apart(tmp_path: Path) -> None:
+    """Seed 27 through the adapter: an attempt ran at two instances under its caller's one id; the
+    first one's whole answer was taken for nobody's, as the log kept the second one's alone."""
+    (tmp_path / "limits.json").write_text('{"readings": 4}')
+    words = ["--listen", "127.0.0.1:0", "--log", str(tmp_path / "log"), "--work-ms", "1"]
+    parser = parser_of()
+    parser.add_argument("--limits")
+    standin = CloudStandin(parser.parse_args([*words, "--limits", str(tmp_path / "limits.json")]))
+    bodies: list[bytes] = []
+    for name in ("i-1", "i-2"):
+        instance = Instance(name, "readings", "w1", 4, state="running")
+        server = QuietServer(("127.0.0.1", 0), sealed_handler(standin, instance))
+        threading.Thread(target=server.serve_forever, args=(0.02,), daemon=True).start()
+        headers = {"X-Attempt-Id": "a1", "Standin-Call": "c1", "X-Expected-Instance": name}
+        url = f"http://127.0.0.1:{server.server_address[1]}/readings/x"
+        got = urllib3.PoolManager(retries=False).request("GET", url, headers=headers, timeout=5)
+        assert (got.status, got.headers["X-Attempt-Id"]) == (200, "a1")
+        bodies.append(got.data)
+        server.shutdown()
+        server.server_close()
+    lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    answers = {e["attempt_id"]: e["body"].encode() for e in lines if e["kind"] == "answer"}
+    assert sorted(answers.values()) == sorted(bodies)
--- a/tools/soak/cloud_standin.py
+++ b/tools/soak/cloud_standin.py
@@ -136,7 +136,8 @@
             self.run(body.decode("utf-8", "replace"), running)
 
         def run(self, body: str, running: int) -> None:
-            attempt_id = self.headers.get("X-Attempt-Id", "")
+            # A repeatable attempt may run at several instances under its caller's one id.
+            attempt_id = f"{self.headers.get('X-Attempt-Id', '')}@{instance.id}"
             call = self.headers.get("Standin-Call", "")
             standin.write("run", instance=instance.id, service=instance.service, call=call,
                           attempt_id=attempt_id, running=running, limit=instance.limit,
@@ -147,7 +148,8 @@
             doc = json.dumps({"call": call, "instance": instance.id, "echo": body})
             standin.write("answer", instance=instance.id, call=call, attempt_id=attempt_id,
                           body=doc)  # fmt: skip
-            seal = {"X-Attempt-Id": attempt_id, "X-Server-Seal": instance.id}
+            echoed = self.headers.get("X-Attempt-Id", "")
+            seal = {"X-Attempt-Id": echoed, "X-Server-Seal": instance.id}
             self.answer(200, doc.encode(), seal)
 
         do_GET = do_POST = serve  # noqa: N815
