A planted fault of the sender is looked for in every pair of answers

Traced: the planted fault shows only where an answer that turns away is followed by one that comes after a copy of the one before, which random scripts meet a few times in 600; and which scripts they are hangs on the modules that the worker has loaded, as hypothesis takes constants out of them: with other modules loaded the fault was first found at example 67, 58 or 343, 5, 9 or 4 times in all. So a worker with yet others may find none. Now every pair of answers is played besides, in this test and in the one of the sound sender: stricter, and the same each time.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from io import BufferedReader, BytesIO
+from itertools import product
 from typing import Any
 
 import pytest
@@ -27,6 +28,7 @@
 from tests.test_sender_dialect import DIALECT
 
 WAIT_MS = 10_000
+CUTS = (0, 57)
 SCRIPTS = st.lists(
     st.tuples(st.sampled_from(list(How)), st.integers(0, 400)), min_size=1, max_size=6
 )
@@ -76,19 +78,34 @@
     )  # fmt: skip
     @given(SCRIPTS)
     def each(script: list[tuple[How, int]]) -> None:
-        bench = Bench(script)
-        try:
-            for number in range(len(script)):
-                name = f"c{number}"
-                while bench.judged(name).ran == Ran.NO and bench.instance.script:
-                    pass  # turned away: the entry sends the same attempt again
-        finally:
-            bench.close()
+        played(script)
 
     each()
 
 
+def played(script: list[tuple[How, int]]) -> None:
+    """Calls until the instance has gone through its script, each one judged."""
+    bench = Bench(script)
+    try:
+        for number in range(len(script)):
+            name = f"c{number}"
+            while bench.judged(name).ran == Ran.NO and bench.instance.script:
+                pass  # turned away: the entry sends the same attempt again
+    finally:
+        bench.close()
+
+
+def every_pair() -> None:
+    """Each way to answer after each other one. Random scripts meet a given pair about three times
+    in 600, and which they are hangs on the modules that the process has loaded: hypothesis takes
+    constants out of those."""
+    for first, second in product(How, How):
+        for at in CUTS:
+            played([(first, at), (second, at)])
+
+
 def test_each_call_gets_its_own_whole_answer_or_a_doubt() -> None:
+    every_pair()
     shuffled(120)
 
 
@@ -138,6 +155,7 @@
 ) -> None:
     plant(monkeypatch)
     with pytest.raises(AssertionError, match=r"sent twice|ran, and|not its own"):
+        every_pair()
         shuffled(600)
 
 
