A fleet's ports lie below those that outgoing connections are given

Traced: reg3 said that its trunk address was in use. Ports were drawn from the range that the system also gives to outgoing connections, so that any other test's connection could take one between the drawing and the daemon's start.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tools.fleet import free_ports
 from tools.log import Asked, Down, Log, Run, Told
 from tools.soak.cloud_standin import CloudStandin, sealed_handler
 from tools.soak.judges import RECOVERY_MS, judge_soak, recovery_ms
@@ -62,6 +63,13 @@
     assert max(gaps) < 1.5
 
 
+def test_a_fleets_ports_are_none_that_an_outgoing_connection_is_given() -> None:
+    first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    drawn = free_ports(40)
+    assert len(set(drawn)) == 40
+    assert max(drawn) < first
+
+
 def test_the_largest_fleet_is_bounded() -> None:
     assert 3 <= largest_fleet() <= 200
 
