--- a/tools/load.py
+++ b/tools/load.py
@@ -39,6 +39,31 @@
     return time.monotonic_ns() / 1e6
 
 
+def own_headers(asked: Asked) -> dict[str, str]:
+    """The product's own headers of a call.
+
+    Example:
+        own_headers(asked)["Spokeroute-Wait-Ms"]
+    """
+    found = {
+        "Spokeroute-Wait-Ms": str(asked.wait_ms),
+        "Standin-Call": asked.call,
+        "Spokeroute-Client": asked.client,
+    }
+    if asked.key:
+        found["Idempotency-Key"] = asked.key
+    return found
+
+
+def own_path(asked: Asked) -> str:
+    """Where a call goes.
+
+    Example:
+        own_path(asked).startswith("/")
+    """
+    return asked.path.replace("*", "x")
+
+
 class Load:
     """Callers and one operator against a fleet."""
 
@@ -106,13 +131,7 @@
 
     def send(self, asked: Asked, method: str) -> None:
         """Carry out one call and keep what its caller saw."""
-        headers = {
-            "Spokeroute-Wait-Ms": str(asked.wait_ms), "Standin-Call": asked.call,
-            "Spokeroute-Client": asked.client,
-        }  # fmt: skip
-        if asked.key:
-            headers["Idempotency-Key"] = asked.key
-        path = asked.path.replace("*", "x")
+        headers, path = own_headers(asked), own_path(asked)
         body = json.dumps({"of": asked.call}).encode() if method == "POST" else None
         try:
             got = self.http.request(
--- a/tools/soak/acts.py
+++ b/tools/soak/acts.py
@@ -52,7 +52,6 @@
         self.locks: dict[str, threading.Lock] = defaultdict(threading.Lock)
         self.world = threading.Lock()  # one act on all processes, or on the workers, at a time
         self.last_trouble_ms = 0.0
-        self.applies = threading.Lock()
 
     def carry_out(self, act: Act) -> None:
         """Do it, and see it to its end."""
@@ -169,7 +168,9 @@
     def _storm(self, for_s: float) -> None:
         """Configurations by two operators at once, each as soon as its last one is answered."""
         until_s = time.monotonic() + for_s
-        operators = [threading.Thread(target=self._operator, args=(until_s,)) for _ in range(2)]
+        operators = [
+            threading.Thread(target=self._operator, args=(until_s,)) for _ in range(OPERATORS)
+        ]
         for each in operators:
             each.start()
         for each in operators:
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from tools.load import now_ms
+from tools.load import now_ms, own_headers, own_path
 from tools.log import Asked
 from tools.soak.records import Broken, Left
 
@@ -52,22 +52,6 @@
     host: str = ""  # what calls name as theirs; empty: the address
 
 
-def own_headers(asked: Asked) -> dict[str, str]:
-    """The product's own headers of a call.
-
-    Example:
-        own_headers(asked)["Spokeroute-Wait-Ms"]
-    """
-    found = {
-        "Spokeroute-Wait-Ms": str(asked.wait_ms),
-        "Standin-Call": asked.call,
-        "Spokeroute-Client": asked.client,
-    }
-    if asked.key:
-        found["Idempotency-Key"] = asked.key
-    return found
-
-
 def own_refusal(answer: http.client.HTTPResponse, body: bytes, asked: Asked) -> None:
     """What a refusal of the product says."""
     doc = json.loads(body)
@@ -75,15 +59,6 @@
     asked.retry_after = answer.headers.get("Retry-After", "")
 
 
-def own_path(asked: Asked) -> str:
-    """Where a call goes.
-
-    Example:
-        own_path(asked).startswith("/")
-    """
-    return asked.path.replace("*", "x")
-
-
 OWN_WIRE = Wire(own_headers, own_refusal, own_path)
 
 
