Gossip and fetched values stay within a region where they can

Cause: no module knew regions.

Change: settings carry the region of each zone (the platform's zones.*), Places tells distances. Gossip goes to a peer of the own region, every eighth round to any; seeds of another region are left out while one of this region is known. Values come from the own zone, then the own region. Calls go to an instance of the own zone, then region. Holders are chosen by the zone that exchanges tell with their probes, as a view no longer shows a fair part of all exchanges.

Where no regions are told the order of everything is as it was (tests unchanged but for the field's name).

--- a/spokeroute/common/settings.py
+++ b/spokeroute/common/settings.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass, fields
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
 from spokeroute.common.bounds import Bounds
+from spokeroute.common.places import Places
 from spokeroute.common.replacing import replace
 
 
@@ -34,6 +36,18 @@
     ready: str = ""
     """IP:port that answers readiness alone; empty: only ``http`` does."""
     bounds: Bounds = Bounds()
+    regions: Mapping[str, str] = field(default_factory=dict)
+    """The region of each zone; empty: all zones are of one region."""
+
+    @property
+    def places(self) -> Places:
+        """Where this process stands.
+
+        Example:
+            >>> Settings(zone="north").places.zone
+            'north'
+        """
+        return Places(self.zone, self.regions)
 
 
 def _read_toml(path: str) -> dict[str, Any]:
@@ -71,7 +85,7 @@
     """
     raw = _read_toml(path)
     known = {f.name: f for f in fields(Settings)}
-    kinds = {"seeds": list, "disk_mb": int, "found": bool, "bounds": dict}
+    kinds = {"seeds": list, "disk_mb": int, "found": bool, "bounds": dict, "regions": dict}
     for key, value in raw.items():
         if key not in known:
             names = ", ".join(known)
@@ -81,6 +95,9 @@
             raise SettingsError(f"setting {key!r} in {path} must be a {kind.__name__}: mend it")
     if "bounds" in raw:
         raw["bounds"] = _read_bounds(path, raw["bounds"])
+    for zone, region in raw.get("regions", {}).items():
+        if not isinstance(region, str) or not region:
+            raise SettingsError(f"region of zone {zone!r} in {path} must be a name: mend it")
     if "seeds" in raw:
         raw["seeds"] = tuple(str(s) for s in raw["seeds"])
     settings = Settings(**raw)
@@ -115,6 +132,10 @@
     for name in needed:
         if not getattr(settings, name):
             raise SettingsError(f"setting {name!r} is missing: give --{name} or add it to the file")
+    if settings.regions and settings.zone not in settings.regions:
+        raise SettingsError(
+            f"setting 'regions' does not name zone {settings.zone!r}: give each zone its region"
+        )
     check_address("trunk", settings.trunk)
     check_address("http", settings.http)
     if settings.trunk == settings.http:
--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placing.py
@@ -9,6 +9,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import Effects, Tell
 from spokeroute.common.ids import FLOOR, Ms, NodeId, WorkerId
+from spokeroute.common.places import Places
 from spokeroute.common.replacing import replace
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Picture, Ranking, Shift
@@ -80,8 +81,8 @@
     shifts: tuple[Shift, ...] = ()
     shifted_ms: Map[tuple[str, str], int] = field(default_factory=Map)
     draws: int = 0
-    zones: Map[str, str] = field(default_factory=Map)  # exchange -> its zone
     bounds: Bounds = Bounds()
+    places: Places = Places()
 
 
 def took_by(state: State, node: NodeId, took: tuple[Took, ...]) -> tuple[State, Effects]:
--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -13,6 +13,7 @@
     ServiceName,
     WorkerId,
 )
+from spokeroute.common.places import Places
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Shift
 from spokeroute.dispatch.placement_table import Floor, Placed
@@ -67,6 +68,7 @@
     words: Words = Words()  # what holders say of the instances they hold
     starting_ms: Mapping[str, int] = field(default_factory=dict)  # since when an instance starts
     zones: Mapping[str, str] = field(default_factory=dict)  # exchange -> its zone
+    places: Places = Places()
     addresses: Mapping[NodeId, Address] = field(default_factory=dict)  # of exchanges
 
 
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -69,7 +69,7 @@
         return refuse(state, call, Kind.NOT_FRESH, "", now_ms)
     picked = pick(
         call, state.tables, state.lists, state.outstanding, state.shunned_ms,
-        state.me, now_ms, state.zone, lost_to(state, now_ms),
+        state.me, now_ms, state.places, lost_to(state, now_ms),
     )  # fmt: skip
     if call.bound_for and not call.touched:
         picked = with_room(call, state.tables) or picked
--- a/spokeroute/register/questions.py
+++ b/spokeroute/register/questions.py
@@ -27,7 +27,7 @@
         return tuple(dict.fromkeys((*roster.ids, *state.registries)))
     if now_ms - state.all_probed_ms >= PROBE_MS or now_ms - state.proved_ms >= PROBE_MS:
         return roster.ids
-    order = bringers(roster.ids, state.near, state.address)
+    order = bringers(roster.ids, state.zones, state.places, state.address)
     placing = tuple(node for node in order if node == state.reports.placement)
     return tuple(dict.fromkeys((*placing, *order)))[: roster.majority]
 
@@ -44,6 +44,7 @@
     return Probe(
         state.nonce, epoch, (), held, said.demand, said.took, said.leaving, said.busy,
         proved_ago_ms, state.address, False, base, held_no_more,
+        zone=state.places.zone,
     )  # fmt: skip
 
 
--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -9,6 +9,7 @@
 
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Ballot, Ms, NodeId
+from spokeroute.common.places import Places
 from spokeroute.register.cells import Roster
 from spokeroute.register.compile_queue import CompileQueue
 from spokeroute.register.report_changes import ReportChanges
@@ -105,8 +106,8 @@
     bounds: Bounds = Bounds()
     overdue: bool = False  # the newest proof is older than the lease, and this was noted
     address: str = ""
-    zone: str = ""
-    near: frozenset[str] = frozenset()  # registries of this process's own zone
+    places: Places = Places()
+    zones: Map[str, str] = field(default_factory=Map)  # of the registries that are known
 
     @property
     def target_ms(self) -> Ms:
--- a/spokeroute/register/value_asks.py
+++ b/spokeroute/register/value_asks.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from immutables import Map
 
 from spokeroute.common.ids import Ms, NodeId
+from spokeroute.common.places import Distance, Places
 from spokeroute.common.replacing import replace
 
 FIRST_PATIENCE_MS = 400
@@ -133,18 +135,29 @@
         return replace(self, fetches=self.fetches.delete(name))
 
 
-def bringers(members: tuple[NodeId, ...], near: frozenset[str], address: str) -> tuple[NodeId, ...]:
+def bringers(
+    members: tuple[NodeId, ...], zones: Mapping[str, str], places: Places, address: str
+) -> tuple[NodeId, ...]:
     """The members in the order in which a process asks them for values: those of its own zone
-    first, as bytes between zones are dear, and each process from another one on.
+    first, then those of its region, as bytes between zones are dear and those between regions
+    dearer; each process begins with another one of the same distance.
 
     Example:
-        >>> bringers((NodeId("a"), NodeId("b")), frozenset({"b"}), "h:1")
+        >>> bringers((NodeId("a"), NodeId("b")), {"a": "x", "b": "y"}, Places("y"), "h:1")
         ('b', 'a')
     """
     spread = zlib.crc32(address.encode())
-    own = sorted(node for node in members if node in near)
-    far = sorted(node for node in members if node not in near)
-    return (*_rotated(own, spread), *_rotated(far, spread))
+    order: list[NodeId] = []
+    for distance in Distance:
+        there = sorted(n for n in members if _distance(n, zones, places) == distance)
+        order.extend(_rotated(there, spread))
+    return tuple(order)
+
+
+def _distance(node: NodeId, zones: Mapping[str, str], places: Places) -> Distance:
+    """How far away a member is; one whose zone is not known counts as of this region: a registry
+    does not find itself in its view."""
+    return places.distance(zones[node]) if node in zones else Distance.SAME_REGION
 
 
 def _rotated(nodes: list[NodeId], by: int) -> list[NodeId]:
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -66,7 +66,7 @@
     process = build_registry(
         me,
         world,
-        Start(seeds, secrets.randbits(30), settings.found, rank, settings.bounds),
+        Start(seeds, secrets.randbits(30), settings.found, rank, settings.bounds, settings.places),
         loaded,
     )
     edge = DiskEdge(disk, loaded.member, loop.report)
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -44,7 +44,14 @@
     seeds = tuple(dict.fromkeys((*start.seeds, *members)))
     process.add(
         "peers",
-        peers.State(me, seeds, start.seed, ("replica", "membership", "placement"), "replica"),
+        peers.State(
+            me,
+            seeds,
+            start.seed,
+            ("replica", "membership", "placement"),
+            "replica",
+            places=start.places,
+        ),
         peers.step,
         takes=(m.Shuffle,),
     )
@@ -97,7 +104,7 @@
             roster=loaded.roster,
             bounds=start.bounds,
             address=me.address,
-            zone=me.zone,
+            places=start.places,
             nonce=first_nonce(me.incarnation),
         ),
         replica.step,
@@ -114,7 +121,10 @@
     )
     process.add(
         "placement",
-        placement.State(me.node, frozenset((me.node,)), bounds=start.bounds), placement.step,
+        placement.State(
+            me.node, frozenset((me.node,)), bounds=start.bounds, places=start.places
+        ),
+        placement.step,
         takes=(m.Probe, m.HeldWord, m.ListsAsk),
     )  # fmt: skip
     others = tuple(x for x in ids if x != member)
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -4,7 +4,7 @@
 
 import json
 import random
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -81,12 +81,14 @@
     def __init__(
         self, seed: int, exchanges: int = 3, sync_ms: float = 0.5, start_ms: float = 600.0,
         work_ms: float = 40.0, registries: int = 3, bounds: Bounds | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:  # fmt: skip
         self.env = simpy.Environment()
         self.bounds = bounds or Bounds()
         self.rng = random.Random(seed)
         self.sync_ms = sync_ms
         self.net = Net(self.env, self.rng)
+        self.regions = self.net.regions = regions or {}
         self.notes: list[tuple[float, str, str]] = []
         self.skip_who = self.skip_proof = self.skip_whole = False
         self.platform = Platform(self.env, self.rng, ZONES, 6, start_ms, work_ms)
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Mapping
 from typing import TYPE_CHECKING, Any
 
 import simpy
 
 from spokeroute.common.ids import Address
 from spokeroute.transport.net import attempts_in
+from spokeroute.transport.traffic import Traffic
 
 if TYPE_CHECKING:
     from tests.sim.world import Node
 
+BETWEEN_REGIONS_MS = 12.0
 Steps = Generator[Any, Any, None]
 
 
@@ -33,6 +35,8 @@
         self.waiting: dict[tuple[str, int, str], set[str]] = {}  # attempts on others
         self.narrow_kbit: dict[str, float] = {}  # machines behind a narrow link, by name
         self.busy_ms: dict[tuple[str, str], float] = {}  # until when such a link carries frames
+        self.regions: Mapping[str, str] = {}  # of each zone; empty: all are of one
+        self.between_regions = Traffic()
         self.loses: Callable[[Node, Node, bytes], bool] = lambda a, b, frame: False
 
     def link(self, sender: Node, address: str) -> tuple[str, int, str]:
@@ -59,7 +63,15 @@
         return any((f, t) in self.cuts for f in froms for t in tos)
 
     def delay_ms(self, a: str, b: str) -> float:
-        return (0.2 if a == b else 1.4) + self.rng.random() * 0.3
+        base_ms = 0.2 if a == b else 1.4
+        if self.regions.get(a, "") != self.regions.get(b, ""):
+            base_ms = BETWEEN_REGIONS_MS
+        return base_ms + self.rng.random() * 0.3
+
+    def _count(self, sender: Node, there: Node, frame: bytes) -> None:
+        if self.regions.get(sender.zone, "") != self.regions.get(there.zone, ""):
+            self.between_regions.frames += 1
+            self.between_regions.size_bytes += len(frame)
 
     def _queued_ms(self, sender: Node, there: Node, size_bytes: int) -> float:
         """How long a frame waits for, and takes on, narrow links on its way."""
@@ -91,6 +103,7 @@
         there = self.nodes.get(address)
         delay = self.delay_ms(sender.zone, there.zone if there else "")
         if there is not None:
+            self._count(sender, there, frame)
             delay += self._queued_ms(sender, there, len(frame))
         key = (sender.name, address)
         at = max(self.env.now + delay, self.last_ms.get(key, 0.0))
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -13,6 +13,7 @@
 from spokeroute.common.answers import Answer, Ran
 from spokeroute.common.effects import SlotId
 from spokeroute.common.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
+from spokeroute.common.places import Places
 from spokeroute.dispatch.configuration import TableReader
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
 from spokeroute.exchange.connect import Connect
@@ -180,6 +181,7 @@
         self.reader = TableReader()
         incarnation = Incarnation(self.sim.draw())
         seeds = tuple(Address(a) for a in self.seeds or self.sim.seeds)
+        places = Places(self.zone, self.sim.regions)
         if self.role == "registry":
             if self.disk is None or blank:
                 member = MemberId(f"m-{self.sim.draw():06d}")
@@ -193,11 +195,11 @@
             )  # fmt: skip
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
-            start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds)
+            start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds, places)
             self.process = build_registry(me, self, start, loaded)
         else:
             me = Me(NodeId(self.name), incarnation, self.address, self.role, self.zone)
-            start = Start(seeds, rng.randrange(10**9), bounds=self.sim.bounds)
+            start = Start(seeds, rng.randrange(10**9), bounds=self.sim.bounds, places=places)
             self.process = build_exchange(me, self, start)
         self.sim.net.nodes[self.address] = self
         self.env.process(self._beat(self.births))
--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -6,6 +6,7 @@
 
 from spokeroute.common.effects import From, Send, Tick
 from spokeroute.common.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
+from spokeroute.common.places import Places
 from spokeroute.ledger.writer import pack_share, unpack_share
 from spokeroute.register import replica
 from spokeroute.register.cells import Roster
@@ -30,7 +31,7 @@
 def begun() -> replica.State:
     nodes = {"m1": "north", "m2": "centre", "m3": "south"}
     view = tuple(ViewEntry(n, 1, f"{n}:1", "registry", z, 0) for n, z in nodes.items())
-    state = replica.State((), address="ex:1", zone="centre")
+    state = replica.State((), address="ex:1", places=Places("centre"))
     return replica.step(state, ViewNow(view), Ms(1_000))[0]
 
 
@@ -51,7 +52,7 @@
         got = asked(known, 1_300)
         assert bringers_of(got) == {"m2"}
         assert not got["m1"].have
-        other = replace(known, near=frozenset())  # a zone without a registry
+        other = replace(known, places=Places("west"))  # a zone without a registry
         assert len(bringers_of(asked(other, 1_300))) == 1
 
 
--- /dev/null
+++ b/tests/test_regions.py
@@ -0,0 +1,99 @@
+"""Three regions, far from each other: what stays within one, and what has to cross."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from immutables import Map
+
+from spokeroute.common.effects import Send, SendAddress, Tick
+from spokeroute.common.ids import Address, Incarnation, Ms, NodeId
+from spokeroute.common.places import Distance, Places
+from spokeroute.common.replacing import replace
+from spokeroute.common.settings import Settings, SettingsError, check_settings, read_settings
+from spokeroute.register.value_asks import bringers
+from spokeroute.transport import peers
+from spokeroute.transport.messages import ViewEntry
+from spokeroute.transport.process import Me
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+ROUNDS = 400
+
+
+def test_distances_between_zones() -> None:
+    places = Places("a1", REGIONS)
+    assert places.distance("a1") == Distance.SAME_ZONE
+    assert places.distance("a2") == Distance.SAME_REGION
+    assert places.distance("b1") == Distance.OTHER_REGION
+    assert places.distance("nowhere") == Distance.SAME_REGION
+    assert places.between("b1", "b2") == Distance.SAME_REGION
+
+
+def test_without_regions_all_zones_are_of_one() -> None:
+    assert Places("a1").distance("b1") == Distance.SAME_REGION
+
+
+def test_values_come_from_the_own_zone_then_the_own_region() -> None:
+    members = tuple(NodeId(f"m-{zone}") for zone in REGIONS)
+    zones = {f"m-{zone}": zone for zone in REGIONS}
+    order = bringers(members, zones, Places("b2", REGIONS), "h:1")
+    assert order[:2] == ("m-b2", "m-b1")
+
+
+def gossip(places: Places) -> peers.State:
+    """A process that knows three peers in each zone."""
+    me = Me(NodeId("me"), Incarnation(1), Address("10.9.0.1:1"), "exchange", places.zone)
+    state = peers.State(me, (Address("10.0.0.1:1"),), 7, (), "replica", places=places)
+    entries = tuple(
+        ViewEntry(f"{zone}-{i}", 1, f"10.{n}.0.{i}:1", "exchange", zone, 0)
+        for n, zone in enumerate(REGIONS)
+        for i in range(3)
+    )
+    return peers.merge(state, entries, Ms(0))
+
+
+def share_that_crosses(places: Places, regions: dict[str, str]) -> float:
+    state = gossip(places)
+    here = regions.get(places.zone, "")
+    crossed = sent = 0
+    for number in range(ROUNDS):
+        state = replace(state, next_ms=Ms(0), rounds=number)
+        _, effects = peers.step(state, Tick(0), Ms(1))
+        for effect in effects:
+            if isinstance(effect, Send):
+                sent += 1
+                crossed += regions[effect.to.partition("-")[0]] != here
+    return crossed / sent
+
+
+@pytest.mark.parametrize("zone", ["a1", "b2"])
+def test_most_gossip_stays_within_a_region_and_some_does_not(zone: str) -> None:
+    share = share_that_crosses(Places(zone, REGIONS), REGIONS)
+    assert 0.02 < share < 0.2
+
+
+def test_a_process_alone_in_its_region_gossips_with_the_others() -> None:
+    assert share_that_crosses(Places("d1", {**REGIONS, "d1": "d"}), {**REGIONS, "d1": "d"}) == 1.0
+
+
+def test_just_started_all_seeds_are_asked_wherever_they_are() -> None:
+    state = gossip(Places("a1", REGIONS))
+    seeds = tuple(Address(f"10.{n}.9.9:1") for n in range(3))
+    _, effects = peers.step(replace(state, seeds=seeds, view=Map()), Tick(0), Ms(1))
+    assert {e.address for e in effects if isinstance(e, SendAddress)} == set(seeds)
+
+
+def test_settings_that_leave_the_own_zone_out_are_refused() -> None:
+    settings = Settings(
+        "ex1", "d1", "127.0.0.1:1", "127.0.0.1:2", ("127.0.0.1:3",), regions=REGIONS
+    )
+    with pytest.raises(SettingsError, match="d1"):
+        check_settings(settings, "exchange")
+
+
+def test_a_region_is_a_name(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text("[regions]\na1 = 3\n")
+    with pytest.raises(SettingsError, match="a1"):
+        read_settings(str(path), {})
