A member is asked to accept a placement table as a patch of the one before

Cause: each change of the placement table went whole to each member, most of it over regions, ten times a second; promises already leave out what their proposer has.

Change: who promised with the value before, or has not answered yet, gets a patch, the others the whole value. Who lacks the base answers nothing and catches up as if it had missed the round; the digest of what a patch makes is checked before it is accepted. Values that are no packed lines go whole.

--- /dev/null
+++ b/spokeroute/register/accepts.py
@@ -0,0 +1,56 @@
+"""The second half of a round, with as few bytes as its receiver can do with.
+
+A placement table changes ten times a second and more, by a few lines each time. So a member gets
+the new value as a patch of the one before, which the proposer knows to be chosen; one that promised
+with another value gets it whole. A member that has not got the base leaves a patch unanswered, and
+catches up like one that missed the round.
+"""
+
+from __future__ import annotations
+
+from spokeroute.common.effects import Send
+from spokeroute.register.acceptor_state import State as AcceptorState
+from spokeroute.register.cells import EMPTY, Roster
+from spokeroute.register.patches import apply_patch, make_patch
+from spokeroute.register.rounds import Round, State
+from spokeroute.transport.messages import Accept, AcceptPatch, Copy, ValuePatch
+
+
+def accept_asks(state: State, roster: Roster, current: Round, offer: Copy) -> tuple[Send, ...]:
+    """What each member is asked to accept.
+
+    Example:
+        accept_asks(state, roster, current, offer)[0].message.copy == offer
+    """
+    whole = Accept(roster.epoch, offer, current.value)
+    patch = _patch(state, current, offer)
+    if patch is None:
+        return tuple(Send(member, whole) for member in roster.ids)
+    short = AcceptPatch(roster.epoch, patch)
+    sends: list[Send] = []
+    for member in roster.ids:
+        promise = current.promises.get(member)
+        other = promise is not None and promise.accepted.digest != patch.base
+        sends.append(Send(member, whole if other or member == state.me else short))
+    return tuple(sends)
+
+
+def _patch(state: State, current: Round, offer: Copy) -> ValuePatch | None:
+    base = state.known.get(offer.name)
+    if base is None or base.digest == offer.digest:
+        return None
+    return make_patch(base.digest, base.value, offer, current.value)
+
+
+def whole_accept(state: AcceptorState, ask: AcceptPatch) -> Accept | None:
+    """A patched ask with its value; None where this member has not got what it is a patch of.
+
+    Example:
+        whole_accept(state, AcceptPatch(1, patch)) is None
+    """
+    patch = ask.patch
+    cell = state.cells.get(patch.copy.name, EMPTY)
+    same = cell.digest == patch.base
+    base = cell.value if same else state.earlier.find(patch.copy.name, patch.base)
+    value = apply_patch(patch, base) if base else None
+    return Accept(ask.epoch, patch.copy, value) if value is not None else None
--- a/spokeroute/register/patches.py
+++ b/spokeroute/register/patches.py
@@ -38,7 +38,10 @@
     head_bytes = HEAD_BYTES.get(target.name)
     if head_bytes is None or not base or not value:
         return None
-    old, new = open_packed(base, head_bytes), open_packed(value, head_bytes)
+    try:
+        old, new = open_packed(base, head_bytes), open_packed(value, head_bytes)
+    except PackError:
+        return None
     if not _packs_again(value, head_bytes):
         return None
     rows = [[first, count, text.decode()] for first, count, text in runs_of(old.text, new.text)]
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -66,7 +66,16 @@
             loaded.copied,
         ),
         acceptor.step,
-        takes=(m.Prepare, m.Accept, m.HandOver, m.Probe, m.FetchAsk, m.CopyAsk, m.HeldAsk),
+        takes=(
+            m.Prepare,
+            m.Accept,
+            m.AcceptPatch,
+            m.HandOver,
+            m.Probe,
+            m.FetchAsk,
+            m.CopyAsk,
+            m.HeldAsk,
+        ),
     )
     process.add(
         "anti_entropy",
--- a/tools/model/world.py
+++ b/tools/model/world.py
@@ -32,6 +32,7 @@
 TAKES: dict[type, tuple[str, ...]] = {
     m.Prepare: ("acceptor",),
     m.Accept: ("acceptor",),
+    m.AcceptPatch: ("acceptor",),
     m.HandOver: ("acceptor",),
     m.CopyAsk: ("acceptor",),
     m.HeldAsk: ("acceptor",),
