Members of other regions that no proof needs are asked each 1.2 s

Cause: every node asked all members each 0.4 s, three of five of them in other regions.

Change: in turn a probe goes to the member that places, all of the own region, and as many others as make a proof; to all each 1.2 s, where a proof is late, and where members differ. Where there is one region nothing changes but the last. Weighed: 2 s (a member that takes the role counts who was silent for 2.5 s as lost).

--- a/spokeroute/register/questions.py
+++ b/spokeroute/register/questions.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 from spokeroute.common.ids import Ms, NodeId
+from spokeroute.common.places import Distance
+from spokeroute.common.replacing import replace
 from spokeroute.register.named_copies import fingerprints
 from spokeroute.register.replica_state import State
-from spokeroute.register.value_asks import bringers
+from spokeroute.register.value_asks import bringers, distance_of
 from spokeroute.transport.messages import Probe
 
 PROBE_MS = 400
+FAR_MS = 1_200  # between two turns that also go to members of other regions that no proof needs
+LATE_MS = 450  # a proof older than a turn and a beat: one of those that were asked may be gone
 STRANGE_MS = 1_500
+OTHER_REGION = Distance.OTHER_REGION
 
 
 def members_to_ask(state: State, now_ms: Ms) -> tuple[NodeId, ...]:
-    """Whom a probe goes to: all members in turn; between two of these, where calls wait for an
-    instance, as many as make a proof, the one that places among them.
+    """Whom a probe goes to. In turn: the member that places, all members of this region, and as
+    many others as make a proof; more rarely, where members differ, and where a proof is late,
+    all. Between two turns, where calls wait for an instance, as many as make a proof.
 
     Example:
         >>> members_to_ask(State(()), Ms(0))
@@ -26,11 +32,29 @@
     if now_ms - state.proved_ms > STRANGE_MS:
         # All members that this process knows of may be gone: any registry has news of the roster.
         return tuple(dict.fromkeys((*roster.ids, *state.registries)))
-    if now_ms - state.all_probed_ms >= PROBE_MS or now_ms - state.proved_ms >= PROBE_MS:
+    late = now_ms - state.proved_ms >= LATE_MS
+    if late or state.unlike or now_ms - state.all_probed_ms >= FAR_MS:
         return roster.ids
     order = bringers(roster.ids, state.zones, state.places, state.address)
     placing = tuple(node for node in order if node == state.reports.placement)
-    return tuple(dict.fromkeys((*placing, *order)))[: roster.majority]
+    nearest = tuple(dict.fromkeys((*placing, *order)))[: roster.majority]
+    if now_ms - state.turn_ms < PROBE_MS:
+        return nearest
+    near = tuple(n for n in order if distance_of(n, state.zones, state.places) != OTHER_REGION)
+    return tuple(dict.fromkeys((*nearest, *near)))
+
+
+def turned(state: State, asked: int, now_ms: Ms) -> State:
+    """With when members were asked in turn, and when all of them were.
+
+    Example:
+        >>> turned(State(()), 0, Ms(5)).all_probed_ms
+        5
+    """
+    if state.roster is None or asked >= len(state.roster.ids):
+        return replace(state, turn_ms=now_ms, all_probed_ms=now_ms)
+    turn = now_ms - state.turn_ms >= PROBE_MS
+    return replace(state, turn_ms=now_ms) if turn else state
 
 
 def question(state: State, epoch: int, base: int, now_ms: Ms) -> Probe:
--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -103,6 +103,7 @@
     changes: ReportChanges = ReportChanges()
     compiles: CompileQueue = CompileQueue()
     probed_ms: Ms = Ms(0)  # when the last probe went out
+    turn_ms: Ms = Ms(-(10**6))  # when more were asked last than make a proof
     all_probed_ms: Ms = Ms(-(10**6))  # when all members were asked last
     absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
     bounds: Bounds = Bounds()
--- a/spokeroute/register/value_asks.py
+++ b/spokeroute/register/value_asks.py
@@ -149,14 +149,19 @@
     spread = zlib.crc32(address.encode())
     order: list[NodeId] = []
     for distance in Distance:
-        there = sorted(n for n in members if _distance(n, zones, places) == distance)
+        there = sorted(n for n in members if distance_of(n, zones, places) == distance)
         order.extend(_rotated(there, spread))
     return tuple(order)
 
 
-def _distance(node: NodeId, zones: Mapping[str, str], places: Places) -> Distance:
+def distance_of(node: NodeId, zones: Mapping[str, str], places: Places) -> Distance:
     """How far away a member is; one whose zone is not known counts as of this region: a registry
-    does not find itself in its view."""
+    does not find itself in its view.
+
+    Example:
+        >>> distance_of(NodeId("m1"), {}, Places("north")).name
+        'SAME_REGION'
+    """
     return places.distance(zones[node]) if node in zones else Distance.SAME_REGION
 
 
