--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica_state.py
@@ -49,6 +49,7 @@
     """One probe and its answers."""
 
     sent_ms: Ms
+    members: int = 0  # that were asked
     acks: Map[str, ProbeAck] = field(default_factory=Map)
     named: Map[str, Copy] = field(default_factory=Map)  # copies that the probe stood for
 
