Routes may name regions: their calls run, and their bodies go, only there

Change: a route's regions bind the choice of an instance, also of a successor, of one with room and of one that nobody holds; a service's instances and their holders stand where all its routes allow it; a change of regions drains what stands elsewhere. Where all zones of a route's regions are evacuated its calls are refused at once, as not run, with a time to come back. A region that no setting names is refused with the configuration, by name.

Choice among instances: by the own zone, then by this entry's own calls, as before regions were known.

--- a/spokeroute/common/places.py
+++ b/spokeroute/common/places.py
@@ -41,6 +41,24 @@
         """
         return self.regions.get(self.zone, "")
 
+    def allows(self, regions: frozenset[str] | tuple[str, ...], zone: str) -> bool:
+        """Whether a zone is of one of these regions; any is where none is named.
+
+        Example:
+            >>> Places("a", {"a": "north", "b": "south"}).allows(("north",), "b")
+            False
+        """
+        return not regions or self.regions.get(zone, "") in regions
+
+    def zones_of(self, regions: tuple[str, ...]) -> frozenset[str]:
+        """The zones of these regions.
+
+        Example:
+            >>> Places("a", {"a": "north", "b": "south"}).zones_of(("south",))
+            frozenset({'b'})
+        """
+        return frozenset(zone for zone, region in self.regions.items() if region in regions)
+
     def distance(self, zone: str) -> Distance:
         """How far away a zone is. One that no region is known of counts as of this region.
 
--- a/spokeroute/dispatch/models.py
+++ b/spokeroute/dispatch/models.py
@@ -93,6 +93,7 @@
     timeout_ms: int = field(default=60_000, metadata=_written("timeoutMs"))
     aim_ms: int = field(default=0, metadata=_written("aimMs"))
     priority: int = 0
+    regions: tuple[str, ...] = ()  # its calls run, and their bodies go, only there; none: anywhere
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/spokeroute/dispatch/route_table.py
+++ b/spokeroute/dispatch/route_table.py
@@ -49,6 +49,8 @@
     limits: Limits = Limits()
     aim_ms: Mapping[str, int] = field(default_factory=dict)
     """The least aim of the routes to a service; one without any is not in it."""
+    regions: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    """The regions of a service whose routes name some."""
 
     def route(self, path: str, host: str = "") -> Route | None:
         """The route of a path at a host: the host's own first, then those of any host.
--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -49,7 +49,11 @@
     """
     seen = work.seen
     mine = work.of(service.name)
-    here = [p for p in mine if counted(p, seen.evacuated, seen.suspects)]
+    here = [
+        p
+        for p in mine
+        if counted(p, seen.evacuated, seen.suspects) and work.may_stand(service.name, p.zone)
+    ]
     up = [p for p in here if p.state == UP and p.holder]
     demand = seen.demand.get(service.name, Demand())
     running = sum(1 for p in here if p.state == UP)
@@ -95,7 +99,11 @@
 ) -> None:
     seen = work.seen
     near = list(here)
-    open_seats = {w: s for w, s in seen.seats.items() if w not in seen.full_workers}
+    open_seats = {
+        worker: seat
+        for worker, seat in seen.seats.items()
+        if worker not in seen.full_workers and work.may_stand(service.name, seat.zone)
+    }
     for number in range(len(here), total):
         if work.started >= seen.starts_left:
             return
--- a/spokeroute/dispatch/table_reader.py
+++ b/spokeroute/dispatch/table_reader.py
@@ -130,7 +130,7 @@
     return Route(
         raw["path"], raw["service"], tuple(raw["methods"]), raw["repeatable"],
         raw["perClientPerS"], raw["host"], split, raw["attempts"], raw["timeoutMs"],
-        raw["aimMs"], raw["priority"],
+        raw["aimMs"], raw["priority"], tuple(raw.get("regions", ())),
     )  # fmt: skip
 
 
@@ -143,17 +143,27 @@
 ) -> Table:
     by_host: dict[str, list[Route]] = {}
     aim_ms: dict[str, int] = {}
+    regions: dict[str, list[frozenset[str]]] = {}
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
         for name in route.services if route.aim_ms else ():
             aim_ms[name] = min(route.aim_ms, aim_ms.get(name, route.aim_ms))
+        for name in route.services if route.regions else ():
+            regions.setdefault(name, []).append(frozenset(route.regions))
     return Table(
         version, digest, {host: _host_routes(each) for host, each in by_host.items()},
         {service.name: service for service in services}, Thresholds.from_dict(raw["thresholds"]),
         Programs.from_dict(raw["programs"]), raw["name"], Limits.from_dict(raw["limits"]), aim_ms,
+        {name: _regions_of(each) for name, each in regions.items()},
     )  # fmt: skip
 
 
+def _regions_of(named: list[frozenset[str]]) -> frozenset[str]:
+    """Where a service's instances stand: in the regions that all its routes allow, or, where these
+    have none in common, in those of any."""
+    return frozenset.intersection(*named) or frozenset.union(*named)
+
+
 def _host_routes(routes: list[Route]) -> HostRoutes:
     exact: dict[str, Route] = {}
     prefixes: dict[str, Route] = {}
--- a/spokeroute/dispatch/validation.py
+++ b/spokeroute/dispatch/validation.py
@@ -58,6 +58,22 @@
     return faults
 
 
+def check_regions(configuration: Configuration, regions: frozenset[str]) -> list[Fault]:
+    """Routes that name a region which this deployment does not have.
+
+    Example:
+        >>> check_regions(Configuration((), (), ()), frozenset())
+        []
+    """
+    known = ", ".join(sorted(regions)) or "none: settings name no regions"
+    return [
+        Fault(f"routes[{i}].regions", f"unknown region {name!r}", f"known: {known}")
+        for i, route in enumerate(configuration.routes)
+        for name in route.regions
+        if name not in regions
+    ]
+
+
 def _check_service(path: str, service: Service, names: set[str]) -> list[Fault]:
     faults: list[Fault] = []
     if not service.name or len(service.name) > 64 or not service.name.replace("-", "").isalnum():
--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -148,6 +148,11 @@
         """A service's instances, as this pass has them."""
         return self.now.of(service)
 
+    def may_stand(self, service: str, zone: str) -> bool:
+        """Whether a service's routes let its calls run in a zone, and their bodies go there."""
+        allowed = self.seen.table.regions.get(service, frozenset())
+        return self.seen.places.allows(allowed, zone)
+
 
 def identity_of(placed: Placed) -> str:
     """The platform's name for an instance; ours where it was never told, as it takes ours then.
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -72,10 +72,13 @@
         state.me, now_ms, state.places, lost_to(state, now_ms),
     )  # fmt: skip
     if call.bound_for and not call.touched:
-        picked = with_room(call, state.tables) or picked
+        picked = with_room(call, state.tables, state.places) or picked
         call = replace(call, bound_for="")
     if picked is None and state.bounds.rejection_safe:
         picked = adopt(state, call, now_ms)
+    if picked is None and _nowhere(state, call):
+        why = f"every zone of {', '.join(call.route.regions)} is evacuated"
+        return refuse(state, call, Kind.NO_ROOM, why, now_ms)
     if picked is None:
         return _hold(state, call, now_ms)
     why_again = allowed(call)
@@ -99,6 +102,12 @@
     return state, (*notes, sent)
 
 
+def _nowhere(state: State, call: Call) -> bool:
+    """Whether a call, which no instance may have run, can run in none of its route's regions."""
+    zones = state.places.zones_of(call.route.regions)
+    return bool(zones) and zones <= state.tables.evacuated and not call.touched
+
+
 def _hold(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
     """There is no instance for a call now: it waits, or ends where it may have run."""
     if call.touched and not call.attempts and call.maybe:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,8 +14,14 @@
 
 from spokeroute.client.client import Said, Unreached, Where, ask
 from spokeroute.common.answers import Answer
-from spokeroute.dispatch.configuration import Configuration, content_of, read_configuration
+from spokeroute.dispatch.configuration import (
+    Configuration,
+    Fault,
+    content_of,
+    read_configuration,
+)
 from spokeroute.dispatch.placement_table import Mark, pack_evacuated, unpack_evacuated
+from spokeroute.dispatch.validation import check_regions
 from spokeroute.http.wsgi import respond, serve
 from spokeroute.register.numbers import MAX_NUMBER
 from spokeroute.register.stamps import (
@@ -182,6 +188,9 @@
     def __init__(self) -> None:
         self.applied: list[int] = []
 
+    def region_faults(self, configuration: Configuration) -> tuple[Fault, ...]:
+        return tuple(check_regions(configuration, frozenset({"north"})))
+
     def apply(self, configuration: Configuration, number: int, document: str) -> Answer:
         self.applied.append(number)
         return Answer(200, (), b"{}")
@@ -217,6 +226,22 @@
     assert put(json.dumps(document(version=MAX_NUMBER)).encode())[2] == [MAX_NUMBER]
 
 
+@pytest.mark.parametrize(
+    ("regions", "taken"),
+    [
+        ([], True), (None, True), (["north"], True),
+        (["moon"], False), (["north", ""], False), ("north", False), ([7], False), ({}, False),
+    ],
+)  # fmt: skip
+def test_regions_of_a_route_are_taken_if_they_are_there(regions: Any, taken: bool) -> None:
+    """The platform writes an empty list where a route may run anywhere."""
+    doc = document()
+    doc["routes"][0]["allowed-regions"] = regions
+    status, said, applied = put(json.dumps(doc).encode())
+    assert (status == 200, bool(applied)) == (taken, taken)
+    assert taken or "region" in json.dumps(said)
+
+
 @pytest.mark.parametrize(
     "change",
     [
