--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -7,14 +7,16 @@
 import pytest
 from immutables import Map
 
-from spokeroute.common.effects import Send, SendAddress, Tick
-from spokeroute.common.ids import Address, Incarnation, Ms, NodeId
+from spokeroute.common.effects import From, Send, SendAddress, Tick
+from spokeroute.common.ids import SPREAD, Address, Epoch, Incarnation, MemberId, Ms, NodeId
 from spokeroute.common.places import Distance, Places
 from spokeroute.common.replacing import replace
 from spokeroute.common.settings import Settings, SettingsError, check_settings, read_settings
-from spokeroute.register.value_asks import bringers
+from spokeroute.register import replica
+from spokeroute.register.cells import Roster
+from spokeroute.register.value_asks import ValueAsks, bringers
 from spokeroute.transport import peers
-from spokeroute.transport.messages import ViewEntry
+from spokeroute.transport.messages import Copy, Probe, ProbeAck, ViewEntry
 from spokeroute.transport.process import Me
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
@@ -97,3 +99,66 @@
     path.write_text("[regions]\na1 = 3\n")
     with pytest.raises(SettingsError, match="a1"):
         read_settings(str(path), {})
+
+
+def test_where_members_differ_and_calls_wait_all_are_asked_again_at_once() -> None:
+    """The third member that makes a proof may have a table a moment later than the others."""
+    state = asking(within_ms=150)
+    state, probes = asked_of(state, 1_500)
+    assert len(probes) == 3
+    for number, member in enumerate(probes):
+        state, _ = replica.step(state, answer(state, member, 4 + number % 2), Ms(1_530))
+    assert state.next_ms <= 1_550
+    _, again = asked_of(state, 1_550)
+    assert len(again) == 5
+
+
+def test_where_nobody_waits_the_next_question_is_not_hurried() -> None:
+    state, probes = asked_of(asking(within_ms=0), 1_500)
+    for number, member in enumerate(probes):
+        state, _ = replica.step(state, answer(state, member, 4 + number % 2), Ms(1_530))
+    assert state.next_ms > 1_600
+
+
+def test_members_of_other_regions_are_asked_more_rarely() -> None:
+    """In turn only as many as a proof needs, and all of the own region; all of them now and then,
+    as they count who has been silent."""
+    state = replace(asking(within_ms=0), turn_ms=Ms(0))
+    state, probes = asked_of(state, 1_500)
+    assert {"m-a1", "m-a2"} < set(probes) and len(probes) == 3
+    late = replace(state, proved_ms=Ms(900), turn_ms=Ms(0))
+    assert len(asked_of(late, 1_500)[1]) == 5
+    rare = replace(state, all_probed_ms=Ms(0), turn_ms=Ms(0))
+    assert len(asked_of(rare, 1_500)[1]) == 5
+
+
+MEMBERS = ("m-a1", "m-b1", "m-c1", "m-a2", "m-b2")
+
+
+def asking(within_ms: int) -> replica.State:
+    """An exchange of region a that knows five members, whose newest proof is young."""
+    members = tuple((MemberId(name), Address(f"{name}:1")) for name in MEMBERS)
+    return replica.State(
+        (),
+        roster=Roster(Epoch(1), members),
+        zones=Map({name: name[2:] for name in MEMBERS}),
+        places=Places("a1", REGIONS),
+        proved_ms=Ms(1_400),
+        turn_ms=Ms(1_400),
+        asks=ValueAsks(heard_ms=Ms(1_400)),
+        all_probed_ms=Ms(1_400),
+        reports=replica.Reports((), (), within_ms=within_ms, placement=NodeId("m-b1")),
+    )
+
+
+def asked_of(state: replica.State, at_ms: int) -> tuple[replica.State, tuple[str, ...]]:
+    state, effects = replica.step(replace(state, next_ms=Ms(at_ms)), Tick(0), Ms(at_ms))
+    return state, tuple(
+        e.to for e in effects if isinstance(e, Send) and isinstance(e.message, Probe)
+    )
+
+
+def answer(state: replica.State, member: str, version: int) -> From:
+    """A member's answer, of a placement table that is a version further on or not."""
+    copies = tuple(Copy(name, version, f"d{version}", version, "m-b1") for name in SPREAD)
+    return From(NodeId(member), Incarnation(1), ProbeAck(state.nonce, 1, copies, (), ()))
