--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -139,3 +139,25 @@
 def test_an_unknown_price_is_refused() -> None:
     with pytest.raises(SiteError, match=r"prices\.gold"):
         bench_site(site_of(spoiled(prices__gold=1.0)), "/place")
+
+
+def test_regions_stand_in_the_site_file() -> None:
+    site = made(FOLDER / "coasts.toml")
+    assert {z["region"] for z in site["zones"]} == {"east", "west", "middle"}
+    assert site["net"]["cross_region_ms"] == 31.0 and site["tolerate"]["regions"] == 1
+    assert site["prices"]["cross_region_gb"] == 26_000.0
+    alone = made(FOLDER / "slow.toml")
+    assert {z["region"] for z in alone["zones"]} == {"uplands"}
+    assert alone["net"]["cross_region_ms"] == 8.0 and alone["tolerate"]["regions"] == 0
+
+
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [
+        ({"losses__regions": 1}, "leaves no region"),
+        ({"losses__regions": 1, "zones__3__region": "far"}, "half of the core"),
+    ],
+)
+def test_a_region_that_cannot_be_lost_is_named(changes: dict[str, Any], said: str) -> None:
+    with pytest.raises(SiteError, match=said):
+        site_of(spoiled(**changes))
--- a/tools/make_site.py
+++ b/tools/make_site.py
@@ -17,7 +17,17 @@
 
 import cappa
 
-from tools.sites import Day, Function, Request, Site, SiteError, Trouble, Zone, read_site
+from tools.sites import (
+    Day,
+    Function,
+    Request,
+    Site,
+    SiteError,
+    Trouble,
+    Zone,
+    read_site,
+    region_of,
+)
 
 EXIT_FAULT = 2
 CONTRACTS = ("base", "drain", "config", "cost", "retry", "recover", "functions", "places")
@@ -56,6 +66,7 @@
     "processor_s": "cpu_s",
     "memory_gb_s": "memory_gb_s",
     "between_zones_gb": "cross_zone_gb",
+    "between_regions_gb": "cross_region_gb",
     "probe": "probe",
     "connection": "handshake",
     "late_refusal": "late_refusal",
@@ -225,7 +236,7 @@
         "contracts": list(CONTRACTS),
         "lead_s": site.lead_s,
         "length_s": site.seconds,
-        "zones": [{"name": z.name, "region": site.region} for z in site.zones],
+        "zones": [{"name": z.name, "region": region_of(site, z)} for z in site.zones],
         "machines": _machines(site),
         "services": [_service(f) for f in site.functions],
         "classes": [_class(r) for r in site.requests],
@@ -238,14 +249,16 @@
         "troubles": [trouble_of(t) for t in site.troubles],
         "timing": {"catch_up_s": times.catch_up_s, "limit_slack": times.refusals},
         "net": {"in_zone_ms": far.in_zone_ms, "cross_zone_ms": far.between_zones_ms,
-                "cross_region_ms": 2 * far.between_zones_ms, "client_ms": far.to_callers_ms},
+                "cross_region_ms": far.between_regions_ms or 2 * far.between_zones_ms,
+                "client_ms": far.to_callers_ms},
         "discovery": {"source": "cloud", "beat_ms": site.workers.beat_ms,
                       "lag_ms": site.workers.listing_late_ms, "page": 200,
                       "per_s": site.workers.listings_per_s},
         "entry": {"kind": "vip"},
         "config": {"idle_routes": site.idle_routes, "patch": True,
                    "body_bytes": site.body_bytes, "mode": "highest"},
-        "tolerate": {"machines": site.losses.machines, "zones": site.losses.zones, "regions": 0},
+        "tolerate": {"machines": site.losses.machines, "zones": site.losses.zones,
+                     "regions": site.losses.regions},
         "bounds": {
             "drain_ms": times.drain_ms, "config_ms": times.configuration_ms, "closed": False,
             "fenced": True, "touch_ms": times.contact_ms, "ack_ms": times.acknowledge_ms,
--- a/tools/sites.py
+++ b/tools/sites.py
@@ -48,6 +48,7 @@
     cores: int
     workers: int
     callers: float
+    region: str = ""  # empty: the deployment's
 
 
 @dataclass(frozen=True)
@@ -57,6 +58,7 @@
     in_zone_ms: float
     between_zones_ms: float
     to_callers_ms: float
+    between_regions_ms: float = 0.0  # 0: twice as far as between zones
 
 
 @dataclass(frozen=True)
@@ -104,6 +106,7 @@
 
     machines: int
     zones: int
+    regions: int = 0
 
 
 @dataclass(frozen=True)
@@ -305,7 +308,31 @@
         )
     if site.losses.zones and len(site.zones) <= site.losses.zones:
         faults.append("losses.zones leaves no zone: lower it")
-    return faults
+    return [*faults, *_regions(site)]
+
+
+def region_of(site: Site, zone: Zone) -> str:
+    """A zone's region.
+
+    Example:
+        region_of(site, site.zones[0])
+    """
+    return zone.region or site.region
+
+
+def _regions(site: Site) -> list[str]:
+    """What a deployment that bears the loss of a region lacks."""
+    if not site.losses.regions:
+        return []
+    cores: dict[str, int] = {}
+    for zone in site.zones:
+        region = region_of(site, zone)
+        cores[region] = cores.get(region, 0) + zone.cores
+    if len(cores) <= site.losses.regions:
+        return ["losses.regions leaves no region: lower it"]
+    if 2 * max(cores.values()) >= sum(cores.values()):
+        return ["losses.regions: a region has half of the core: spread it, or bear none's loss"]
+    return []
 
 
 def _load(site: Site) -> list[str]:
