--- /dev/null
+++ b/spokeroute/register/proof.py
@@ -0,0 +1,139 @@
+"""What a process holds of the spread registers, and when that is proved to be the newest.
+
+A question that a majority answered alike is a target: once all values that it names are here, they
+rule from the time of that question on, and never go back to older ones.
+"""
+
+from __future__ import annotations
+
+from immutables import Map
+
+from spokeroute.common.effects import Effect, Effects, Note, Tell
+from spokeroute.common.ids import CONFIGURATION, ROSTER
+from spokeroute.common.replacing import replace
+from spokeroute.register.agreement import same_value
+from spokeroute.register.cells import ballot_of, unpack_roster
+from spokeroute.register.replica_state import Fresh, Got, State, Target
+from spokeroute.register.stamps import number_of
+from spokeroute.transport.messages import Copy
+from spokeroute.transport.peers import CopiesNow
+
+LEASE_MS = 2_000
+KEPT_BEFORE = 3  # of a register's values that newer ones came after; of compiled ones, one
+
+
+def is_wanted(state: State, copy: Copy) -> bool:
+    """Whether a question that waits for its proof was answered with this very value.
+
+    Example:
+        is_wanted(state, copy)
+    """
+    named = (target.copies.get(copy.name) for target in state.targets)
+    return any(each is not None and same_value(each, copy) for each in named)
+
+
+def keep(state: State, got: Got) -> State:
+    """Keep a value, and for a while those that it comes after: an answer may name one of them.
+
+    Example:
+        state = keep(state, Got(copy, value))
+    """
+    name = got.copy.name
+    newest = state.here.get(name)
+    if newest is None:
+        return replace(state, here=state.here.set(name, got))
+    older, newer = sorted((newest, got), key=lambda each: each.copy.version)
+    many = 1 if got.table is not None else KEPT_BEFORE
+    before = (*state.before.get(name, ()), older)[-many:]
+    here, all_before = state.here.set(name, newer), state.before.set(name, before)
+    return replace(state, here=here, before=all_before)
+
+
+def found(state: State, copy: Copy) -> Got | None:
+    """The value of a copy, if it is here.
+
+    Example:
+        found(state, copy) is None
+    """
+    newest: Got | None = state.here.get(copy.name)
+    if newest is not None and same_value(newest.copy, copy):
+        return newest
+    before: tuple[Got, ...] = state.before.get(copy.name, ())
+    return next((got for got in before if same_value(got.copy, copy)), None)
+
+
+def prove(state: State) -> tuple[State, Effects]:
+    """The newest question all of whose answer is here proves it, from that question's time.
+
+    Example:
+        state, effects = prove(state)
+    """
+    for target in reversed(state.targets):
+        ruling = _ruling_by(state, target)
+        if ruling is not None:
+            return _proved(state, target, ruling)
+    return state, ()
+
+
+def _ruling_by(state: State, target: Target) -> Map[str, Got] | None:
+    """What rules by a target; None while a value is missing, or where it would go back."""
+    ruling = state.ruling
+    for name, copy in target.copies.items():
+        if copy.version == 0:
+            continue
+        old, got = ruling.get(name), found(state, copy)
+        if got is None:
+            if old is None or not same_value(old.copy, copy):
+                return None
+            continue
+        if old is None or old.copy.version < copy.version:
+            ruling = ruling.set(name, replace(got, copy=copy))
+        elif not same_value(old.copy, copy):
+            return None  # never back to an older one
+        elif ballot_of(old.copy) != ballot_of(copy):
+            ruling = ruling.set(name, replace(old, copy=copy))
+    return ruling
+
+
+def _proved(state: State, target: Target, ruling: Map[str, Got]) -> tuple[State, Effects]:
+    changed = any(
+        name not in state.ruling or not same_value(state.ruling[name].copy, got.copy)
+        for name, got in ruling.items()
+    )
+    late_ms = target.asked_ms - state.proved_ms
+    left = tuple(each for each in state.targets if each.asked_ms > target.asked_ms)
+    effects: list[Effect] = [Note(f"proof again after {late_ms} ms")] if state.overdue else []
+    state = replace(state, ruling=ruling, proved_ms=target.asked_ms, targets=left, overdue=False)
+    fresh = fresh_of(state, changed)
+    effects.extend(Tell(name, fresh) for name in state.listeners)
+    if changed:
+        copies = tuple(ruling[n].copy for n in sorted(ruling))
+        effects.append(Tell("peers", CopiesNow(copies)))
+        if ROSTER in ruling:
+            roster = unpack_roster(ruling[ROSTER].value)
+            if state.roster is None or roster.epoch > state.roster.epoch:
+                state = replace(state, roster=roster, probes=Map())
+    return state, tuple(effects)
+
+
+def fresh_of(state: State, changed: bool) -> Fresh:
+    """What the ruling copies say, for whoever decides.
+
+    Example:
+        fresh_of(State(()), False).versions == {}
+    """
+    ruling = state.ruling.get(CONFIGURATION)
+    return Fresh(
+        state.proved_ms,
+        {name: got.copy.version for name, got in state.ruling.items()},
+        {name: got.value for name, got in state.ruling.items() if name != CONFIGURATION},
+        ruling.table if ruling else None,
+        changed,
+        frozenset(
+            name
+            for sent_ms, names in state.absent_of.values()
+            if state.proved_ms - sent_ms < LEASE_MS
+            for name in names
+        ),
+        number_of(ruling.value) if ruling else 0,
+    )
