--- /dev/null
+++ b/tests/test_region_cuts.py
@@ -0,0 +1,122 @@
+"""Regions that lose each other, one way or both, or are lost whole, under traffic and orders."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from spokeroute.common.bounds import Bounds
+from tests.sim.changing import votes
+from tests.sim.cluster import ZONES, Sim, configuration
+from tests.test_scenarios import clean
+from tools.judges import level
+from tools.log import Told
+
+REGIONS = {"north": "n", "centre": "c", "south": "s"}
+LONG_MS = 12_000
+
+
+@pytest.fixture(params=[1, 2, 3])
+def far(request: pytest.FixtureRequest) -> Iterator[Sim]:
+    """Three regions, five members: two, two, and one in the south."""
+    made = Sim(request.param, 9, 5.0, registries=5, bounds=Bounds(members=5), regions=REGIONS)
+    made.settle()
+    yield made
+    made.close()
+
+
+def cut(sim: Sim, one: str, others: tuple[str, ...], both_ways: bool) -> None:
+    for other in others:
+        sim.net.cuts.add((f"zone:{one}", f"zone:{other}"))
+        if both_ways:
+            sim.net.cuts.add((f"zone:{other}", f"zone:{one}"))
+
+
+def done(sim: Sim, told: Told) -> Told:
+    sim.up_to(lambda: told.status != -1, 8_000)
+    return told
+
+
+@pytest.mark.parametrize("both_ways", [True, False])
+@pytest.mark.parametrize("alone", ["south", "north"])
+def test_a_region_loses_the_others(far: Sim, alone: str, both_ways: bool) -> None:
+    """The others go on and take orders. The lone one refuses, and has what was acknowledged
+    meanwhile once it is back; nothing that it was asked alone counts."""
+    far.traffic(60, LONG_MS + 14_000)
+    far.run(1_000)
+    cut(far, alone, tuple(zone for zone in ZONES if zone != alone), both_ways)
+    far.run(3_000)
+    there = next(i for i, r in enumerate(far.registries) if r.zone != alone)
+    here = next(i for i, r in enumerate(far.registries) if r.zone == alone)
+    taken = done(far, far.apply(configuration(name="by the others"), there))
+    assert taken.status == 200
+    refused = far.apply(configuration(name="alone"), here)
+    far.run(LONG_MS - 3_000)
+    assert refused.status != 200
+    back_ms = far.env.now
+    far.net.cuts.clear()
+    far.run(8_000)
+    for number in range(5):
+        shown = done(far, far.show(number))
+        assert shown.status == 200 and shown.doc["configuration"]["name"] != "alone"
+    clean(far)
+    assert level(far.log(), back_ms + 4_000, back_ms + 8_000) > 0.99
+
+
+def test_two_regions_lose_each_other_while_a_third_sees_both(far: Sim) -> None:
+    far.traffic(60, LONG_MS + 14_000)
+    far.run(1_000)
+    cut(far, "north", ("south",), True)
+    far.run(2_000)
+    for zone in ("north", "centre", "south"):
+        where = next(i for i, r in enumerate(far.registries) if r.zone == zone)
+        told = done(far, far.apply(configuration(name=f"from {zone}"), where))
+        assert told.status == 200, zone  # each sees a majority
+        far.run(2_000)
+    far.run(LONG_MS - 6_000)
+    far.net.cuts.clear()
+    far.run(8_000)
+    names = {done(far, far.show(i)).doc["configuration"]["name"] for i in range(5)}
+    assert names == {"from south"}
+    clean(far)
+
+
+def test_a_region_is_lost_and_comes_back(far: Sim) -> None:
+    """With its workers; what was acknowledged before and meanwhile stays, and calls that are not
+    repeatable ran once at most."""
+    far.traffic(60, LONG_MS + 16_000)
+    far.run(1_000)
+    assert done(far, far.evacuate("south", True)).status == 200
+    gone = [node for node in far.nodes if node.zone == "north"]
+    for node in gone:
+        node.machine_up = False
+        node.kill()
+    for seat in far.platform.seats:
+        if seat.zone == "north":
+            far.platform.crash(seat.id)
+    far.run(3_000)
+    up = next(i for i, r in enumerate(far.registries) if r.alive)
+    assert done(far, far.apply(configuration(name="meanwhile"), up)).status == 200
+    far.run(LONG_MS - 3_000)
+    far.platform.down_workers.clear()
+    back_ms = far.env.now
+    for node in gone:
+        node.machine_up = True
+        node.start()
+    assert far.up_to(lambda: all(votes(r) for r in far.registries), 8_000)
+    far.run(4_000)
+    shown, evacuated = done(far, far.show(0)), done(far, far.evacuated(1))
+    assert shown.doc["configuration"]["name"] == "meanwhile"
+    assert evacuated.doc["evacuated"] == ["south"]
+    clean(far)
+    assert level(far.log(), back_ms + 8_000, back_ms + 11_000) > 0.99
+
+
+def test_bytes_between_regions_are_few_while_nothing_happens(far: Sim) -> None:
+    """A node of a quiet fleet sends other regions under 2 kB a second, the members' part included.
+    (On cde5351 it was over 5 kB.)"""
+    before = far.net.between_regions.size_bytes
+    far.run(10_000)
+    sent = far.net.between_regions.size_bytes - before
+    assert sent / 10 / len(far.nodes) < 2_000
