--- a/spokeroute/exchange/successor_lists.py
+++ b/spokeroute/exchange/successor_lists.py
@@ -8,7 +8,7 @@
 
 from spokeroute.common.ids import Ms
 from spokeroute.common.replacing import replace
-from spokeroute.transport.messages import Lists, ListsAsk
+from spokeroute.transport.list_messages import Lists, ListsAsk
 
 WHOLE = -1  # the base of lists that stand for themselves
 ASK_AGAIN_MS = 500
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -27,6 +27,7 @@
 from spokeroute.transport import anti_entropy_messages as ae
 from spokeroute.transport import messages as m
 from spokeroute.transport import peers
+from spokeroute.transport.list_messages import ListsAsk
 from spokeroute.transport.process import Me, Process, World
 
 
@@ -134,7 +135,7 @@
             me.node, frozenset((me.node,)), bounds=start.bounds, places=start.places
         ),
         placement.step,
-        takes=(m.Probe, m.HeldWord, m.ListsAsk),
+        takes=(m.Probe, m.HeldWord, ListsAsk),
     )  # fmt: skip
     others = tuple(x for x in ids if x != member)
     process.add(
--- a/tests/test_list_push.py
+++ b/tests/test_list_push.py
@@ -13,7 +13,7 @@
 from spokeroute.dispatch.list_push import ListsHead, Pushed, push
 from spokeroute.exchange.successor_lists import ASK_AGAIN_MS, SuccessorLists, merged
 from spokeroute.transport.frames import Envelope, decode, encode
-from spokeroute.transport.messages import Lists, ListsAsk
+from spokeroute.transport.list_messages import Lists, ListsAsk
 from tests.sim.cluster import Sim
 
 HOLDERS = {NodeId("ex1"): Incarnation(1), NodeId("ex2"): Incarnation(1)}
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -23,7 +23,7 @@
 from spokeroute.exchange.types import LISTS_AGE_MS, Attempt, Call, CallIn, Phase, Tables
 from spokeroute.ledger.entries import Record, entry_text, picture_doc
 from spokeroute.ledger.replay import replay
-from spokeroute.transport.messages import Lists, Successors
+from spokeroute.transport.list_messages import Lists, Successors
 from tests.sim.cluster import Sim, configuration
 
 ASK = CallIn(SlotId(0, 1), CallId("c1"), "a", "POST", "/x", "", (), b"", "5000", "", 0)
