A holder's silence is judged by the round trips seen, as TCP's timer does

Cause: fixed 100 + 300 ms took holders over full links or far ways for silent; time in which the entry itself was late counted against them.

--- /dev/null
+++ b/spokeroute/exchange/round_trip.py
@@ -0,0 +1,52 @@
+"""A running estimate of round trips and their spread, as TCP's retransmission timer keeps it
+(RFC 6298): the timeout follows what was seen, instead of a fixed bound.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SMOOTHING = 1 / 8  # the weight of a new sample in the mean
+SPREAD_SMOOTHING = 1 / 4  # and in the mean deviation
+SPREAD_FACTOR = 4  # how many mean deviations the timeout lies above the mean
+
+
+@dataclass(frozen=True, slots=True)
+class RoundTrip:
+    """The smoothed round trip to a peer and its mean deviation, in milliseconds."""
+
+    smoothed_ms: float
+    deviation_ms: float
+
+    @classmethod
+    def first(cls, took_ms: float) -> RoundTrip:
+        """The estimate after a single sample.
+
+        Example:
+            >>> RoundTrip.first(20.0).timeout_ms
+            60.0
+        """
+        return cls(took_ms, took_ms / 2)
+
+    def sampled(self, took_ms: float) -> RoundTrip:
+        """The estimate after one more sample.
+
+        Example:
+            >>> RoundTrip(20.0, 0.0).sampled(28.0)
+            RoundTrip(smoothed_ms=21.0, deviation_ms=2.0)
+        """
+        off_ms = abs(took_ms - self.smoothed_ms)
+        return RoundTrip(
+            self.smoothed_ms + SMOOTHING * (took_ms - self.smoothed_ms),
+            self.deviation_ms + SPREAD_SMOOTHING * (off_ms - self.deviation_ms),
+        )
+
+    @property
+    def timeout_ms(self) -> float:
+        """After how long without an answer the peer counts as silent.
+
+        Example:
+            >>> RoundTrip(20.0, 5.0).timeout_ms
+            40.0
+        """
+        return self.smoothed_ms + SPREAD_FACTOR * self.deviation_ms
