--- a/spokeroute/common/settings.py
+++ b/spokeroute/common/settings.py
@@ -14,6 +14,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.places import Places
 from spokeroute.common.replacing import replace
+from spokeroute.common.switches import SwitchError, Switches, read_switches
 
 
 class SettingsError(Exception):
@@ -38,6 +39,8 @@
     bounds: Bounds = Bounds()
     regions: Mapping[str, str] = field(default_factory=dict)
     """The region of each zone; empty: all zones are of one region."""
+    policy: Switches = Switches()
+    """Mechanisms that can be turned off to measure them (``common/switches.py``)."""
 
     @property
     def places(self) -> Places:
@@ -86,6 +89,7 @@
     raw = _read_toml(path)
     known = {f.name: f for f in fields(Settings)}
     kinds = {"seeds": list, "disk_mb": int, "found": bool, "bounds": dict, "regions": dict}
+    kinds |= {"policy": dict}
     for key, value in raw.items():
         if key not in known:
             names = ", ".join(known)
@@ -95,6 +99,11 @@
             raise SettingsError(f"setting {key!r} in {path} must be a {kind.__name__}: mend it")
     if "bounds" in raw:
         raw["bounds"] = _read_bounds(path, raw["bounds"])
+    if "policy" in raw:
+        try:
+            raw["policy"] = read_switches(raw["policy"], path)
+        except SwitchError as fault:
+            raise SettingsError(str(fault)) from fault
     for zone, region in raw.get("regions", {}).items():
         if not isinstance(region, str) or not region:
             raise SettingsError(f"region of zone {zone!r} in {path} must be a name: mend it")
--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placing.py
@@ -11,6 +11,7 @@
 from spokeroute.common.ids import FLOOR, Ms, NodeId, WorkerId
 from spokeroute.common.places import Places
 from spokeroute.common.replacing import replace
+from spokeroute.common.switches import Switches
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Picture, Ranking, Shift
 from spokeroute.dispatch.list_push import Pushed
@@ -83,6 +84,7 @@
     draws: int = 0
     bounds: Bounds = Bounds()
     places: Places = Places()
+    switches: Switches = Switches()
 
 
 def took_by(state: State, node: NodeId, took: tuple[Took, ...]) -> tuple[State, Effects]:
--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling.py
@@ -38,7 +38,13 @@
     demand = work.seen.demand.get(service.name, NO_DEMAND)
     if service.min_instances or not is_idle(service, demand, work.seen.now_ms):
         return False
-    return boot_fits(service, work.seen.table.aim_ms.get(service.name, 0))
+    return boot_fits(service, _kept_for_ms(work, service))
+
+
+def _kept_for_ms(work: Pass, service: Service) -> int:
+    """The least aim that an instance is kept for; 0 where none is."""
+    kept = work.seen.switches.warm_for_short_aims
+    return work.seen.table.aim_ms.get(service.name, 0) if kept else 0
 
 
 def scale(work: Pass, service: Service) -> None:
@@ -57,9 +63,11 @@
     up = [p for p in here if p.state == UP and p.holder]
     demand = seen.demand.get(service.name, Demand())
     running = sum(1 for p in here if p.state == UP)
+    lone = seen.switches.lone_spare
+    kept_for_ms = _kept_for_ms(work, service)
+    wanted = wanted_of(service, demand, running, seen.now_ms, kept_for_ms, _bounded(work))
     aim_ms = seen.table.aim_ms.get(service.name, 0)
-    wanted = wanted_of(service, demand, running, seen.now_ms, aim_ms)
-    total = wanted + spares_of(service, demand, wanted, seen.now_ms, aim_ms)
+    total = wanted + spares_of(service, demand, wanted, seen.now_ms, aim_ms, lone)
     if len(here) < total:
         inputs = _inputs(work, service, demand, here, running)
         _start(work, service, here, wanted, total, inputs)
@@ -72,6 +80,11 @@
     _route(work, service, up, wanted)
 
 
+def _bounded(work: Pass) -> bool:
+    """Whether services grow by a bounded number at once."""
+    return work.seen.switches.bounded_growth
+
+
 def _inputs(
     work: Pass, service: Service, demand: Demand, here: list[Placed], running: int
 ) -> dict[str, object]:
@@ -85,7 +98,8 @@
         "gapMs": demand.gap_ms,
         "have": len(here),
         "up": running,
-        "aimMs": seen.table.aim_ms.get(service.name, 0),
+        "aimMs": _kept_for_ms(work, service),
+        "boundedGrowth": _bounded(work),
     }
 
 
@@ -111,7 +125,7 @@
         if number >= wanted and not room.spare_allowed(service.memory_mb):
             return
         if number >= max(1, service.min_instances) and not room.rest_allowed(
-            service.memory_mb, sleepers_mb(seen.seats, work.now, seen.table.services)
+            service.memory_mb, _kept_free_mb(work)
         ):
             return
         worker = best_worker(room, service.memory_mb, tuple(near), seen.cu_pct)
@@ -128,6 +142,14 @@
         work.say("start", {**inputs, "wanted": wanted}, {"instance": name, "worker": worker})
 
 
+def _kept_free_mb(work: Pass) -> int:
+    """Memory that stays free for services without an instance."""
+    seen = work.seen
+    if not seen.switches.room_for_sleepers:
+        return 0
+    return sleepers_mb(seen.seats, work.now, seen.table.services)
+
+
 def _drain(
     work: Pass, here: list[Placed], many: int, wanted: int, inputs: dict[str, object]
 ) -> None:
--- a/spokeroute/dispatch/steering.py
+++ b/spokeroute/dispatch/steering.py
@@ -6,7 +6,7 @@
 from spokeroute.common.ids import CONFIGURATION, Ms, NodeId
 from spokeroute.common.replacing import replace
 from spokeroute.dispatch.configuration import Table
-from spokeroute.dispatch.flare import Limits, Picture, laaf, rome
+from spokeroute.dispatch.flare import Limits, Picture, Relief, laaf, rome
 from spokeroute.dispatch.list_push import ListsHead, push, whole_lists
 from spokeroute.dispatch.placing import State, record_in, resting, seats_of
 from spokeroute.dispatch.reports import exchanges_of, live_holders, means_of, suspects_of
@@ -30,10 +30,13 @@
     )  # fmt: skip
     effects: list[Effect] = []
     if _moved(state, now, table.thresholds.trigger_pct, now_ms):
+        accumulates = state.switches.accumulated_utilization
+        rankings = laaf(now, accumulates)
         state = replace(
-            state, rankings=laaf(now), ranked=now, sequence=state.sequence + 1, ranked_ms=now_ms
+            state, rankings=rankings, ranked=now, sequence=state.sequence + 1, ranked_ms=now_ms
         )
-        record = Record("laaf", picture_doc(now), ranking_doc(state.rankings))
+        inputs = {**picture_doc(now), "accumulates": accumulates}
+        record = Record("laaf", inputs, ranking_doc(state.rankings))
         effects.append(record_in(state, record))
         if faults:
             record = Record("program-fault", {"faults": list(faults)}, "default used")
@@ -41,7 +44,7 @@
         bounds = table.thresholds
         limits = Limits(bounds.overload_pct, bounds.migration_pct, bounds.trigger_pct)
         rested = replace(now, vetoes=(*now.vetoes, *sorted(resting(state, now_ms))))
-        relief = rome(rested, limits)
+        relief = rome(rested, limits) if state.switches.load_shifts else Relief(())
         if relief.shifts:
             inputs = {
                 **picture_doc(rested),
--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/workbook.py
@@ -14,6 +14,7 @@
     WorkerId,
 )
 from spokeroute.common.places import Places
+from spokeroute.common.switches import Switches
 from spokeroute.dispatch.configuration import Table
 from spokeroute.dispatch.flare import Shift
 from spokeroute.dispatch.placement_table import Floor, Placed
@@ -69,6 +70,7 @@
     starting_ms: Mapping[str, int] = field(default_factory=dict)  # since when an instance starts
     zones: Mapping[str, str] = field(default_factory=dict)  # exchange -> its zone
     places: Places = Places()
+    switches: Switches = Switches()
     addresses: Mapping[NodeId, Address] = field(default_factory=dict)  # of exchanges
 
 
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -74,7 +74,7 @@
     if call.bound_for and not call.touched:
         picked = with_room(call, state.tables, state.places) or picked
         call = replace(call, bound_for="")
-    if picked is None and state.bounds.rejection_safe:
+    if picked is None and state.bounds.rejection_safe and state.switches.unheld_sends:
         picked = adopt(state, call, now_ms)
     if picked is None and _nowhere(state, call):
         why = f"every zone of {', '.join(call.route.regions)} is evacuated"
--- a/spokeroute/register/compile_queue.py
+++ b/spokeroute/register/compile_queue.py
@@ -12,6 +12,7 @@
 from spokeroute.common.effects import Effects, Launch
 from spokeroute.common.ids import Ms
 from spokeroute.common.replacing import replace
+from spokeroute.common.switches import Switches
 from spokeroute.register.replica_jobs import Compile
 
 RESTS = 4  # times as long as the compilation took: a fifth of the time goes into them at most
@@ -31,6 +32,7 @@
     began_ms: Ms = Ms(0)
     rest_until_ms: Ms = Ms(0)
     waiting: Compile | None = None
+    rests: int = RESTS
 
     def idle(self, now_ms: Ms) -> bool:
         """Whether a configuration that came now would be compiled at once.
@@ -70,7 +72,7 @@
         """
         if self.running is None or self.running.copy.digest != digest:
             return self
-        rest_ms = min(RESTS * (now_ms - self.began_ms), MOST_REST_MS)
+        rest_ms = min(self.rests * (now_ms - self.began_ms), MOST_REST_MS)
         return replace(self, running=None, rest_until_ms=Ms(now_ms + rest_ms))
 
     def next(self, now_ms: Ms) -> tuple[CompileQueue, Effects]:
@@ -84,3 +86,13 @@
         if job is None or self.running is not None or now_ms < self.rest_until_ms:
             return self, ()
         return replace(self, running=job, waiting=None, began_ms=now_ms), (Launch(job),)
+
+
+def compile_queue(switches: Switches) -> CompileQueue:
+    """An empty queue, with rests after each compilation or without.
+
+    Example:
+        >>> compile_queue(Switches(compile_rests=False)).rests
+        0
+    """
+    return CompileQueue() if switches.compile_rests else CompileQueue(rests=0)
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -66,7 +66,15 @@
     process = build_registry(
         me,
         world,
-        Start(seeds, secrets.randbits(30), settings.found, rank, settings.bounds, settings.places),
+        Start(
+            seeds,
+            secrets.randbits(30),
+            settings.found,
+            rank,
+            settings.bounds,
+            settings.places,
+            settings.policy,
+        ),
         loaded,
     )
     edge = DiskEdge(disk, loaded.member, loop.report)
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -21,6 +21,7 @@
     replica,
 )
 from spokeroute.register.claim_ages import ClaimAges
+from spokeroute.register.compile_queue import compile_queue
 from spokeroute.register.disk import Loaded
 from spokeroute.register.leave import MARGIN_MS, Leave, Standing
 from spokeroute.registry import operator
@@ -116,6 +117,7 @@
             address=me.address,
             places=start.places,
             nonce=first_nonce(me.incarnation),
+            compiles=compile_queue(start.switches),
         ),
         replica.step,
         takes=(m.ProbeAck, m.FetchGot, m.ValuePatch, m.RosterNews),
@@ -132,7 +134,8 @@
     process.add(
         "placement",
         placement.State(
-            me.node, frozenset((me.node,)), bounds=start.bounds, places=start.places
+            me.node, frozenset((me.node,)), bounds=start.bounds, places=start.places,
+            switches=start.switches,
         ),
         placement.step,
         takes=(m.Probe, m.HeldWord, ListsAsk),
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -13,6 +13,7 @@
 from spokeroute.common.answers import Answer
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import CallId
+from spokeroute.common.switches import Switches
 from spokeroute.dispatch.configuration import (
     Configuration,
     content_of,
@@ -81,10 +82,11 @@
     def __init__(
         self, seed: int, exchanges: int = 3, sync_ms: float = 0.5, start_ms: float = 600.0,
         work_ms: float = 40.0, registries: int = 3, bounds: Bounds | None = None,
-        regions: Mapping[str, str] | None = None,
+        regions: Mapping[str, str] | None = None, switches: Switches | None = None,
     ) -> None:  # fmt: skip
         self.env = simpy.Environment()
         self.bounds = bounds or Bounds()
+        self.switches = switches or Switches()
         self.rng = random.Random(seed)
         self.sync_ms = sync_ms
         self.net = Net(self.env, self.rng)
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -181,7 +181,7 @@
         self.reader = TableReader()
         incarnation = Incarnation(self.sim.draw())
         seeds = tuple(Address(a) for a in self.seeds or self.sim.seeds)
-        places = Places(self.zone, self.sim.regions)
+        places, switches = Places(self.zone, self.sim.regions), self.sim.switches
         if self.role == "registry":
             if self.disk is None or blank:
                 member = MemberId(f"m-{self.sim.draw():06d}")
@@ -195,11 +195,14 @@
             )  # fmt: skip
             me = Me(disk.member, incarnation, self.address, self.role, self.zone)
             rank = seeds.index(self.address) if self.address in seeds else 3
-            start = Start(seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds, places)
+            start = Start(
+                seeds, rng.randrange(10**9), self.found, rank, self.sim.bounds, places, switches
+            )  # fmt: skip
             self.process = build_registry(me, self, start, loaded)
         else:
             me = Me(NodeId(self.name), incarnation, self.address, self.role, self.zone)
-            start = Start(seeds, rng.randrange(10**9), bounds=self.sim.bounds, places=places)
+            draw, bounds = rng.randrange(10**9), self.sim.bounds
+            start = Start(seeds, draw, bounds=bounds, places=places, switches=switches)
             self.process = build_exchange(me, self, start)
         self.sim.net.nodes[self.address] = self
         self.env.process(self._beat(self.births))
