Each call that ends late, refused or failed has one reason: metrics, ledger, log, tools.worth

Series and labels are bounded. tests/sends_model.py counts notes of second sends and of outcomes apart now, and holds that every answer of our own is counted exactly once.

--- a/spokeroute/common/settings.py
+++ b/spokeroute/common/settings.py
@@ -39,6 +39,8 @@
     bounds: Bounds = Bounds()
     regions: Mapping[str, str] = field(default_factory=dict)
     """The region of each zone; empty: all zones are of one region."""
+    log_outcomes: bool = False
+    """Whether calls that ended late, refused or failed are logged each second, by reason."""
     policy: Switches = Switches()
     """Mechanisms that can be turned off to measure them (``common/switches.py``)."""
 
@@ -88,7 +90,14 @@
     """
     raw = _read_toml(path)
     known = {f.name: f for f in fields(Settings)}
-    kinds = {"seeds": list, "disk_mb": int, "found": bool, "bounds": dict, "regions": dict}
+    kinds = {
+        "seeds": list,
+        "disk_mb": int,
+        "found": bool,
+        "log_outcomes": bool,
+        "bounds": dict,
+        "regions": dict,
+    }
     kinds |= {"policy": dict}
     for key, value in raw.items():
         if key not in known:
--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placing.py
@@ -28,12 +28,17 @@
 from spokeroute.dispatch.reports import Reported
 from spokeroute.dispatch.scaler import Demand, WorkerSeat
 from spokeroute.dispatch.sense import PolicyPair, compile_policy
+from spokeroute.dispatch.start_steps import StartSteps
 from spokeroute.dispatch.upkeep import Marks
 from spokeroute.ledger.entries import Record
 from spokeroute.register.replica import Fresh
 from spokeroute.transport.messages import HeldWord, Probe, Took
+from spokeroute.transport.outcome_messages import OutcomesTold
 
 SHIFT_REST_MS = 10_000
+MOST_OUTCOMES = 4_000  # rows of the sums; past it only those that are there count on
+OutcomeKey = tuple[str, str, str]
+"""Service, outcome and reason."""
 ANEW_MS = 5_000
 BARE_LISTINGS = 5
 MOST_TOOK = 5_000
@@ -85,6 +90,8 @@
     bounds: Bounds = Bounds()
     places: Places = Places()
     switches: Switches = Switches()
+    outcomes: Map[OutcomeKey, int] = field(default_factory=Map)  # that exchanges told, summed
+    starts: StartSteps = StartSteps()
 
 
 def took_by(state: State, node: NodeId, took: tuple[Took, ...]) -> tuple[State, Effects]:
@@ -113,6 +120,25 @@
     return replace(state, took=known), tuple(record_in(state, r) for r in records)
 
 
+def outcomes_by(state: State, node: NodeId, told: OutcomesTold) -> tuple[State, Effects]:
+    """Sum and enter what an exchange told of calls that ended late, refused or failed.
+
+    Example:
+        state, effects = outcomes_by(state, node, OutcomesTold(1, ()))
+    """
+    sums = state.outcomes
+    for row in told.rows:
+        key = (row.service, row.outcome, row.reason)
+        if key in sums or len(sums) < MOST_OUTCOMES:
+            sums = sums.set(key, sums.get(key, 0) + row.count)
+    state = replace(state, outcomes=sums)
+    if not state.term:
+        return state, ()
+    rows = [[row.service, row.outcome, row.reason, row.count] for row in told.rows]
+    record = Record("outcomes", {"exchange": node, "batch": told.number}, rows)
+    return state, (record_in(state, record),)
+
+
 def listed(state: State, listing: PlatformListed, now_ms: Ms) -> State:
     """Take a listing in: not an older one (unless the platform began anew), nor, until it
     persists, one that lacks everything that is up.
--- /dev/null
+++ b/spokeroute/dispatch/start_marks.py
@@ -0,0 +1,42 @@
+"""Which steps of starts a newly chosen placement table ends."""
+
+from __future__ import annotations
+
+from spokeroute.common.ids import Ms
+from spokeroute.dispatch.placement_table import STARTING, UP, Floor
+from spokeroute.dispatch.start_steps import StartStep, StartSteps
+from spokeroute.dispatch.workbook import Decision
+
+
+def started_by(decision: Decision) -> str:
+    """The instance that a decision to start is about.
+
+    Example:
+        >>> started_by(Decision("start", {}, {"instance": "a", "worker": "w"}))
+        'a'
+    """
+    output = decision.output
+    return str(output["instance"]) if isinstance(output, dict) else ""
+
+
+def steps_of(starts: StartSteps, before: Floor, floor: Floor, now_ms: Ms) -> StartSteps:
+    """The steps that end where a table was chosen: a start is written, a holder named, or an
+    instance marked as up.
+
+    Example:
+        steps_of(StartSteps(), NO_FLOOR, floor, now_ms).steps
+    """
+    if not starts.open:
+        return starts
+    known = {placed.id: placed for placed in before.instances}
+    for placed in floor.instances:
+        old = known.get(placed.id)
+        if placed.id not in starts.open or old is placed:
+            continue
+        if placed.state == STARTING:
+            starts = starts.passed(placed.id, StartStep.WRITE, now_ms)
+        if placed.holder and (old is None or not old.holder):
+            starts = starts.passed(placed.id, StartStep.HOLDER, now_ms)
+        if placed.state == UP:
+            starts = starts.passed(placed.id, StartStep.UP, now_ms)
+    return starts
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -5,6 +5,7 @@
 from spokeroute.common.answers import Answer, Kind, Ran, refusal
 from spokeroute.common.effects import Effect, Effects, Reply, Send
 from spokeroute.common.ids import Ms, NodeId
+from spokeroute.common.places import Distance
 from spokeroute.common.replacing import replace
 from spokeroute.exchange.claiming import ask_claim, not_run
 from spokeroute.exchange.entry import (
@@ -22,7 +23,8 @@
     took_note,
 )
 from spokeroute.exchange.filters import queue_too_long
-from spokeroute.exchange.pick import UNHELD, Picked, pick, with_room
+from spokeroute.exchange.outcomes import Outcome, is_late, late_reason, refusal_reason
+from spokeroute.exchange.pick import STARTING_RULE, UNHELD, Picked, pick, with_room
 from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.resend import allowed, noted
 from spokeroute.exchange.types import (
@@ -31,6 +33,7 @@
     Call,
     Phase,
 )
+from spokeroute.exchange.waits import Wait
 from spokeroute.transport.call_messages import Forward, ForwardDrop
 
 HOLD_MS = 30
@@ -128,7 +131,10 @@
     """A new attempt of a call, to the holder of the picked instance."""
     placed = picked.placed
     attempt_id = f"{call.ask.call_id}.{call.draws}"
-    each = Attempt(placed.id, placed.worker, placed.holder, placed.holder_incarnation, now_ms)
+    each = Attempt(
+        placed.id, placed.worker, placed.holder, placed.holder_incarnation, now_ms,
+        rule=picked.rule, zone=placed.zone,
+    )  # fmt: skip
     call = replace(
         call, phase=Phase.TRYING, unsent=False, draws=call.draws + 1,
         attempts=call.attempts.set(attempt_id, each), next_ms=Ms(now_ms + overdue_ms(call)),
@@ -142,8 +148,12 @@
         picked.rule == UNHELD,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
+    waits = state.waits
+    if picked.rule == STARTING_RULE and len(call.attempts) == call.draws == 1:
+        waits = waits.ended(Wait.PLACED, now_ms - call.start_ms)
     state = replace(
         put(state, call),
+        waits=waits,
         attempt_of=state.attempt_of.set(attempt_id, ask.slot.index),
         outstanding=state.outstanding.set(placed.id, count),
     )
@@ -260,14 +270,17 @@
     return refuse(state, call, kind, call.why, now_ms)
 
 
-def answer_call(state: State, call: Call, answer: Answer, now_ms: Ms) -> tuple[State, Effects]:
-    """The one answer; the slot is free after it.
+def answer_call(
+    state: State, call: Call, answer: Answer, now_ms: Ms, by: Attempt | None = None
+) -> tuple[State, Effects]:
+    """The one answer; the slot is free after it. ``by`` is the attempt that an instance answered.
 
     Example:
         state, effects = answer_call(state, call, now_ms)
     """
     for attempt_id in call.attempts:
         state, _, _ = end_attempt(state, attempt_id)
+    state = counted(state, call, answer, by, now_ms)
     effects: list[Effect] = []
     if call.claimed and call.phase != Phase.FREEING and state.registries:
         known = "may have run" if answer.status in (502, 504) else f"ended {answer.status}"
@@ -277,6 +290,26 @@
     return state, (Reply(call.ask.slot, answer), *effects)
 
 
+def counted(state: State, call: Call, answer: Answer, by: Attempt | None, now_ms: Ms) -> State:
+    """Count a call that ends late, refused or failed, by its reason.
+
+    Example:
+        state = counted(state, call, answer, attempt, now_ms)
+    """
+    service = call.service.name
+    if by is not None and by.rule == STARTING_RULE:
+        waits = state.waits.ended(Wait.ANSWERED, now_ms - by.sent_ms)
+        state = replace(state, waits=waits)
+    if answer.kind is not None:
+        outcome, reason = refusal_reason(answer, call.why)
+        return replace(state, outcomes=state.outcomes.count(service, outcome, reason))
+    if by is None or not is_late(call, now_ms):
+        return state
+    far = state.places.distance(by.zone) == Distance.OTHER_REGION
+    reason = late_reason(call, by, far, now_ms)
+    return replace(state, outcomes=state.outcomes.count(service, Outcome.LATE, reason))
+
+
 def lose_attempt(state: State, attempt_id: str, why: str, now_ms: Ms) -> tuple[State, Effects]:
     """No answer comes to an attempt any more.
 
--- /dev/null
+++ b/spokeroute/exchange/open_calls.py
@@ -0,0 +1,26 @@
+"""What the callers' door keeps of requests that it has not answered."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from spokeroute.common.effects import SlotId
+from spokeroute.http.connections import Connection
+
+
+@dataclass(slots=True)
+class Open:
+    """A call that was handed to the loop."""
+
+    connection: Connection
+    slot: SlotId
+    until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Early:
+    """A request that came before this process's first proof, and until when it may wait."""
+
+    connection: Connection
+    came_ms: int
+    until_ms: int
--- /dev/null
+++ b/spokeroute/exchange/outcomes.py
@@ -0,0 +1,180 @@
+"""Why calls end late, refused or failed: one reason each, counted where the call ends.
+
+Only such calls are counted, so that a call that is well pays nothing for it. The counts go to the
+ledger and the log once a second, and to whoever reads the metrics (``spokeroute/metrics.py``).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from immutables import Map
+
+from spokeroute.common.answers import Answer, Kind
+from spokeroute.common.ids import Ms
+from spokeroute.common.replacing import replace
+from spokeroute.exchange.pick import STARTING_RULE
+from spokeroute.exchange.types import Attempt, Call
+
+MOST_SERVICES = 64  # that are counted by name
+MOST_NAME_CHARS = 64
+OTHER = "other"  # all services past the bound, together
+NO_SERVICE = ""  # a call that matched no route
+
+
+class Outcome(StrEnum):
+    """How a call ended that did not end well."""
+
+    LATE = "late"
+    REFUSED = "refused"  # it did not run
+    FAILED = "failed"  # it may have run
+
+
+class Reason(StrEnum):
+    """Why. Names are part of the interface: ledgers, logs and metrics have them."""
+
+    BOOT = "waited_for_boot"
+    PLACEMENT = "waited_for_placement"  # no instance was placed for it for most of its time
+    QUEUE = "queued_at_holder"
+    RETRY = "retried_after_loss"
+    CLAIM = "waited_for_claim"
+    ENTRY_BUSY = "read_late"  # it waited at this node before it was taken in
+    FAR = "far_instance"
+    SLOW_RUN = "slow_run"
+    NO_PROOF = "no_proof"
+    NO_ROOM = "no_room"  # no instance had room for it in time
+    LONG_QUEUE = "queue_too_long"  # refused at once: its turn would have come too late
+    ENTRY_FULL = "entry_full"
+    TOO_FAST = "client_too_fast"
+    STOPPING = "stopping"
+    UNREACHED = "instance_unreached"
+    NO_CORE = "no_core"
+    BAD_REQUEST = "bad_request"
+    NO_ROUTE = "no_route"
+    HOLDER_SILENT = "holder_silent"
+    HOLDER_LOST = "holder_lost"
+    INSTANCE_LOST = "instance_lost"
+    BAD_ANSWER = "bad_answer"
+    NO_ANSWER = "no_answer_in_time"
+
+
+BY_KIND = {
+    Kind.NO_ROUTE: Reason.NO_ROUTE,
+    Kind.METHOD: Reason.BAD_REQUEST,
+    Kind.BAD_WAIT: Reason.BAD_REQUEST,
+    Kind.BAD_KEY: Reason.BAD_REQUEST,
+    Kind.TOO_LARGE: Reason.BAD_REQUEST,
+    Kind.KEY_BODY: Reason.BAD_REQUEST,
+    Kind.KEY_TAKEN: Reason.BAD_REQUEST,
+    Kind.TOO_FAST: Reason.TOO_FAST,
+    Kind.OVERLOAD: Reason.ENTRY_FULL,
+    Kind.NO_ROOM: Reason.NO_ROOM,
+    Kind.NOT_FRESH: Reason.NO_PROOF,
+    Kind.NO_CORE: Reason.NO_CORE,
+    Kind.UNREACHED: Reason.UNREACHED,
+    Kind.STOPPING: Reason.STOPPING,
+    Kind.UNKNOWN: Reason.NO_ANSWER,
+    Kind.BAD_ANSWER: Reason.BAD_ANSWER,
+    Kind.LOST: Reason.INSTANCE_LOST,
+}
+MAY_HAVE_RUN = frozenset((Kind.UNKNOWN, Kind.BAD_ANSWER, Kind.LOST))
+HOLDER_TEXTS = {
+    "its holder is silent": Reason.HOLDER_SILENT,
+    "its holder began another life": Reason.HOLDER_LOST,
+    "the instance's holder is gone": Reason.HOLDER_LOST,
+    "the holder's link broke": Reason.HOLDER_LOST,
+}
+
+Key = tuple[str, str, str]
+"""Service, outcome and reason."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcomes:
+    """Counts by service, outcome and reason: since this process began, and since they were told."""
+
+    total: Map[Key, int] = field(default_factory=Map)
+    untold: Map[Key, int] = field(default_factory=Map)
+    services: frozenset[str] = frozenset()  # that are counted by name
+    told: int = 0  # batches so far
+    told_ms: Ms = Ms(-(10**9))
+
+    def count(self, service: str, outcome: Outcome, reason: Reason) -> Outcomes:
+        """One more call.
+
+        Example:
+            >>> list(Outcomes().count("s", Outcome.LATE, Reason.BOOT).total)
+            [('s', 'late', 'waited_for_boot')]
+        """
+        name = service[:MOST_NAME_CHARS]
+        services = self.services
+        if name not in services:
+            if len(services) >= MOST_SERVICES:
+                name = OTHER
+            services = services | {name}
+        key = (name, outcome.value, reason.value)
+        return replace(
+            self,
+            total=self.total.set(key, self.total.get(key, 0) + 1),
+            untold=self.untold.set(key, self.untold.get(key, 0) + 1),
+            services=services,
+        )
+
+    def batch(self, now_ms: Ms) -> tuple[Outcomes, tuple[tuple[Key, int], ...]]:
+        """What was counted since this was asked last, in order.
+
+        Example:
+            >>> Outcomes().batch(Ms(5))[1]
+            ()
+        """
+        rows = tuple(sorted(self.untold.items()))
+        told = self.told + 1 if rows else self.told
+        return replace(self, untold=Map(), told=told, told_ms=now_ms), rows
+
+
+def late_reason(call: Call, by: Attempt, far: bool, now_ms: Ms) -> Reason:
+    """Why a call that an instance answered was late: what it waited for before the attempt that
+    was answered, else what that attempt waited for, else the run itself.
+
+    Example:
+        late_reason(call, attempt, far=False, now_ms=Ms(900)) == Reason.BOOT
+    """
+    took_ms = now_ms - call.start_ms + call.ask.waited_ms
+    if call.touched or call.resend:
+        return Reason.RETRY
+    if 2 * call.ask.waited_ms >= took_ms:
+        return Reason.ENTRY_BUSY
+    if by.rule == STARTING_RULE:
+        return Reason.BOOT
+    if 2 * (by.sent_ms - call.start_ms) >= took_ms:
+        return Reason.CLAIM if call.claimed else Reason.PLACEMENT
+    if by.queued or call.draws > 1:
+        return Reason.QUEUE
+    return Reason.FAR if far else Reason.SLOW_RUN
+
+
+def refusal_reason(answer: Answer, why: str = "") -> tuple[Outcome, Reason]:
+    """Why an answer of this system's own, no instance's, was given.
+
+    Example:
+        >>> refusal_reason(Answer(502, (), b"", Kind.LOST), "lost: its holder is silent")[1].value
+        'holder_silent'
+    """
+    kind = answer.kind or Kind.UNKNOWN
+    outcome = Outcome.FAILED if kind in MAY_HAVE_RUN else Outcome.REFUSED
+    if kind is Kind.LOST:
+        return outcome, HOLDER_TEXTS.get(why.partition(": ")[2], Reason.INSTANCE_LOST)
+    if kind is Kind.NO_ROOM and answer.early:
+        return outcome, Reason.LONG_QUEUE
+    return outcome, BY_KIND[kind]
+
+
+def is_late(call: Call, now_ms: Ms) -> bool:
+    """Whether a call that ends now is answered past its route's aim; never where it has none.
+
+    Example:
+        is_late(call, Ms(900))
+    """
+    aim_ms = call.route.aim_ms
+    return aim_ms > 0 and now_ms - call.start_ms + call.ask.waited_ms > aim_ms
--- /dev/null
+++ b/spokeroute/exchange/told.py
@@ -0,0 +1,28 @@
+"""What an exchange tells as metrics: a snapshot of its cores' counts."""
+
+from __future__ import annotations
+
+from spokeroute.exchange import entry, holder
+from spokeroute.metrics import MS, Figures
+from spokeroute.transport.process import Process
+
+
+def exchange_figures(process: Process) -> Figures:
+    """The figures of an exchange, from the loop's thread.
+
+    Example:
+        text_of(exchange_figures(process))
+    """
+    now_ms = process.world.now_ms()
+    calls: entry.State = process.actors["calls"].state
+    held: holder.State = process.actors["holder"].state
+    return Figures(
+        calls.outcomes.total,
+        {"spokeroute_cold_start_wait_seconds": calls.waits.by},
+        {
+            "spokeroute_open_calls": len(calls.calls),
+            "spokeroute_held_instances": len(held.instances),
+            "spokeroute_proof_age_seconds": (now_ms - calls.tables.proved_ms) / MS,
+            "spokeroute_silent_holders": len(calls.silence.since_ms),
+        },
+    )
--- a/spokeroute/http/dialect.py
+++ b/spokeroute/http/dialect.py
@@ -24,6 +24,8 @@
     key_header: str = "Idempotency-Key"
     client_header: str = "Spokeroute-Client"
     ready_path: str = "/spokeroute/ready"
+    metrics_path: str = "/spokeroute/metrics"
+    """Where metrics are read, on the listener that tells readiness."""
     fractional_retry: bool = False
     """Whether callers understand Retry-After with a fraction of a second."""
 
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -27,6 +27,7 @@
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
 from spokeroute.registry_node import ask_to_leave, build_registry, may_end
 from spokeroute.reread import Rereader
+from spokeroute.transport.outcome_messages import LINE_MARK as OUTCOMES_MARK
 from spokeroute.transport.process import Me
 
 API_THREADS = 16
@@ -54,7 +55,7 @@
     except DiskError as fault:
         raise SettingsError(str(fault)) from fault
     loop = listen(settings)
-    ring = Ring(settings.name)
+    ring = Ring(settings.name, OUTCOMES_MARK if settings.log_outcomes else "")
     slab = Slab(64)
     world = RealWorld(loop, ring, slab)
     me = Me(
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -29,6 +29,7 @@
 from spokeroute.transport import messages as m
 from spokeroute.transport import peers
 from spokeroute.transport.list_messages import ListsAsk
+from spokeroute.transport.outcome_messages import OutcomesTold
 from spokeroute.transport.process import Me, Process, World
 
 
@@ -138,7 +139,7 @@
             switches=start.switches,
         ),
         placement.step,
-        takes=(m.Probe, m.HeldWord, ListsAsk),
+        takes=(m.Probe, m.HeldWord, ListsAsk, OutcomesTold),
     )  # fmt: skip
     others = tuple(x for x in ids if x != member)
     process.add(
--- a/tests/sends_model.py
+++ b/tests/sends_model.py
@@ -50,6 +50,7 @@
 from spokeroute.transport.call_messages import (
     Forward,
 )
+from spokeroute.transport.outcome_messages import LINE_MARK, OutcomeRow, read_outcomes_line
 
 ME = NodeId("ex1")
 HOLDERS = (NodeId("ex2"), NodeId("ex3"))
@@ -124,6 +125,8 @@
         self.replies: list[Reply] = []
         self.sent: list[Sent] = []
         self.notes: list[str] = []
+        self.outcome_rows: list[OutcomeRow] = []
+        self.badly = 0  # answers that are this system's own
         self.again = 0
         self.lives = {node: 1 for node in HOLDERS}
         self.entry = entry.State(ME, 1, Budget(0, exchanges=1))
@@ -168,10 +171,13 @@
                     self.net.append(Frame(to, From(node, Incarnation(life), message)))
                 case Reply():
                     self.replies.append(effect)
+                    self.badly += effect.answer.kind is not None
                 case Launch(SendAttempt() as job):
                     self.sent.append(Sent(node, life, job))
                 case Launch(Revoke(attempt_id)):
                     self.revoke(node, attempt_id)
+                case Note(text) if text.startswith(LINE_MARK):
+                    self.outcome_rows.extend(read_outcomes_line(text))
                 case Note(text):
                     self.notes.append(text)
                 case Tell() | _:
@@ -196,6 +202,10 @@
 
     def judge(self) -> None:
         assert len(self.notes) == sum(self.entry.resends.values()) == self.again
+        outcomes = self.entry.outcomes
+        told = sum(row.count for row in self.outcome_rows)
+        assert told + sum(outcomes.untold.values()) == sum(outcomes.total.values())
+        assert sum(outcomes.total.values()) == self.badly  # no route here has an aim
         for each in self.callers.values():
             assert each.answers <= 1, f"{each.call_id} was answered twice"
             if each.once:
--- a/tools/worth.py
+++ b/tools/worth.py
@@ -1,21 +1,29 @@
-"""Where the worth of a day went: ``python -m tools.worth REPORT...``.
+"""Where the worth of a day went: ``python -m tools.worth REPORT... [--log FILE]``.
 
 A report is what the users' bench writes with ``--report FILE``. For each, the losses are listed in
 hundredths of the worth that was owed, largest first: what each price takes off, and what each kind
-of request, each zone of callers and the worst stretches of time leave unearned.
+of request, each zone of callers and the worst stretches of time leave unearned. With ``--log``,
+what the processes of that day wrote is joined to it: why calls ended late, refused or failed, as
+they said themselves (``--log-outcomes``), as a table, a plot and by second.
 """
 
 from __future__ import annotations
 
 import argparse
 import json
+import re
 import sys
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from spokeroute.transport.outcome_messages import read_outcomes_line
+
 MOST_ROWS = 10
+BAR_CHARS = 40
+LOG_LINE = re.compile(r"^\s*(-?[\d.]+)\s+(\S+)\s")
 LEAST_LOSS = 0.0005
 
 
@@ -115,6 +123,59 @@
     return rows
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a process said of calls that ended badly: when, in seconds of the day, and how many."""
+
+    at_s: float
+    outcome: str
+    reason: str
+    count: int
+
+
+def read_log(lines: Iterable[str]) -> list[Told]:
+    """What processes said in a log whose lines begin with the time and the machine.
+
+    Example:
+        >>> read_log([' 0.5 front-1 W] front-1: calls: outcomes [["s","late","slow_run",2]]'])
+        [Told(at_s=0.5, outcome='late', reason='slow_run', count=2)]
+    """
+    found: list[Told] = []
+    for line in lines:
+        stamp = LOG_LINE.match(line)
+        at_s = float(stamp.group(1)) if stamp else 0.0
+        found.extend(
+            Told(at_s, row.outcome, row.reason, row.count) for row in read_outcomes_line(line)
+        )
+    return found
+
+
+def reasons(told: Iterable[Told]) -> str:
+    """A table and a plot by outcome and reason, and the worst seconds with their first reason.
+
+    Example:
+        >>> print(reasons([Told(0.5, "late", "slow_run", 2)]))
+          why calls ended badly, as processes told
+             2  late     slow_run              ########################################
+          second 0: 2, most for slow_run
+    """
+    sums: Counter[tuple[str, str]] = Counter()
+    seconds: dict[int, Counter[str]] = {}
+    for each in told:
+        sums[each.outcome, each.reason] += each.count
+        seconds.setdefault(int(each.at_s), Counter())[each.reason] += each.count
+    most = max(sums.values(), default=1)
+    lines = ["  why calls ended badly, as processes told"]
+    for (outcome, reason), count in sums.most_common():
+        bar = "#" * max(1, BAR_CHARS * count // most)
+        lines.append(f"  {count:4d}  {outcome:<7}  {reason:<20}  {bar}")
+    worst = sorted(seconds, key=lambda second: (-seconds[second].total(), second))
+    for second in worst[:MOST_ROWS]:
+        reason, _ = seconds[second].most_common(1)[0]
+        lines.append(f"  second {second}: {seconds[second].total()}, most for {reason}")
+    return "\n".join(lines)
+
+
 def table(name: str, report: Mapping[str, Any]) -> str:
     """A report's rows as text.
 
@@ -140,10 +201,14 @@
     """
     parser = argparse.ArgumentParser(prog="tools.worth", description=__doc__)
     parser.add_argument("reports", nargs="+", type=Path, help="files written with --report")
-    for path in parser.parse_args(arguments).reports:
+    parser.add_argument("--log", type=Path, help="what the processes of the day wrote")
+    given = parser.parse_args(arguments)
+    for path in given.reports:
         try:
             print(table(path.stem, read_report(path)))
-        except ReportError as fault:
+            if given.log:
+                print(reasons(read_log(given.log.read_text(errors="replace").splitlines())))
+        except (ReportError, OSError) as fault:
             print(f"tools.worth: {fault}", file=sys.stderr)
             return 2
     return 0
