The placement role of a holder whose process ended is taken before its lease is over

Cause: after a kill of the role's holder starts waited for 1.7 s, though its machine refuses connections at once. A refused connection voids the life that was heard before it was dialled; a reset or silence voids nothing (docs/decisions/role.md). Read at a majority first, as every hint.

--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -15,6 +15,7 @@
 from spokeroute.daemon import RealWorld, http_fault, listen, on_signals
 from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformClient
+from spokeroute.dispatch.role import ProcessEnded
 from spokeroute.figures import Figures
 from spokeroute.http.wsgi import WsgiApp, serve
 from spokeroute.ledger.ring import Ring
@@ -109,6 +110,7 @@
         rereader.look()
         figures.look()
 
+    loop.refused = lambda node, life: process.post("role", ProcessEnded(node, life))
     loop.on_tick = each_turn
     loop.before_stop = quiet
     on_signals(loop, first, rereader)
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -99,7 +99,7 @@
             there.frame(frame)
 
     def _carry(self, sender: Node, address: Address, frame: bytes) -> Steps:
-        born = sender.births
+        born, life = sender.births, sender.life_at(address)
         there = self.nodes.get(address)
         delay = self.delay_ms(sender.zone, there.zone if there else "")
         if there is not None:
@@ -119,6 +119,8 @@
             return
         if there is None or not there.alive:
             if there is not None and there.machine_up and sender.births == born:
+                if link not in self.linked:
+                    sender.refused(there, life)
                 sender.lost(there, link in self.linked, self.unsent(link))
                 self.linked.discard(link)
             return
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -16,6 +16,7 @@
 from spokeroute.common.places import Places
 from spokeroute.dispatch.configuration import TableReader
 from spokeroute.dispatch.platform import ListPlatform, PlatformCall
+from spokeroute.dispatch.role import ProcessEnded
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
@@ -158,6 +159,22 @@
         self.process.received(data)
         self.process.pump()
 
+    def life_at(self, address: Address) -> Incarnation | None:
+        """The newest life that was heard at an address."""
+        lives = self.process.lives.get(address, ()) if self.process is not None else ()
+        return lives[0] if lives else None
+
+    def refused(self, there: Node, life: Incarnation | None) -> None:
+        """A connection was refused: no process listens there."""
+        if (
+            self.alive
+            and self.role == "registry"
+            and there.process is not None
+            and life is not None
+        ):
+            ended = ProcessEnded(there.process.me.node, life)
+            self._now(lambda: self._post("role", ended))
+
     def lost(self, there: Node, reached: bool, unsent: frozenset[str]) -> None:
         if self.alive and self.role == "exchange" and there.process is not None:
             node = there.process.me.node
--- /dev/null
+++ b/tests/test_role_ended.py
@@ -0,0 +1,69 @@
+"""The placement role of a holder whose process is seen to have ended is taken before its lease is
+over; that of one that is only silent is not."""
+
+from __future__ import annotations
+
+import pytest
+
+from spokeroute.common.effects import Tell, Tick
+from spokeroute.common.ids import Ms
+from spokeroute.dispatch import role
+from spokeroute.dispatch.role import Holder
+from spokeroute.register.changes import Read
+from tests.sim.cluster import Sim
+from tests.test_recovery import ME, OTHER, asked, told
+from tests.test_scenarios import clean
+
+
+def test_a_refused_connection_voids_the_life_that_was_heard_before_it_only() -> None:
+    """A refusal may be read late, when a later life of the process runs and holds the role."""
+    state = role.State(ME, 5, (ME, OTHER))
+    state, effects = role.step(state, Tick(), Ms(10))
+    state, _ = told(state, asked(effects), Holder(OTHER, 7, 3), 9, 12)
+    for life, wanted in ((6, False), (7, True), (6, True)):
+        state, _ = role.step(state, role.ProcessEnded(OTHER, life), Ms(20))
+        state, effects = role.step(state, Tick(), Ms(30))
+        state, effects = role.step(state, Tick(), Ms(400))
+        if not wanted:
+            assert not any(isinstance(e, Tell) for e in effects), life
+            continue
+        if state.asking and not effects:
+            continue  # it asks already
+        assert isinstance(asked(effects).change, Read)  # a hint is read at a majority first
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_role_whose_holder_was_killed_is_taken_at_once(seed: int) -> None:
+    """Its machine refuses connections, so nobody waits for its lease of 1.5 s."""
+    sim = Sim(seed, exchanges=3)
+    sim.settle()
+    sim.run(5_000)
+    first = next(r for r in sim.registries if r.state("placement").term)
+    others = [r for r in sim.registries if r is not first]
+    first.kill()
+    killed_ms = sim.env.now
+    taken = sim.up_to(lambda: any(r.state("placement").term for r in others), 4_000)
+    assert taken
+    assert sim.env.now - killed_ms <= 900
+    sim.run(3_000)
+    clean(sim)
+    sim.close()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_role_whose_holder_is_frozen_or_cut_off_keeps_its_lease(seed: int) -> None:
+    """Neither refuses a connection: it may still decide until its lease is over."""
+    sim = Sim(seed, exchanges=3)
+    sim.settle()
+    sim.run(5_000)
+    first = next(r for r in sim.registries if r.state("placement").term)
+    others = [r for r in sim.registries if r is not first]
+    lease_ms = first.state("placement").lease_until_ms - first.now_ms()
+    for other in sim.nodes:
+        sim.net.cuts |= {(first.name, other.name), (other.name, first.name)}
+    sim.run(max(0, lease_ms - 50))
+    assert not any(r.state("placement").term for r in others)
+    sim.net.cuts.clear()
+    sim.run(3_000)
+    clean(sim)
+    sim.close()
