--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from spokeroute.common.ids import Address, Ms, NodeId
+from spokeroute.common.ids import Address, Incarnation, Ms, NodeId
 from spokeroute.transport import net
 from spokeroute.transport.call_messages import (
     Forward,
@@ -22,6 +22,8 @@
     Wire,
     attempts_in,
 )
+from spokeroute.transport.process import Me, Process
+from tests.test_partial_views import Recorder
 
 OLD = Ms(CONNECT_MS + 100)
 
@@ -127,3 +129,28 @@
     assert sum(wire.out_bytes for wire in told.loop.out.values()) <= 8 * LARGE_BYTES
     for other in others:
         other.close()
+
+
+def test_a_refused_connection_names_the_life_heard_before_it_was_dialled(told: Told) -> None:
+    refused: list[tuple[str, int]] = []
+    told.loop.refused = lambda node, life: refused.append((node, life))
+    told.loop.lives = {told.address: (Incarnation(7), Incarnation(6))}
+    told.server.close()
+    told.loop.send(told.address, frame("c1.0"))
+    told.loop.lives = {told.address: (Incarnation(8),)}  # heard before the refusal is read
+    me = Me(NodeId("ex1"), Incarnation(1), Address("h:1"), "exchange", "z")
+    process = Process(me, Recorder())  # type: ignore[arg-type]
+    for _ in range(100):
+        for key, mask in told.loop.selector.select(0.1):
+            if isinstance(key.data, Wire):
+                told.loop._serve(key.data, mask, process)
+        if refused:
+            break
+    assert refused == [("ex2", 7)]
+
+
+def test_nothing_is_said_of_one_that_was_never_heard(told: Told) -> None:
+    refused: list[tuple[str, int]] = []
+    told.loop.refused = lambda node, life: refused.append((node, life))
+    told.loop._tell_refused(told.address, None)
+    assert refused == []
