--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -49,6 +49,20 @@
     return got.status, got.data
 
 
+def last_line(path: Path) -> str:
+    """The last line of a file that is not empty; nothing where there is none.
+
+    Example:
+        >>> last_line(Path("/nowhere"))
+        ''
+    """
+    try:
+        lines = path.read_text(errors="replace").splitlines()
+    except OSError:
+        return ""
+    return next((line.strip() for line in reversed(lines) if line.strip()), "")
+
+
 @dataclass
 class Fleet:
     """The processes of one fleet and where they listen."""
@@ -108,11 +122,23 @@
         self._over(name)
         out = open(self.folder / f"{name}.out", "ab")  # noqa: SIM115
         self.processes[name] = subprocess.Popen(
-            self.commands[name], stdout=out, stderr=out, cwd=Path(__file__).parent.parent,
+            self.command_of(name), stdout=out, stderr=out, cwd=Path(__file__).parent.parent,
             env=os.environ | self.environment.get(name, {}),
         )  # fmt: skip
         out.close()
 
+    def command_of(self, name: str) -> list[str]:
+        """How a process is started."""
+        return self.commands[name]
+
+    def ended(self) -> dict[str, str]:
+        """The processes that have ended, each with the last line that it wrote."""
+        return {
+            name: last_line(self.folder / f"{name}.out")
+            for name, process in self.processes.items()
+            if process.poll() is not None
+        }
+
     def swap(self, old: str, new: str) -> None:
         """End a registry for good and start another machine's in its place."""
         self.signal(old, signal.SIGKILL)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -3,6 +3,9 @@
 python -m tools.soak --seed 7                    one run, on the small fleet
 python -m tools.soak --seed 1 --count 50         many seeds, one after the other
 python -m tools.soak --seed 1 --largest          as many processes as this machine bears
+python -m tools.soak --seed 1 --regions          two regions, with delaying relays between them
+
+A fleet that does not come up ends the command with status 2, the process's name and its last line.
 """
 
 from __future__ import annotations
@@ -13,9 +16,11 @@
 import tempfile
 from pathlib import Path
 
-from tools.soak.run import SMALL_FRONTS, Soak
+from tools.soak.run import SMALL_FRONTS, Soak, SoakError
 from tools.soak.sizes import largest_fleet
 
+EXIT_NOT_UP = 2
+
 
 def main() -> None:
     """The program's entry."""
@@ -29,6 +34,7 @@
     parser.add_argument("--clients", type=int, default=24)
     parser.add_argument("--largest", action="store_true", help="as many as this machine bears")
     parser.add_argument("--adapter", action="store_true", help="the platform's dialect")
+    parser.add_argument("--regions", action="store_true", help="two regions, 20 ms apart")
     parser.add_argument("--folder", default="", help="for data and logs; kept where a run fails")
     args = parser.parse_args()
     signal.signal(signal.SIGTERM, _interrupted)  # so that the fleet is ended
@@ -36,12 +42,19 @@
     fronts = largest_fleet() if args.largest else args.fronts
     size = "--largest" if args.largest else f"--fronts {fronts}"
     size += " --adapter" if args.adapter else ""
+    size += " --regions" if args.regions else ""
+    if args.adapter and args.regions:
+        parser.error("--adapter and --regions exclude each other")
     print(f"{fronts} front nodes, 3 members, {args.clients} clients, {args.seconds:g} s a run")
     failed: list[int] = []
     for seed in range(args.seed, args.seed + args.count):
         folder = Path(args.folder or tempfile.mkdtemp(prefix="spokeroute-soak-")) / str(seed)
-        soak = Soak(folder, seed, args.seconds, fronts, args.clients, args.adapter)
-        found = soak.run()
+        soak = Soak(folder, seed, args.seconds, fronts, args.clients, args.adapter, args.regions)
+        try:
+            found = soak.run()
+        except SoakError as fault:
+            print(f"tools.soak: seed {seed}: {fault}", file=sys.stderr)
+            sys.exit(EXIT_NOT_UP)
         print(f"seed {seed}: {soak.told()}", flush=True)
         if found:
             failed.append(seed)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -21,10 +21,12 @@
 from tools.soak.judges import judge_soak, recovery_ms
 from tools.soak.plan import Act, plan_of
 from tools.soak.records import SoakLog
+from tools.soak.region_fleet import RegionFleet
 from tools.soak.sizes import sizes_of
 
 SMALL_FRONTS = 6
 READY_S = 60.0
+LOOK_S = 1.0  # how often it is looked whether a process has ended while the fleet comes up
 SETTLE_S = 3.0
 READ_GAP_S = 0.15
 READ_S = 6.0
@@ -35,7 +37,7 @@
 
 
 class SoakError(Exception):
-    """The fleet did not come up: nothing was soaked."""
+    """The fleet did not come up: nothing was soaked. The message names the process that ended."""
 
 
 class Soak:
@@ -53,15 +55,18 @@
         fronts: int,
         clients: int,
         adapter: bool = False,
+        regions: bool = False,
     ) -> None:
         self.folder = folder
         self.seed = seed
         self.seconds = seconds
         self.doc: dict[str, Any] = json.loads((EXAMPLES / "tooluur.json").read_text())
         limits = {each["name"]: each["limit"] for each in self.doc["services"]}
-        self.fleet = (
-            AdapterFleet(folder, fronts, limits=limits) if adapter else Fleet(folder, fronts)
-        )
+        self.fleet: Fleet
+        if adapter:
+            self.fleet = AdapterFleet(folder, fronts, limits=limits)
+        else:
+            self.fleet = RegionFleet(folder, fronts) if regions else Fleet(folder, fronts)
         self.wire: Wire = ADAPTER_WIRE if adapter else OWN_WIRE
         self.clients = clients
         self.lock = threading.Lock()
@@ -73,8 +78,8 @@
     def run(self) -> list[str]:
         """Play it; the findings."""
         shutil.rmtree(self.folder, ignore_errors=True)  # what an earlier run of the seed left
-        self.fleet.start_all()
         try:
+            self.fleet.start_all()
             self.soak = self._played()
         finally:
             self.fleet.stop()
@@ -132,16 +137,23 @@
 
     def _await_service(self, load: Load) -> None:
         members = [name for name in self.fleet.commands if name.startswith("reg")]
-        missing = self.fleet.wait_ready(members, READY_S)
-        if missing:
-            raise SoakError(f"not ready: {missing}; see {self.folder}/*.out")
+        self._await_ready(members)
         told = load.apply()
         if told.status != 200:
             raise SoakError(f"the first configuration was not taken: {told}")
-        missing = self.fleet.wait_ready(load.exchanges, READY_S)
+        self._await_ready(load.exchanges)
+        time.sleep(SETTLE_S)
+
+    def _await_ready(self, names: list[str]) -> None:
+        """Wait until all are ready; a process that ends meanwhile ends the run at once."""
+        until_s = time.monotonic() + READY_S
+        missing = names
+        while missing and time.monotonic() < until_s:
+            missing = self.fleet.wait_ready(missing, LOOK_S)
+            for name, line in self.fleet.ended().items():
+                raise SoakError(f"{name} ended before the run: {line or 'it wrote nothing'}")
         if missing:
             raise SoakError(f"not ready: {missing}; see {self.folder}/*.out")
-        time.sleep(SETTLE_S)
 
     def _choose(self, load: Load) -> Asked:
         with self.lock:
