Tests: a read that bars cells is played on six seeds that bar some, not three

Cause: whom a read asks is drawn, and taking a killed holder's role sooner shifts the draws: seed 1 bars nothing any more, so the scenario did not come about there (its own precondition failed, no claim). Seeds 2 and 9 bar nothing either, 3 to 8 do; all six are held to the same assertions.

--- a/tests/test_catch_up_links.py
+++ b/tests/test_catch_up_links.py
@@ -129,7 +129,7 @@
     sim.close()
 
 
-@pytest.mark.parametrize("seed", [1, 3, 7])  # of which members a read asks is drawn: these bar some
+@pytest.mark.parametrize("seed", [3, 4, 5, 6, 7, 8])  # whom a read asks is drawn: these bar some
 @pytest.mark.parametrize("renewed", [anti_entropy.MOST_RENEWED, 0])
 def test_a_read_meanwhile_leaves_no_member_behind(
     renewed: int, seed: int, monkeypatch: pytest.MonkeyPatch
