--- a/spokeroute/common/switches.py
+++ b/spokeroute/common/switches.py
@@ -28,19 +28,19 @@
 
     lone_spare: bool = True
     """A spare beside a single instance whose boot does not fit its aim
-    (``dispatch/scaling.py``)."""
+    (``dispatch/scaling/scaling.py``)."""
     warm_for_short_aims: bool = True
-    """One instance is kept where a boot does not fit the aim (``dispatch/scaling.py``)."""
+    """One instance is kept where a boot does not fit the aim (``dispatch/scaling/scaling.py``)."""
     idle_prediction: bool = True
     """How long an idle instance is kept follows the usual time between calls
-    (``dispatch/reports.py``)."""
+    (``dispatch/placement/reports.py``)."""
     bounded_growth: bool = True
-    """A service at most doubles, plus some, at once (``dispatch/scaling.py``)."""
+    """A service at most doubles, plus some, at once (``dispatch/scaling/scaling.py``)."""
     room_for_sleepers: bool = True
-    """Memory is kept free for services that have no instance (``dispatch/scaling.py``)."""
+    """Memory is kept free for services that have no instance (``dispatch/scaling/scaling.py``)."""
     lasting_demand: bool = True
     """Only what is still there at the next sample makes a service grow
-    (``dispatch/reports.py``)."""
+    (``dispatch/placement/reports.py``)."""
     queue_transfer: bool = True
     """Calls leave a queue for an instance that has room (``exchange/calls.py``)."""
     early_refusal: bool = True
@@ -53,13 +53,14 @@
     """LAAF's lists choose the successor (``exchange/entry.py``)."""
     accumulated_utilization: bool = True
     """LAAF adds a function's load to the expected utilization of its successor
-    (``dispatch/steering.py``)."""
+    (``dispatch/flare/steering.py``)."""
     near_first: bool = True
     """Instances of the own zone, then region, go before others (``nodes.py``)."""
     load_shifts: bool = True
-    """ROME shifts load off overloaded workers (``dispatch/steering.py``)."""
+    """ROME shifts load off overloaded workers (``dispatch/flare/steering.py``)."""
     compile_rests: bool = True
-    """A rest follows each compilation of a configuration (``register/compile_queue.py``)."""
+    """A rest follows each compilation of a configuration
+    (``register/replica/compile_queue.py``)."""
 
 
 NAMES = tuple(each.name for each in fields(Switches))
--- a/spokeroute/dispatch/route_table.py
+++ b/spokeroute/dispatch/configuration/route_table.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from spokeroute.common.ids import Version
-from spokeroute.dispatch.models import Limits, Programs, Route, Service, Thresholds
+from spokeroute.dispatch.configuration.models import Limits, Programs, Route, Service, Thresholds
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokeroute/dispatch/table_reader.py
+++ b/spokeroute/dispatch/configuration/table_reader.py
@@ -13,8 +13,15 @@
 from typing import Any
 
 from spokeroute.common.ids import Version
-from spokeroute.dispatch.models import Limits, Programs, Route, Service, Share, Thresholds
-from spokeroute.dispatch.route_table import HostRoutes, Table
+from spokeroute.dispatch.configuration.models import (
+    Limits,
+    Programs,
+    Route,
+    Service,
+    Share,
+    Thresholds,
+)
+from spokeroute.dispatch.configuration.route_table import HostRoutes, Table
 from spokeroute.register.packed import unpack
 from spokeroute.register.stamps import NUMBER
 
--- a/spokeroute/dispatch/validation.py
+++ b/spokeroute/dispatch/configuration/validation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from spokeroute.dispatch.models import Configuration, Fault, Limits, Route, Service
+from spokeroute.dispatch.configuration.models import Configuration, Fault, Limits, Route, Service
 from spokeroute.dispatch.policy import (
     RANK_FIELDS,
     SHIFT_FIELDS,
--- a/spokeroute/dispatch/configuration_value.py
+++ b/spokeroute/dispatch/configuration/value.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from spokeroute.dispatch.models import Configuration
+from spokeroute.dispatch.configuration.models import Configuration
 from spokeroute.register.packed import pack, unpack
 from spokeroute.register.stamps import NUMBER, number_of
 
--- a/spokeroute/dispatch/list_push.py
+++ b/spokeroute/dispatch/flare/list_push.py
@@ -10,7 +10,7 @@
 
 from spokeroute.common.effects import Effect, Send
 from spokeroute.common.ids import Incarnation, NodeId
-from spokeroute.dispatch.flare import Ranking
+from spokeroute.dispatch.flare.algorithms import Ranking
 from spokeroute.transport.list_messages import Lists, Successors
 
 WHOLE = -1
--- a/spokeroute/dispatch/steering.py
+++ b/spokeroute/dispatch/flare/steering.py
@@ -5,12 +5,12 @@
 from spokeroute.common.effects import Effect, Effects, Send
 from spokeroute.common.ids import CONFIGURATION, Ms, NodeId
 from spokeroute.common.replacing import replace
-from spokeroute.dispatch.configuration import Table
-from spokeroute.dispatch.flare import Limits, Picture, Relief, laaf, rome
-from spokeroute.dispatch.list_push import ListsHead, push, whole_lists
-from spokeroute.dispatch.placing import State, record_in, resting, seats_of
-from spokeroute.dispatch.reports import exchanges_of, live_holders, means_of, suspects_of
-from spokeroute.dispatch.sense import picture
+from spokeroute.dispatch.configuration.configuration import Table
+from spokeroute.dispatch.flare.algorithms import Limits, Picture, Relief, laaf, rome
+from spokeroute.dispatch.flare.list_push import ListsHead, push, whole_lists
+from spokeroute.dispatch.flare.sense import picture
+from spokeroute.dispatch.placement.placing import State, record_in, resting, seats_of
+from spokeroute.dispatch.placement.reports import exchanges_of, live_holders, means_of, suspects_of
 from spokeroute.ledger.entries import Record, picture_doc, ranking_doc
 
 RERANK_MS = 1_000
--- a/spokeroute/dispatch/listing.py
+++ b/spokeroute/dispatch/placement/listing.py
@@ -13,10 +13,10 @@
 
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Ms
-from spokeroute.dispatch.placement_table import DRAINING, STARTING, UP, Floor, Placed
-from spokeroute.dispatch.plan import LISTED_ENDED, LOST_AFTER_LISTINGS, going
-from spokeroute.dispatch.platform import PlatformCall, PlatformListed
-from spokeroute.dispatch.workbook import identity_of
+from spokeroute.dispatch.placement.plan import LISTED_ENDED, LOST_AFTER_LISTINGS, going
+from spokeroute.dispatch.placement.platform import PlatformCall, PlatformListed
+from spokeroute.dispatch.placement.table import DRAINING, STARTING, UP, Floor, Placed
+from spokeroute.dispatch.placement.workbook import identity_of
 
 ORPHAN_MS = 10_000
 RATE_SHARE = 0.8  # of the platform's rate: pages grow in number, and members are replaced
--- a/spokeroute/dispatch/placing.py
+++ b/spokeroute/dispatch/placement/placing.py
@@ -12,11 +12,14 @@
 from spokeroute.common.places import Places
 from spokeroute.common.replacing import replace
 from spokeroute.common.switches import Switches
-from spokeroute.dispatch.configuration import Table
-from spokeroute.dispatch.flare import Picture, Ranking, Shift
-from spokeroute.dispatch.list_push import Pushed
-from spokeroute.dispatch.listing import Sighting, sightings_of
-from spokeroute.dispatch.placement_table import (
+from spokeroute.dispatch.configuration.configuration import Table
+from spokeroute.dispatch.flare.algorithms import Picture, Ranking, Shift
+from spokeroute.dispatch.flare.list_push import Pushed
+from spokeroute.dispatch.flare.sense import PolicyPair, compile_policy
+from spokeroute.dispatch.placement.listing import Sighting, sightings_of
+from spokeroute.dispatch.placement.platform import PlatformListed
+from spokeroute.dispatch.placement.reports import Reported
+from spokeroute.dispatch.placement.table import (
     NO_FLOOR,
     STARTING,
     UP,
@@ -24,14 +27,11 @@
     unpack_evacuated,
     unpack_floor,
 )
-from spokeroute.dispatch.platform import PlatformListed
-from spokeroute.dispatch.reports import Reported
-from spokeroute.dispatch.scaler import Demand, WorkerSeat
-from spokeroute.dispatch.sense import PolicyPair, compile_policy
-from spokeroute.dispatch.start_steps import StartSteps
-from spokeroute.dispatch.upkeep import Marks
+from spokeroute.dispatch.placement.upkeep import Marks
+from spokeroute.dispatch.scaling.scaler import Demand, WorkerSeat
+from spokeroute.dispatch.scaling.start_steps import StartSteps
 from spokeroute.ledger.entries import Record
-from spokeroute.register.replica import Fresh
+from spokeroute.register.replica.replica import Fresh
 from spokeroute.transport.messages import HeldWord, Probe, Took
 from spokeroute.transport.outcome_messages import OutcomesTold
 
--- a/spokeroute/dispatch/workbook.py
+++ b/spokeroute/dispatch/placement/workbook.py
@@ -15,11 +15,11 @@
 )
 from spokeroute.common.places import Places
 from spokeroute.common.switches import Switches
-from spokeroute.dispatch.configuration import Table
-from spokeroute.dispatch.flare import Shift
-from spokeroute.dispatch.placement_table import Floor, Placed
-from spokeroute.dispatch.reports import Words
-from spokeroute.dispatch.scaler import Demand, WorkerSeat
+from spokeroute.dispatch.configuration.configuration import Table
+from spokeroute.dispatch.flare.algorithms import Shift
+from spokeroute.dispatch.placement.reports import Words
+from spokeroute.dispatch.placement.table import Floor, Placed
+from spokeroute.dispatch.scaling.scaler import Demand, WorkerSeat
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/spokeroute/dispatch/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Scaling: how many instances a service has, and where the time of a start goes."""
--- a/spokeroute/dispatch/scaling.py
+++ b/spokeroute/dispatch/scaling/scaling.py
@@ -4,9 +4,10 @@
 
 from spokeroute.common.ids import Address, Incarnation, InstanceId, NodeId, ServiceName
 from spokeroute.common.replacing import replace
-from spokeroute.dispatch.configuration import Service
-from spokeroute.dispatch.placement_table import DRAINING, STARTING, UP, Placed
-from spokeroute.dispatch.scaler import (
+from spokeroute.dispatch.configuration.configuration import Service
+from spokeroute.dispatch.placement.table import DRAINING, STARTING, UP, Placed
+from spokeroute.dispatch.placement.workbook import Pass
+from spokeroute.dispatch.scaling.scaler import (
     Demand,
     best_worker,
     boot_fits,
@@ -18,7 +19,6 @@
     spares_of,
     wanted_of,
 )
-from spokeroute.dispatch.workbook import Pass
 
 SURPLUS_MS = 15_000
 NO_DEMAND = Demand()
--- a/spokeroute/dispatch/start_marks.py
+++ b/spokeroute/dispatch/scaling/start_marks.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from spokeroute.common.ids import Ms
-from spokeroute.dispatch.placement_table import STARTING, UP, Floor
-from spokeroute.dispatch.start_steps import StartStep, StartSteps
-from spokeroute.dispatch.workbook import Decision
+from spokeroute.dispatch.placement.table import STARTING, UP, Floor
+from spokeroute.dispatch.placement.workbook import Decision
+from spokeroute.dispatch.scaling.start_steps import StartStep, StartSteps
 
 
 def started_by(decision: Decision) -> str:
--- a/spokeroute/exchange/held_instance.py
+++ b/spokeroute/exchange/held_instance.py
@@ -9,7 +9,7 @@
 from spokeroute.common.answers import Ran
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.common.replacing import replace
-from spokeroute.dispatch.placement_table import DRAINING, STARTING, Placed
+from spokeroute.dispatch.placement.table import DRAINING, STARTING, Placed
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.types import WAIT_SHARE, AttemptDone
--- a/spokeroute/exchange/requeue.py
+++ b/spokeroute/exchange/requeue.py
@@ -15,7 +15,7 @@
 from spokeroute.common.effects import Effect, Effects, Send
 from spokeroute.common.ids import Ms
 from spokeroute.common.replacing import replace
-from spokeroute.dispatch.placement_table import Placed
+from spokeroute.dispatch.placement.table import Placed
 from spokeroute.exchange.entry import PRESSING_MS, State, lost_to, put
 from spokeroute.exchange.pick import soon_usable, usable
 from spokeroute.exchange.types import Attempt, Call
--- a/spokeroute/register/outage.py
+++ b/spokeroute/register/acceptor/outage.py
@@ -16,7 +16,7 @@
 from spokeroute.common.ids import Ms
 from spokeroute.common.replacing import replace
 from spokeroute.register.cells import EMPTY, Cell
-from spokeroute.register.store import (
+from spokeroute.register.disk.store import (
     DiskWrite,
     ReopenFailed,
     ReopenStore,
@@ -26,7 +26,7 @@
 from spokeroute.transport.messages import CopyAsk, FetchAsk, HeldAsk, Probe
 
 if TYPE_CHECKING:
-    from spokeroute.register.acceptor_state import State
+    from spokeroute.register.acceptor.state import State
 
 FIRST_PAUSE_MS = 200
 LONGEST_PAUSE_MS = 1_000
--- a/spokeroute/register/probed.py
+++ b/spokeroute/register/acceptor/probed.py
@@ -8,12 +8,12 @@
 from spokeroute.common.effects import Effects, Send
 from spokeroute.common.ids import SPREAD, NodeId
 from spokeroute.register.cells import EMPTY
-from spokeroute.register.named_copies import unlike
 from spokeroute.register.patches import make_patch
+from spokeroute.register.replica.named_copies import unlike
 from spokeroute.transport.messages import Copy, FetchAsk, FetchGot, Probe, ProbeAck, ValuePatch
 
 if TYPE_CHECKING:
-    from spokeroute.register.acceptor_state import State
+    from spokeroute.register.acceptor.state import State
 
 INLINE_BYTES = 128 * 1024
 
--- a/spokeroute/register/acceptor_state.py
+++ b/spokeroute/register/acceptor/state.py
@@ -8,11 +8,11 @@
 
 from spokeroute.common.effects import Effect
 from spokeroute.common.ids import MemberId, Ms
+from spokeroute.register.acceptor.claim_ages import ClaimAges
+from spokeroute.register.acceptor.earlier_values import EarlierValues
+from spokeroute.register.acceptor.outage import FIRST_PAUSE_MS, Outage
 from spokeroute.register.cells import Cell, Roster
-from spokeroute.register.claim_ages import ClaimAges
-from spokeroute.register.earlier_values import EarlierValues
-from spokeroute.register.outage import FIRST_PAUSE_MS, Outage
-from spokeroute.register.store import DiskWrite
+from spokeroute.register.disk.store import DiskWrite
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/spokeroute/register/anti_entropy/__init__.py
@@ -0,0 +1,1 @@
+"""Anti-entropy: members compare what they have, and take what they lack."""
--- a/spokeroute/register/anti_entropy.py
+++ b/spokeroute/register/anti_entropy/anti_entropy.py
@@ -17,11 +17,11 @@
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import NO_BALLOT, Ms, NodeId
 from spokeroute.common.replacing import replace
-from spokeroute.register.anti_entropy_page import LEAST_PAGE_BYTES, MOST_PAGE_BYTES, page_of
-from spokeroute.register.anti_entropy_state import Heard, Part, Transfer, all_due, others_of
-from spokeroute.register.anti_entropy_state import State as State
-from spokeroute.register.anti_entropy_state import start as start
-from spokeroute.register.cell_index import CatchUp, Synced, bucket_of, index_of
+from spokeroute.register.anti_entropy.cell_index import CatchUp, Synced, bucket_of, index_of
+from spokeroute.register.anti_entropy.page import LEAST_PAGE_BYTES, MOST_PAGE_BYTES, page_of
+from spokeroute.register.anti_entropy.state import Heard, Part, Transfer, all_due, others_of
+from spokeroute.register.anti_entropy.state import State as State
+from spokeroute.register.anti_entropy.state import start as start
 from spokeroute.register.cells import EMPTY, ballot_of, digest_of
 from spokeroute.register.changes import Ask, Renew
 from spokeroute.transport.anti_entropy_messages import (
--- a/spokeroute/register/anti_entropy_page.py
+++ b/spokeroute/register/anti_entropy/page.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 
 from spokeroute.common.ids import CLAIM_PREFIX, NO_BALLOT, Ballot, MemberId, Ms
-from spokeroute.register.ageing import CLAIM_KEEP_MS
-from spokeroute.register.cell_index import CellIndex
+from spokeroute.register.acceptor.ageing import CLAIM_KEEP_MS
+from spokeroute.register.anti_entropy.cell_index import CellIndex
 from spokeroute.register.cells import Cell
 from spokeroute.transport.anti_entropy_messages import CellPiece, CellsAsk, CellsPart
 
--- a/spokeroute/register/anti_entropy_state.py
+++ b/spokeroute/register/anti_entropy/state.py
@@ -8,7 +8,7 @@
 
 from spokeroute.common.ids import Ballot, MemberId, Ms, NodeId
 from spokeroute.common.replacing import replace
-from spokeroute.register.cell_index import CellIndex, index_of
+from spokeroute.register.anti_entropy.cell_index import CellIndex, index_of
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.transport.messages import Copy
 
--- /dev/null
+++ b/spokeroute/register/disk/__init__.py
@@ -0,0 +1,1 @@
+"""The disk: the durable store of a member, its format and its faults."""
--- a/spokeroute/register/disk_format.py
+++ b/spokeroute/register/disk/format.py
@@ -7,7 +7,7 @@
 
 from spokeroute.common.ids import Ballot, MemberId
 from spokeroute.register.cells import Cell, digest_of
-from spokeroute.register.disk_errors import DiskError
+from spokeroute.register.disk.errors import DiskError
 
 VOTED_FROM = 7  # a cell's head has so many fields since it says whether it was voted
 
--- /dev/null
+++ b/spokeroute/register/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The membership: whose disks count, how that changes, and how a member leaves."""
--- a/spokeroute/register/founding.py
+++ b/spokeroute/register/membership/founding.py
@@ -4,7 +4,7 @@
 
 from spokeroute.common.ids import Address, Epoch, MemberId, Ms, NodeId
 from spokeroute.register.cells import Roster
-from spokeroute.register.membership_state import State
+from spokeroute.register.membership.state import State
 
 
 def founded(state: State, now_ms: Ms) -> Roster | None:
--- a/spokeroute/register/handover.py
+++ b/spokeroute/register/membership/handover.py
@@ -15,7 +15,7 @@
 from spokeroute.common.ids import NO_BALLOT, Ballot, MemberId, Ms, NodeId
 from spokeroute.common.replacing import replace
 from spokeroute.register.cells import ballot_of
-from spokeroute.register.held import HandNames, Quiet
+from spokeroute.register.membership.held import HandNames, Quiet
 from spokeroute.transport.messages import HeldAsk, HeldPart
 
 REPEAT_MS = 300  # a page that was not answered is asked for again
--- a/spokeroute/register/heartbeats.py
+++ b/spokeroute/register/membership/heartbeats.py
@@ -4,8 +4,8 @@
 
 from spokeroute.common.effects import Effect, Send
 from spokeroute.common.ids import Address, Ms, NodeId
-from spokeroute.register.membership_policy import PeerStatus
-from spokeroute.register.membership_state import State
+from spokeroute.register.membership.policy import PeerStatus
+from spokeroute.register.membership.state import State
 from spokeroute.transport.messages import Heartbeat
 
 
--- a/spokeroute/register/held.py
+++ b/spokeroute/register/membership/held.py
@@ -13,7 +13,7 @@
 from spokeroute.transport.messages import Copy, HandOver, HeldAsk, HeldPart
 
 if TYPE_CHECKING:
-    from spokeroute.register.acceptor_state import State
+    from spokeroute.register.acceptor.state import State
 
 HELD_PAGE_CELLS = 4_000
 
--- a/spokeroute/register/leave.py
+++ b/spokeroute/register/membership/leave.py
@@ -11,9 +11,9 @@
 from enum import Enum
 
 from spokeroute.common.ids import MemberId
-from spokeroute.register.handover import Hand, Hold
-from spokeroute.register.membership_policy import RECENT_MS, CoreView, leavers, succession
-from spokeroute.register.membership_policy import still_copying as newcomer_copies
+from spokeroute.register.membership.handover import Hand, Hold
+from spokeroute.register.membership.policy import RECENT_MS, CoreView, leavers, succession
+from spokeroute.register.membership.policy import still_copying as newcomer_copies
 
 SUCCESSOR_MS = 1_200  # a successor that was started with the stop is met within this
 MARGIN_MS = 600  # of the grace time, for the end itself
--- a/spokeroute/register/membership.py
+++ b/spokeroute/register/membership/membership.py
@@ -13,13 +13,14 @@
 from spokeroute.common.effects import Effect, Effects, From, Note, Send, Tell, Tick
 from spokeroute.common.ids import ROSTER, Address, Epoch, Ms, NodeId
 from spokeroute.common.replacing import replace
-from spokeroute.register.acceptor_events import Adopt, Adopted, TakeCells
+from spokeroute.register.acceptor.events import Adopt, Adopted, TakeCells
 from spokeroute.register.cells import Roster, pack_roster, read_roster, unpack_roster
 from spokeroute.register.changes import Ask, Outcome, RosterIs, Settled, Swap
-from spokeroute.register.founding import founded, outlived
-from spokeroute.register.heartbeats import everyone, heartbeats, status_of
-from spokeroute.register.leave import Leave, parting
-from spokeroute.register.membership_policy import (
+from spokeroute.register.disk.store import StoreWritable
+from spokeroute.register.membership.founding import founded, outlived
+from spokeroute.register.membership.heartbeats import everyone, heartbeats, status_of
+from spokeroute.register.membership.leave import Leave, parting
+from spokeroute.register.membership.policy import (
     HEARTBEAT_MS,
     CoreView,
     absence,
@@ -27,9 +28,8 @@
     next_roster,
     succession,
 )
-from spokeroute.register.membership_state import RosterChanged as RosterChanged
-from spokeroute.register.membership_state import State as State
-from spokeroute.register.store import StoreWritable
+from spokeroute.register.membership.state import RosterChanged as RosterChanged
+from spokeroute.register.membership.state import State as State
 from spokeroute.transport.messages import CopyAsk, CopyPart, Heartbeat, Probe, RosterNews, ViewEntry
 from spokeroute.transport.peers import ViewNow
 
--- a/spokeroute/register/membership_policy.py
+++ b/spokeroute/register/membership/policy.py
@@ -16,7 +16,7 @@
 
 from spokeroute.common.ids import Address, Epoch, MemberId, Ms
 from spokeroute.register.cells import Roster
-from spokeroute.register.missing import Missing, missing_of
+from spokeroute.register.membership.missing import Missing, missing_of
 
 HEARTBEAT_MS = 500
 CANDIDATE_MS = 1_500
--- a/spokeroute/register/membership_state.py
+++ b/spokeroute/register/membership/state.py
@@ -9,9 +9,9 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Address, MemberId, Ms
 from spokeroute.register.cells import Roster
-from spokeroute.register.leave import Standing
-from spokeroute.register.membership_policy import PeerStatus
-from spokeroute.register.missing import Missing
+from spokeroute.register.membership.leave import Standing
+from spokeroute.register.membership.missing import Missing
+from spokeroute.register.membership.policy import PeerStatus
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokeroute/register/accepts.py
+++ b/spokeroute/register/proposer/accepts.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 from spokeroute.common.effects import Send
-from spokeroute.register.acceptor_state import State as AcceptorState
+from spokeroute.register.acceptor.state import State as AcceptorState
 from spokeroute.register.cells import EMPTY, Roster
 from spokeroute.register.patches import apply_patch, make_patch
-from spokeroute.register.rounds import Round, State
+from spokeroute.register.proposer.rounds import Round, State
 from spokeroute.transport.messages import Accept, AcceptPatch, Copy, ValuePatch
 
 
--- a/spokeroute/register/hints.py
+++ b/spokeroute/register/proposer/hints.py
@@ -7,8 +7,8 @@
 from spokeroute.common.effects import Effects, Tell
 from spokeroute.common.ids import NodeId
 from spokeroute.common.replacing import replace
-from spokeroute.register.held import HandTo
-from spokeroute.register.rounds import State
+from spokeroute.register.membership.held import HandTo
+from spokeroute.register.proposer.rounds import State
 from spokeroute.transport.messages import Copy
 
 HINTS_PER_MEMBER = 4096
--- a/spokeroute/register/patience.py
+++ b/spokeroute/register/proposer/patience.py
@@ -4,8 +4,8 @@
 
 from spokeroute.common.ids import Ms
 from spokeroute.register.changes import Ask
-from spokeroute.register.missing import missing_of
-from spokeroute.register.rounds import Op, Round, State, alone
+from spokeroute.register.membership.missing import missing_of
+from spokeroute.register.proposer.rounds import Op, Round, State, alone
 
 AWAY_MS = 1_500  # a member that was silent for so long has missed something
 MEETING_MS = 700  # a process that had no contact yet is still meeting the others
--- a/spokeroute/register/rounds.py
+++ b/spokeroute/register/proposer/rounds.py
@@ -10,7 +10,7 @@
 from spokeroute.common.replacing import replace
 from spokeroute.register.cells import Roster
 from spokeroute.register.changes import Ask
-from spokeroute.register.known_values import KnownValues
+from spokeroute.register.proposer.known_values import KnownValues
 from spokeroute.transport.messages import Copy, Promise
 
 ROUND_MS = 400
--- a/spokeroute/register/agreement.py
+++ b/spokeroute/register/replica/agreement.py
@@ -6,7 +6,7 @@
 
 from spokeroute.common.ids import SPREAD, Ms
 from spokeroute.register.cells import Roster, ballot_of
-from spokeroute.register.replica_state import Asked, Unlike
+from spokeroute.register.replica.state import Asked, Unlike
 from spokeroute.transport.messages import Copy
 
 
--- a/spokeroute/register/compile_queue.py
+++ b/spokeroute/register/replica/compile_queue.py
@@ -13,7 +13,7 @@
 from spokeroute.common.ids import Ms
 from spokeroute.common.replacing import replace
 from spokeroute.common.switches import Switches
-from spokeroute.register.replica_jobs import Compile
+from spokeroute.register.replica.jobs import Compile
 
 RESTS = 4  # times as long as the compilation took: a fifth of the time goes into them at most
 MOST_REST_MS = 500  # a configuration has to be in force within a few seconds
--- a/spokeroute/register/overdue.py
+++ b/spokeroute/register/replica/overdue.py
@@ -4,8 +4,8 @@
 from __future__ import annotations
 
 from spokeroute.common.ids import Ms
-from spokeroute.register.agreement import same_value
-from spokeroute.register.replica_state import State
+from spokeroute.register.replica.agreement import same_value
+from spokeroute.register.replica.state import State
 
 
 def overdue_text(state: State, now_ms: Ms) -> str:
--- a/spokeroute/register/proof.py
+++ b/spokeroute/register/replica/proof.py
@@ -11,9 +11,9 @@
 from spokeroute.common.effects import Effect, Effects, Note, Tell
 from spokeroute.common.ids import CONFIGURATION, ROSTER
 from spokeroute.common.replacing import replace
-from spokeroute.register.agreement import same_value
 from spokeroute.register.cells import ballot_of, unpack_roster
-from spokeroute.register.replica_state import Fresh, Got, State, Target
+from spokeroute.register.replica.agreement import same_value
+from spokeroute.register.replica.state import Fresh, Got, State, Target
 from spokeroute.register.stamps import number_of
 from spokeroute.transport.messages import Copy
 from spokeroute.transport.peers import CopiesNow
--- a/spokeroute/register/questions.py
+++ b/spokeroute/register/replica/questions.py
@@ -5,9 +5,9 @@
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.common.places import Distance
 from spokeroute.common.replacing import replace
-from spokeroute.register.named_copies import fingerprints
-from spokeroute.register.replica_state import State
-from spokeroute.register.value_asks import bringers, distance_of
+from spokeroute.register.replica.named_copies import fingerprints
+from spokeroute.register.replica.state import State
+from spokeroute.register.replica.value_asks import bringers, distance_of
 from spokeroute.transport.messages import Probe
 
 PROBE_MS = 400
--- a/spokeroute/register/replica_state.py
+++ b/spokeroute/register/replica/state.py
@@ -11,9 +11,9 @@
 from spokeroute.common.ids import Ballot, Ms, NodeId
 from spokeroute.common.places import Places
 from spokeroute.register.cells import Roster
-from spokeroute.register.compile_queue import CompileQueue
-from spokeroute.register.report_changes import ReportChanges
-from spokeroute.register.value_asks import ValueAsks
+from spokeroute.register.replica.compile_queue import CompileQueue
+from spokeroute.register.replica.report_changes import ReportChanges
+from spokeroute.register.replica.value_asks import ValueAsks
 from spokeroute.transport.messages import Copy, DemandReport, HeldReport, ProbeAck, Took
 
 
--- a/spokeroute/registry/disk_edge.py
+++ b/spokeroute/registry/disk_edge.py
@@ -11,8 +11,8 @@
 from absl import logging
 
 from spokeroute.ledger.writer import KEEP_ENTRIES, LedgerFailed, LedgerWrite, LedgerWritten
-from spokeroute.register.disk import Disk, DiskError, DiskRefusedError, Loaded
-from spokeroute.register.store import (
+from spokeroute.register.disk.disk import Disk, DiskError, DiskRefusedError, Loaded
+from spokeroute.register.disk.store import (
     DiskDone,
     DiskFailed,
     DiskWrite,
--- a/spokeroute/registry_daemon.py
+++ b/spokeroute/registry_daemon.py
@@ -13,16 +13,16 @@
 from spokeroute.common.settings import Settings, SettingsError
 from spokeroute.common.slab import Slab
 from spokeroute.daemon import RealWorld, http_fault, listen, on_signals
-from spokeroute.dispatch.configuration import MAX_CONFIGURATION_BYTES
-from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformClient
-from spokeroute.dispatch.role import ProcessEnded
+from spokeroute.dispatch.configuration.configuration import MAX_CONFIGURATION_BYTES
+from spokeroute.dispatch.placement.platform import ListPlatform, PlatformCall, PlatformClient
+from spokeroute.dispatch.placement.role import ProcessEnded
 from spokeroute.figures import Figures
 from spokeroute.http.wsgi import WsgiApp, serve
 from spokeroute.ledger.ring import Ring
 from spokeroute.ledger.writer import LedgerWrite
 from spokeroute.nodes import Start
-from spokeroute.register.disk import DiskError
-from spokeroute.register.store import DiskWrite, ReopenStore
+from spokeroute.register.disk.disk import DiskError
+from spokeroute.register.disk.store import DiskWrite, ReopenStore
 from spokeroute.registry.api import Api
 from spokeroute.registry.disk_edge import DiskEdge, opened
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -7,23 +7,20 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Incarnation, MemberId
 from spokeroute.common.replacing import replace
-from spokeroute.dispatch import placement, role
-from spokeroute.dispatch.role import Resign
+from spokeroute.dispatch.placement import placement, role
+from spokeroute.dispatch.placement.role import Resign
 from spokeroute.ledger import writer as ledger
 from spokeroute.nodes import Start, first_nonce
-from spokeroute.register import (
-    acceptor,
-    anti_entropy,
-    claims,
-    handover,
-    membership,
-    proposer,
-    replica,
-)
-from spokeroute.register.claim_ages import ClaimAges
-from spokeroute.register.compile_queue import compile_queue
-from spokeroute.register.disk import Loaded
-from spokeroute.register.leave import MARGIN_MS, Leave, Standing
+from spokeroute.register import claims
+from spokeroute.register.acceptor import acceptor
+from spokeroute.register.acceptor.claim_ages import ClaimAges
+from spokeroute.register.anti_entropy import anti_entropy
+from spokeroute.register.disk.disk import Loaded
+from spokeroute.register.membership import handover, membership
+from spokeroute.register.membership.leave import MARGIN_MS, Leave, Standing
+from spokeroute.register.proposer import proposer
+from spokeroute.register.replica import replica
+from spokeroute.register.replica.compile_queue import compile_queue
 from spokeroute.registry import operator
 from spokeroute.transport import anti_entropy_messages as ae
 from spokeroute.transport import messages as m
--- a/tests/calls_made.py
+++ b/tests/calls_made.py
@@ -6,7 +6,7 @@
 
 from spokeroute.common.effects import SlotId
 from spokeroute.common.ids import CallId, Incarnation, InstanceId, Ms, NodeId, WorkerId
-from spokeroute.dispatch.configuration import Route, Service
+from spokeroute.dispatch.configuration.configuration import Route, Service
 from spokeroute.exchange.types import Attempt, Call, CallIn, Phase
 
 
--- a/tests/sends_model.py
+++ b/tests/sends_model.py
@@ -28,14 +28,14 @@
     ZoneName,
 )
 from spokeroute.common.slab import Slots
-from spokeroute.dispatch.configuration import (
+from spokeroute.dispatch.configuration.configuration import (
     Configuration,
     Route,
     Service,
     build_table,
     pack_configuration,
 )
-from spokeroute.dispatch.placement_table import UP, Placed
+from spokeroute.dispatch.placement.table import UP, Placed
 from spokeroute.exchange import calls, entry, holder
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.types import (
--- a/tests/sim/changing.py
+++ b/tests/sim/changing.py
@@ -8,7 +8,7 @@
 
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import FLOOR, PLACEMENT
-from spokeroute.dispatch.placement_table import pack_floor, unpack_floor
+from spokeroute.dispatch.placement.table import pack_floor, unpack_floor
 from spokeroute.register.cells import EMPTY, Cell
 from spokeroute.register.changes import Ask
 from spokeroute.register.claims import Win
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -14,7 +14,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import CallId
 from spokeroute.common.switches import Switches
-from spokeroute.dispatch.configuration import (
+from spokeroute.dispatch.configuration.configuration import (
     Configuration,
     content_of,
     pack_configuration,
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -15,9 +15,9 @@
 
 from spokeroute.common.answers import Ran
 from spokeroute.common.ids import Address, ServiceName, WorkerId, ZoneName
-from spokeroute.dispatch.platform import PlatformCall, PlatformDone, PlatformListed
-from spokeroute.dispatch.scaler import WorkerSeat
-from spokeroute.dispatch.workbook import Listed
+from spokeroute.dispatch.placement.platform import PlatformCall, PlatformDone, PlatformListed
+from spokeroute.dispatch.placement.workbook import Listed
+from spokeroute.dispatch.scaling.scaler import WorkerSeat
 from spokeroute.exchange.connect import Connect, ConnectDone
 from spokeroute.exchange.types import AttemptDone, SendAttempt
 from tools.log import Dial, Emptied, Run
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -14,20 +14,20 @@
 from spokeroute.common.effects import SlotId
 from spokeroute.common.ids import Address, Incarnation, MemberId, Ms, NodeId, Version
 from spokeroute.common.places import Places
-from spokeroute.dispatch.configuration import TableReader
-from spokeroute.dispatch.platform import ListPlatform, PlatformCall
-from spokeroute.dispatch.role import ProcessEnded
+from spokeroute.dispatch.configuration.configuration import TableReader
+from spokeroute.dispatch.placement.platform import ListPlatform, PlatformCall
+from spokeroute.dispatch.placement.role import ProcessEnded
 from spokeroute.exchange.connect import Connect
 from spokeroute.exchange.sender import Token
 from spokeroute.exchange.types import AttemptDone, LinkDown, Revoke, SendAttempt
 from spokeroute.ledger.writer import LedgerWrite
 from spokeroute.nodes import Start, build_exchange
-from spokeroute.register.disk import Loaded
-from spokeroute.register.replica import Compile, Compiled
-from spokeroute.register.store import (
+from spokeroute.register.disk.disk import Loaded
+from spokeroute.register.disk.store import (
     DiskWrite,
     ReopenStore,
 )
+from spokeroute.register.replica.replica import Compile, Compiled
 from spokeroute.registry_node import ask_to_leave, build_registry, may_end
 from spokeroute.transport.process import Me, Process
 from tests.sim import disk as disks
--- a/tests/test_accept_patches.py
+++ b/tests/test_accept_patches.py
@@ -12,12 +12,13 @@
 from spokeroute.common.effects import From, Send
 from spokeroute.common.ids import FLOOR, Address, Ballot, Epoch, Incarnation, MemberId, Ms, NodeId
 from spokeroute.common.replacing import replace
-from spokeroute.register import acceptor, proposer
-from spokeroute.register.accepts import whole_accept
+from spokeroute.register.acceptor import acceptor
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.changes import Ask, Swap
-from spokeroute.register.known_values import learned
 from spokeroute.register.patches import make_patch
+from spokeroute.register.proposer import proposer
+from spokeroute.register.proposer.accepts import whole_accept
+from spokeroute.register.proposer.known_values import learned
 from spokeroute.transport.frames import decode
 from spokeroute.transport.messages import Accept, AcceptPatch, Copy, Promise
 from tests.sim.cluster import Sim
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,8 +12,12 @@
 import pytest
 
 from spokeroute.common.settings import SettingsError, check_settings
-from spokeroute.dispatch.configuration import Configuration, build_table, pack_configuration
-from spokeroute.dispatch.configuration import read_document as read
+from spokeroute.dispatch.configuration.configuration import (
+    Configuration,
+    build_table,
+    pack_configuration,
+)
+from spokeroute.dispatch.configuration.configuration import read_document as read
 
 ROOT = Path(__file__).parent.parent
 FOLDER = ROOT / "platform"
@@ -170,7 +174,7 @@
 def test_lists_and_starts_are_translated(monkeypatch: pytest.MonkeyPatch) -> None:
     import cloud
     from spokeroute.common.ids import Ms
-    from spokeroute.dispatch.platform import PlatformCall
+    from spokeroute.dispatch.placement.platform import PlatformCall
 
     pages = {
         "/api/workers": {"workers": [{"name": "w", "zone": "a", "memory-mb": 4096,
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -8,8 +8,8 @@
 import pytest
 
 from spokeroute.common.bounds import Bounds
-from spokeroute.dispatch.configuration import Configuration, read_configuration
-from spokeroute.dispatch.validation import check_regions
+from spokeroute.dispatch.configuration.configuration import Configuration, read_configuration
+from spokeroute.dispatch.configuration.validation import check_regions
 from tests.sim.changing import votes
 from tests.sim.cluster import Sim, configuration
 from tools.log import Run
--- a/tests/test_asleep.py
+++ b/tests/test_asleep.py
@@ -19,12 +19,12 @@
     WorkerId,
     ZoneName,
 )
-from spokeroute.dispatch.configuration import Service, Table
-from spokeroute.dispatch.models import Programs, Thresholds
-from spokeroute.dispatch.placement_table import DRAINING, STARTING, UP, Floor, Placed
-from spokeroute.dispatch.scaler import Demand, WorkerSeat
-from spokeroute.dispatch.scaling import asleep, scale
-from spokeroute.dispatch.workbook import Pass, Seen
+from spokeroute.dispatch.configuration.configuration import Service, Table
+from spokeroute.dispatch.configuration.models import Programs, Thresholds
+from spokeroute.dispatch.placement.table import DRAINING, STARTING, UP, Floor, Placed
+from spokeroute.dispatch.placement.workbook import Pass, Seen
+from spokeroute.dispatch.scaling.scaler import Demand, WorkerSeat
+from spokeroute.dispatch.scaling.scaling import asleep, scale
 
 NOW_MS = 100_000
 SEATS = {WorkerId(f"w{at}"): WorkerSeat(WorkerId(f"w{at}"), ZoneName("north"), 8_192)
--- a/tests/test_bad_store.py
+++ b/tests/test_bad_store.py
@@ -13,8 +13,8 @@
 
 from spokeroute.common.ids import Address, Ballot, Epoch, MemberId
 from spokeroute.register.cells import Cell, Roster, digest_of, pack_roster
-from spokeroute.register.disk import Disk, DiskError, Loaded
-from spokeroute.register.store import DiskWrite
+from spokeroute.register.disk.disk import Disk, DiskError, Loaded
+from spokeroute.register.disk.store import DiskWrite
 from spokeroute.transport.frames import Envelope, encode
 from spokeroute.transport.messages import (
     Accept,
@@ -101,7 +101,7 @@
 OPEN = """
 import sys
 from pathlib import Path
-from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.disk.disk import Disk, DiskError
 for folder in sys.argv[1:]:
     try:
         loaded = Disk(Path(folder), 16).load()
--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -8,9 +8,9 @@
 from spokeroute.common.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
 from spokeroute.common.places import Places
 from spokeroute.ledger.writer import pack_share, unpack_share
-from spokeroute.register import replica
 from spokeroute.register.cells import Roster
-from spokeroute.register.replica import Reports
+from spokeroute.register.replica import replica
+from spokeroute.register.replica.replica import Reports
 from spokeroute.transport.messages import Copy, Probe, ProbeAck, ViewEntry
 from spokeroute.transport.peers import GossipHeard, ViewNow
 from tests.sim.cluster import Sim
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from spokeroute.register import anti_entropy
+from spokeroute.register.anti_entropy import anti_entropy
 from tests.sim.changing import (
     CATCH_UP_MS,
     Traffic,
--- a/tests/test_catch_up_links.py
+++ b/tests/test_catch_up_links.py
@@ -11,16 +11,17 @@
 
 from spokeroute.common.effects import From, Launch, Tick
 from spokeroute.common.ids import Address, Ballot, Epoch, Incarnation, MemberId, Ms, NodeId
-from spokeroute.register import acceptor, anti_entropy
-from spokeroute.register.anti_entropy import State
-from spokeroute.register.anti_entropy_page import MOST_PAGE_BYTES
-from spokeroute.register.cell_index import CatchUp, Synced, index_of
+from spokeroute.register.acceptor import acceptor
+from spokeroute.register.acceptor.claim_ages import ClaimAges
+from spokeroute.register.acceptor.copy_page import COPY_PAGE_BYTES, copy_page
+from spokeroute.register.anti_entropy import anti_entropy
+from spokeroute.register.anti_entropy.anti_entropy import State
+from spokeroute.register.anti_entropy.cell_index import CatchUp, Synced, index_of
+from spokeroute.register.anti_entropy.page import MOST_PAGE_BYTES
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.changes import Ask, Read, Swap
-from spokeroute.register.claim_ages import ClaimAges
-from spokeroute.register.copy_page import COPY_PAGE_BYTES, copy_page
-from spokeroute.register.disk import Disk
-from spokeroute.register.store import DiskDone, DiskWrite
+from spokeroute.register.disk.disk import Disk
+from spokeroute.register.disk.store import DiskDone, DiskWrite
 from spokeroute.transport.frames import MAX_FRAME_BYTES, Envelope, encode
 from spokeroute.transport.messages import Accept, Copy, HandOver, Heartbeat
 from tests.sim.changing import (
--- a/tests/test_compile_queue.py
+++ b/tests/test_compile_queue.py
@@ -7,8 +7,8 @@
 
 from spokeroute.common.effects import Launch
 from spokeroute.common.ids import CONFIGURATION, Ms
-from spokeroute.register.compile_queue import MOST_REST_MS, RESTS, CompileQueue
-from spokeroute.register.replica_jobs import Compile
+from spokeroute.register.replica.compile_queue import MOST_REST_MS, RESTS, CompileQueue
+from spokeroute.register.replica.jobs import Compile
 from spokeroute.transport.messages import Copy
 
 SPAN_MS = 20_000
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -12,8 +12,9 @@
 
 from spokeroute.common.answers import Answer
 from spokeroute.common.slab import Slab
-from spokeroute.register import proposer, replica, rounds
 from spokeroute.register.changes import Outcome
+from spokeroute.register.proposer import proposer, rounds
+from spokeroute.register.replica import replica
 from spokeroute.registry import operator
 from spokeroute.registry.api import Api
 from tests.sim.cluster import Sim, configuration
--- a/tests/test_cut_off_role.py
+++ b/tests/test_cut_off_role.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from spokeroute.dispatch import placement, role
-from spokeroute.dispatch.platform import PlatformCall
+from spokeroute.dispatch.placement import placement, role
+from spokeroute.dispatch.placement.platform import PlatformCall
 from spokeroute.register.changes import Outcome
 from tests.sim.acts import cut, holder_of
 from tests.sim.cluster import Sim
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -15,9 +15,9 @@
 import pytest
 
 from spokeroute.common.ids import Address, Ballot, Epoch, MemberId
-from spokeroute.register.acceptor import DiskWrite
+from spokeroute.register.acceptor.acceptor import DiskWrite
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.disk import Disk, DiskError, Loaded
+from spokeroute.register.disk.disk import Disk, DiskError, Loaded
 
 PAGE = 4096
 META_PAGES = (0, 1)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -17,12 +17,12 @@
 
 from spokeroute.common.ids import Ms
 from spokeroute.common.settings import SettingsError, check_settings, read_settings
-from spokeroute.dispatch.configuration import Configuration, read_configuration
+from spokeroute.dispatch.configuration.configuration import Configuration, read_configuration
 from spokeroute.exchange.sender import Sender
 from spokeroute.exchange.types import AttemptDone, SendAttempt
-from spokeroute.register.acceptor import DiskWrite
+from spokeroute.register.acceptor.acceptor import DiskWrite
 from spokeroute.register.cells import Cell
-from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.disk.disk import Disk, DiskError
 from spokeroute.transport.frames import MAX_FRAME_BYTES, Envelope, FrameError, cut, decode, encode
 from spokeroute.transport.messages import Finish
 from spokeroute.transport.net import monotonic_ms
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -11,8 +11,8 @@
 from spokeroute import figures
 from spokeroute.common.ids import FLOOR, Ms
 from spokeroute.figures import Figures, Work, WorkCounter, told
-from spokeroute.register.overdue import overdue_text
-from spokeroute.register.replica_state import Target
+from spokeroute.register.replica.overdue import overdue_text
+from spokeroute.register.replica.state import Target
 from spokeroute.transport.traffic import Traffic, TrafficCounter
 from tests.sim.cluster import Sim
 from tests.sim.world import Node
--- a/tests/test_flare.py
+++ b/tests/test_flare.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from spokeroute.dispatch.flare import Function, Limits, Picture, Site, laaf, rome
+from spokeroute.dispatch.flare.algorithms import Function, Limits, Picture, Site, laaf, rome
 
 
 def site(worker: str, instance: str) -> Site:
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -22,8 +22,12 @@
     WorkerId,
     ZoneName,
 )
-from spokeroute.dispatch.configuration import Configuration, build_table, pack_configuration
-from spokeroute.dispatch.placement_table import UP, Placed
+from spokeroute.dispatch.configuration.configuration import (
+    Configuration,
+    build_table,
+    pack_configuration,
+)
+from spokeroute.dispatch.placement.table import UP, Placed
 from spokeroute.exchange import calls, entry, holder
 from spokeroute.exchange.budget import Budget
 from spokeroute.exchange.calls import _lost_holders
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -9,10 +9,11 @@
 
 from spokeroute.common.answers import Answer, Ran
 from spokeroute.common.effects import SlotId
-from spokeroute.dispatch import listing, placement, plan, scaler, scaling, upkeep
+from spokeroute.dispatch.placement import listing, placement, plan, upkeep
+from spokeroute.dispatch.scaling import scaler, scaling
 from spokeroute.exchange import budget, holder, types
 from spokeroute.exchange.types import AttemptDone
-from spokeroute.register import replica
+from spokeroute.register.replica import replica
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
 from tools import judges
--- a/tests/test_known_values.py
+++ b/tests/test_known_values.py
@@ -8,7 +8,7 @@
 from immutables import Map
 
 from spokeroute.common.ids import CONFIGURATION, Address, MemberId
-from spokeroute.register.known_values import digest_known, filled, learned
+from spokeroute.register.proposer.known_values import digest_known, filled, learned
 from spokeroute.transport.frames import decode
 from spokeroute.transport.messages import Copy, Promise
 from tests.sim.changing import core_of
--- a/tests/test_list_push.py
+++ b/tests/test_list_push.py
@@ -9,8 +9,8 @@
 
 from spokeroute.common.effects import Send
 from spokeroute.common.ids import Incarnation, Ms, NodeId
-from spokeroute.dispatch.flare import Ranking
-from spokeroute.dispatch.list_push import ListsHead, Pushed, push
+from spokeroute.dispatch.flare.algorithms import Ranking
+from spokeroute.dispatch.flare.list_push import ListsHead, Pushed, push
 from spokeroute.exchange.successor_lists import ASK_AGAIN_MS, SuccessorLists, merged
 from spokeroute.transport.frames import Envelope, decode, encode
 from spokeroute.transport.list_messages import Lists, ListsAsk
--- a/tests/test_listing_rate.py
+++ b/tests/test_listing_rate.py
@@ -9,10 +9,10 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import Effects, Launch, Tick
 from spokeroute.common.ids import Ms, NodeId
-from spokeroute.dispatch import placement
-from spokeroute.dispatch.listing import list_pause_ms
-from spokeroute.dispatch.placing import State
-from spokeroute.dispatch.platform import ListPlatform, PlatformListed
+from spokeroute.dispatch.placement import placement
+from spokeroute.dispatch.placement.listing import list_pause_ms
+from spokeroute.dispatch.placement.placing import State
+from spokeroute.dispatch.placement.platform import ListPlatform, PlatformListed
 
 RATE = 27.0
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -11,7 +11,7 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import Address, Ballot, Epoch, MemberId, Ms
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.membership_policy import CoreView, PeerStatus, lost_disks, next_roster
+from spokeroute.register.membership.policy import CoreView, PeerStatus, lost_disks, next_roster
 from tests.sim.acts import swap_registry
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
--- a/tests/test_named_copies.py
+++ b/tests/test_named_copies.py
@@ -11,7 +11,7 @@
 
 from spokeroute.common.ids import SPREAD
 from spokeroute.common.replacing import replace
-from spokeroute.register.named_copies import FINGERPRINT_BYTES, filled, fingerprints, unlike
+from spokeroute.register.replica.named_copies import FINGERPRINT_BYTES, filled, fingerprints, unlike
 from spokeroute.transport.frames import Envelope, encode
 from spokeroute.transport.messages import Copy, ProbeAck
 from tests.sim.cluster import Sim
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -21,9 +21,9 @@
     NodeId,
     number_register,
 )
-from spokeroute.register import acceptor
-from spokeroute.register.acceptor import DiskDone, DiskWrite
-from spokeroute.register.ageing import CLAIM_KEEP_MS
+from spokeroute.register.acceptor import acceptor
+from spokeroute.register.acceptor.acceptor import DiskDone, DiskWrite
+from spokeroute.register.acceptor.ageing import CLAIM_KEEP_MS
 from spokeroute.register.cells import Cell, Roster
 from spokeroute.register.changes import Ask, Outcome, Read, Settled
 from spokeroute.register.numbers import (
@@ -33,7 +33,7 @@
     HighestWins,
     is_number,
 )
-from spokeroute.register.replica import Fresh
+from spokeroute.register.replica.replica import Fresh
 from spokeroute.register.stamps import NUMBER
 from spokeroute.registry import operator
 from spokeroute.registry.operator import Apply
--- a/tests/test_old_lives.py
+++ b/tests/test_old_lives.py
@@ -24,9 +24,11 @@
 from spokeroute.ledger import writer
 from spokeroute.ledger.entries import Record
 from spokeroute.nodes import first_nonce
-from spokeroute.register import acceptor, proposer, replica
+from spokeroute.register.acceptor import acceptor
 from spokeroute.register.cells import Roster, digest_of
 from spokeroute.register.changes import Ask, Read, Settled, Swap
+from spokeroute.register.proposer import proposer
+from spokeroute.register.replica import replica
 from spokeroute.transport.messages import (
     Accept,
     Accepted,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,14 +14,14 @@
 
 from spokeroute.client.client import Said, Unreached, Where, ask
 from spokeroute.common.answers import Answer
-from spokeroute.dispatch.configuration import (
+from spokeroute.dispatch.configuration.configuration import (
     Configuration,
     Fault,
     content_of,
     read_configuration,
 )
-from spokeroute.dispatch.placement_table import Mark, pack_evacuated, unpack_evacuated
-from spokeroute.dispatch.validation import check_regions
+from spokeroute.dispatch.configuration.validation import check_regions
+from spokeroute.dispatch.placement.table import Mark, pack_evacuated, unpack_evacuated
 from spokeroute.http.wsgi import respond, serve
 from spokeroute.register.numbers import MAX_NUMBER
 from spokeroute.register.stamps import (
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -14,12 +14,11 @@
 from spokeroute.ledger import writer as ledger
 from spokeroute.ledger.entries import Record
 from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
-from spokeroute.register import acceptor
-from spokeroute.register.acceptor import Adopt, Adopted, TakeCells
-from spokeroute.register.cell_index import CatchUp
+from spokeroute.register.acceptor import acceptor
+from spokeroute.register.acceptor.acceptor import Adopt, Adopted, TakeCells
+from spokeroute.register.anti_entropy.cell_index import CatchUp
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.held import HandTo
-from spokeroute.register.store import (
+from spokeroute.register.disk.store import (
     DiskDone,
     DiskFailed,
     DiskWrite,
@@ -28,6 +27,7 @@
     StoreReopened,
     StoreWritable,
 )
+from spokeroute.register.membership.held import HandTo
 from spokeroute.transport.messages import (
     Accept,
     Accepted,
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -10,9 +10,9 @@
 from spokeroute.common.histogram import BOUNDS_MS, Histogram
 from spokeroute.common.ids import Incarnation, InstanceId, Ms, NodeId, WorkerId
 from spokeroute.common.replacing import replace
-from spokeroute.dispatch.placing import State as Placing
-from spokeroute.dispatch.placing import outcomes_by
-from spokeroute.dispatch.start_steps import StartStep, StartSteps
+from spokeroute.dispatch.placement.placing import State as Placing
+from spokeroute.dispatch.placement.placing import outcomes_by
+from spokeroute.dispatch.scaling.start_steps import StartStep, StartSteps
 from spokeroute.exchange.outcomes import (
     BY_KIND,
     MOST_NAME_CHARS,
--- a/tests/test_own_names.py
+++ b/tests/test_own_names.py
@@ -11,19 +11,19 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import From, Launch, Send, Tell, Tick
 from spokeroute.common.ids import Incarnation, Ms, NodeId, Term, Version
-from spokeroute.dispatch.configuration import (
+from spokeroute.dispatch.configuration.configuration import (
     Configuration,
     Service,
     build_table,
     pack_configuration,
 )
-from spokeroute.dispatch.placement_table import STARTING, UP, Floor, Placed, pack_floor
+from spokeroute.dispatch.placement.table import STARTING, UP, Floor, Placed, pack_floor
 from spokeroute.exchange import holder
 from spokeroute.exchange.connect import Connect, ConnectDone
 from spokeroute.exchange.entry import HeldNow
 from spokeroute.exchange.held_instance import CONNECT_WAIT_MS
 from spokeroute.exchange.types import SendAttempt
-from spokeroute.register.replica import Fresh
+from spokeroute.register.replica.replica import Fresh
 from spokeroute.transport.call_messages import (
     Forward,
     Forwarded,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,9 +13,14 @@
 from spokeroute.client.gateway import lay
 from spokeroute.common.effects import From, SlotId
 from spokeroute.common.ids import CallId, Incarnation, Ms, NodeId
-from spokeroute.dispatch.configuration import Configuration, Route, Service, read_configuration
-from spokeroute.dispatch.flare import Function, Picture, Site
-from spokeroute.dispatch.placement_table import UP, Placed
+from spokeroute.dispatch.configuration.configuration import (
+    Configuration,
+    Route,
+    Service,
+    read_configuration,
+)
+from spokeroute.dispatch.flare.algorithms import Function, Picture, Site
+from spokeroute.dispatch.placement.table import UP, Placed
 from spokeroute.exchange import calls, entry
 from spokeroute.exchange.budget import WINDOW_MS, Budget
 from spokeroute.exchange.pick import pick
--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -22,11 +22,15 @@
     WorkerId,
     ZoneName,
 )
-from spokeroute.dispatch.configuration import Configuration, document_of, read_configuration
-from spokeroute.dispatch.configuration_value import pack_configuration, unpack_configuration
-from spokeroute.dispatch.placement_table import UP, Floor, Placed, pack_floor, unpack_floor
+from spokeroute.dispatch.configuration.configuration import (
+    Configuration,
+    document_of,
+    read_configuration,
+)
+from spokeroute.dispatch.configuration.value import pack_configuration, unpack_configuration
+from spokeroute.dispatch.placement.table import UP, Floor, Placed, pack_floor, unpack_floor
+from spokeroute.register.acceptor.earlier_values import KEPT_BYTES, KEPT_VALUES, EarlierValues
 from spokeroute.register.cells import digest_of
-from spokeroute.register.earlier_values import KEPT_BYTES, KEPT_VALUES, EarlierValues
 from spokeroute.register.packed import pack
 from spokeroute.register.patches import apply_patch, make_patch, runs_of
 from spokeroute.register.stamps import NUMBER, Made, number_of, stamped
--- a/tests/test_planned_leave.py
+++ b/tests/test_planned_leave.py
@@ -11,10 +11,10 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import From, Tell
 from spokeroute.common.ids import Ballot, Incarnation, MemberId, Ms, NodeId
-from spokeroute.register import handover, held
 from spokeroute.register.cells import Cell, digest_of
-from spokeroute.register.held import Quiet
-from spokeroute.register.membership_policy import (
+from spokeroute.register.membership import handover, held
+from spokeroute.register.membership.held import Quiet
+from spokeroute.register.membership.policy import (
     TURN_MS,
     PeerStatus,
     lost_disks,
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -9,7 +9,12 @@
 import pytest
 
 from spokeroute.common.ids import Address, InstanceId, Ms
-from spokeroute.dispatch.platform import ListPlatform, PlatformCall, PlatformDone, PlatformListed
+from spokeroute.dispatch.placement.platform import (
+    ListPlatform,
+    PlatformCall,
+    PlatformDone,
+    PlatformListed,
+)
 from spokeroute.exchange.connect import Connect, ConnectDone, Connector, connect
 from spokeroute.registry.platform_edge import HttpPlatform, PlatformEdge
 from spokeroute.transport.net import monotonic_ms
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -21,9 +21,9 @@
     Ms,
     NodeId,
 )
-from spokeroute.register import replica
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.replica import State
+from spokeroute.register.replica import replica
+from spokeroute.register.replica.replica import State
 from spokeroute.transport.messages import Copy, FetchGot, Finish, Probe, ProbeAck
 
 MEMBERS = tuple(MemberId(f"m{number}") for number in range(3))
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -9,8 +9,8 @@
 
 from spokeroute.common.effects import From, Launch, Note, Reply, Send, SlotId
 from spokeroute.common.ids import Incarnation, Ms, NodeId, Version
-from spokeroute.dispatch.configuration import Programs, Table, Thresholds
-from spokeroute.dispatch.placement_table import STARTING, UP, Placed
+from spokeroute.dispatch.configuration.configuration import Programs, Table, Thresholds
+from spokeroute.dispatch.placement.table import STARTING, UP, Placed
 from spokeroute.exchange import calls, entry, holder, requeue
 from spokeroute.exchange.backlog import CROWD_CALLS, CROWD_MS, Backlog
 from spokeroute.exchange.budget import Budget
--- a/tests/test_readback.py
+++ b/tests/test_readback.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from spokeroute.dispatch import configuration as configurations
+from spokeroute.dispatch.configuration import configuration as configurations
 from spokeroute.registry import operator
 from tests.sim.cluster import Sim, configuration
 from tools import judges, readback
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -15,11 +15,11 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import Effects, From, Send, SendAddress, SlotId, Tell, Tick
 from spokeroute.common.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId, Term
-from spokeroute.dispatch import role
-from spokeroute.dispatch.role import Holder, Resign, pack_role
-from spokeroute.register import proposer
+from spokeroute.dispatch.placement import role
+from spokeroute.dispatch.placement.role import Holder, Resign, pack_role
 from spokeroute.register.cells import Roster
 from spokeroute.register.changes import Ask, Outcome, Read, Settled, Swap
+from spokeroute.register.proposer import proposer
 from spokeroute.transport.frames import Envelope, encode
 from spokeroute.transport.messages import Finish, Heartbeat, Prepare, RoleFree
 from spokeroute.transport.net import Loop, monotonic_ms, parse_address
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -12,9 +12,9 @@
 from spokeroute.common.places import Distance, Places
 from spokeroute.common.replacing import replace
 from spokeroute.common.settings import Settings, SettingsError, check_settings, read_settings
-from spokeroute.register import replica
 from spokeroute.register.cells import Roster
-from spokeroute.register.value_asks import ValueAsks, bringers
+from spokeroute.register.replica import replica
+from spokeroute.register.replica.value_asks import ValueAsks, bringers
 from spokeroute.transport import peers
 from spokeroute.transport.messages import Copy, Probe, ProbeAck, ViewEntry
 from spokeroute.transport.process import Me
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -4,9 +4,9 @@
 
 from spokeroute.common.effects import From, Send, Tell, Tick
 from spokeroute.common.ids import Address, Epoch, Incarnation, MemberId, Ms, NodeId
-from spokeroute.register import proposer
 from spokeroute.register.cells import Roster, digest_of
 from spokeroute.register.changes import Ask, Outcome, Settled, Swap
+from spokeroute.register.proposer import proposer
 from spokeroute.transport.messages import Accept, Copy, Prepare, Promise
 from tests.sim.cluster import Sim, configuration
 
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from spokeroute.common.replacing import _copier, replace
-from spokeroute.dispatch.models import Service
+from spokeroute.dispatch.configuration.models import Service
 from spokeroute.exchange.holder import State as HolderState
-from spokeroute.register.replica_state import State as ReplicaState
+from spokeroute.register.replica.state import State as ReplicaState
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_report_changes.py
+++ b/tests/test_report_changes.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from spokeroute.common.ids import Incarnation, Ms
-from spokeroute.dispatch.reports import Reported, reported
-from spokeroute.register.report_changes import MOST_GONE, WHOLE, ReportChanges
+from spokeroute.dispatch.placement.reports import Reported, reported
+from spokeroute.register.replica.report_changes import MOST_GONE, WHOLE, ReportChanges
 from spokeroute.transport.messages import HeldReport, Probe
 from tests.sim.cluster import Sim
 from tests.sim.world import Node
--- a/tests/test_role_ended.py
+++ b/tests/test_role_ended.py
@@ -7,8 +7,8 @@
 
 from spokeroute.common.effects import Tell, Tick
 from spokeroute.common.ids import Ms
-from spokeroute.dispatch import role
-from spokeroute.dispatch.role import Holder
+from spokeroute.dispatch.placement import role
+from spokeroute.dispatch.placement.role import Holder
 from spokeroute.register.changes import Read
 from tests.sim.cluster import Sim
 from tests.test_recovery import ME, OTHER, asked, told
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from spokeroute.register.membership_policy import HEARTBEAT_MS
+from spokeroute.register.membership.policy import HEARTBEAT_MS
 from spokeroute.registry.status import status_doc
 from tests.sim.acts import after
 from tests.sim.cluster import Sim, configuration
--- a/tests/test_store_full.py
+++ b/tests/test_store_full.py
@@ -17,8 +17,8 @@
 from spokeroute.common.slab import Slab
 from spokeroute.ledger.writer import LedgerFailed, LedgerWrite, LedgerWritten
 from spokeroute.register.cells import Cell, Roster, digest_of
-from spokeroute.register.disk import Disk, DiskBusyError, DiskError
-from spokeroute.register.store import (
+from spokeroute.register.disk.disk import Disk, DiskBusyError, DiskError
+from spokeroute.register.disk.store import (
     DiskDone,
     DiskFailed,
     DiskWrite,
@@ -101,7 +101,7 @@
         env = honest(*args, **options)
         return env if refusals[0] % 3 == 0 else Unstarted(env)
 
-    monkeypatch.setattr("spokeroute.register.disk.lmdb.open", refusing)
+    monkeypatch.setattr("spokeroute.register.disk.disk.lmdb.open", refusing)
     pauses: list[float] = []
     members = set()
     for starts in (1, 2):
@@ -236,7 +236,7 @@
     def answered(status: str, headers: object) -> None:
         statuses.append(status)
 
-    monkeypatch.setattr("spokeroute.register.disk.READER_WAIT_S", 0.01)
+    monkeypatch.setattr("spokeroute.register.disk.disk.READER_WAIT_S", 0.01)
     api(environ, answered)
     with disk.opening:
         body = b"".join(api(environ, answered))
@@ -301,7 +301,7 @@
 LIMITED = """
 import resource, signal, sys
 from pathlib import Path
-from spokeroute.register.disk import Disk, DiskError
+from spokeroute.register.disk.disk import Disk, DiskError
 from tests.test_store_full import batch
 
 signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
--- a/tests/test_switches.py
+++ b/tests/test_switches.py
@@ -13,13 +13,13 @@
 from spokeroute.common.ids import Address, Incarnation, Ms, NodeId
 from spokeroute.common.settings import SettingsError, read_settings
 from spokeroute.common.switches import NAMES, SwitchError, Switches, read_switches, without
-from spokeroute.dispatch.configuration import Service
-from spokeroute.dispatch.flare import Function, Picture, Site, laaf
-from spokeroute.dispatch.reports import Reported, demand_now
-from spokeroute.dispatch.scaler import Demand, spares_of, wanted_of
+from spokeroute.dispatch.configuration.configuration import Service
+from spokeroute.dispatch.flare.algorithms import Function, Picture, Site, laaf
+from spokeroute.dispatch.placement.reports import Reported, demand_now
+from spokeroute.dispatch.scaling.scaler import Demand, spares_of, wanted_of
 from spokeroute.exchange.entry import State, expect_ms, listed
 from spokeroute.nodes import Start, build_exchange
-from spokeroute.register.compile_queue import RESTS
+from spokeroute.register.replica.compile_queue import RESTS
 from spokeroute.transport.list_messages import Lists, Successors
 from spokeroute.transport.messages import DemandReport
 from spokeroute.transport.process import Me
--- a/tests/test_table_reader.py
+++ b/tests/test_table_reader.py
@@ -10,14 +10,14 @@
 from hypothesis import strategies as st
 
 from spokeroute.common.ids import Version
-from spokeroute.dispatch.configuration import (
+from spokeroute.dispatch.configuration.configuration import (
     Configuration,
     TableReader,
     build_table,
     pack_configuration,
     read_configuration,
 )
-from spokeroute.dispatch.models import Route, Service
+from spokeroute.dispatch.configuration.models import Route, Service
 from spokeroute.register.packed import pack
 from spokeroute.register.stamps import NUMBER, Made, stamped
 
--- a/tests/test_tolerance.py
+++ b/tests/test_tolerance.py
@@ -9,7 +9,7 @@
 import pytest
 
 from spokeroute.common.bounds import Bounds
-from spokeroute.register.acceptor import State as Keeper
+from spokeroute.register.acceptor.acceptor import State as Keeper
 from tests.sim.cluster import Sim, configuration
 from tests.test_losses import acked, shown
 
--- a/tools/compare.py
+++ b/tools/compare.py
@@ -11,7 +11,15 @@
 import random
 from dataclasses import replace
 
-from spokeroute.dispatch.flare import Function, Limits, Picture, Ranking, Site, laaf, rome
+from spokeroute.dispatch.flare.algorithms import (
+    Function,
+    Limits,
+    Picture,
+    Ranking,
+    Site,
+    laaf,
+    rome,
+)
 
 
 def after(picture: Picture, ranks: tuple[Ranking, ...], lost: set[str]) -> dict[str, float]:
--- a/tools/model/disk.py
+++ b/tools/model/disk.py
@@ -6,7 +6,7 @@
 
 from immutables import Map
 
-from spokeroute.register.acceptor import DiskWrite
+from spokeroute.register.acceptor.acceptor import DiskWrite
 from spokeroute.register.cells import Cell, Roster
 
 
--- a/tools/model/history.py
+++ b/tools/model/history.py
@@ -13,7 +13,7 @@
 
 from spokeroute.common.effects import From
 from spokeroute.common.ids import Ballot, MemberId, NodeId
-from spokeroute.register import acceptor
+from spokeroute.register.acceptor import acceptor
 from spokeroute.register.cells import EMPTY, Roster, digest_of, unpack_roster
 from spokeroute.register.changes import Ask, Outcome, Read, Settled
 from spokeroute.transport.messages import (
--- a/tools/model/patches.py
+++ b/tools/model/patches.py
@@ -8,9 +8,10 @@
 
 from spokeroute.common.effects import Effects, Launch, Send
 from spokeroute.common.ids import NO_BALLOT
-from spokeroute.register import acceptor, proposer
-from spokeroute.register.acceptor import DiskDone, DiskFailed
+from spokeroute.register.acceptor import acceptor
+from spokeroute.register.acceptor.acceptor import DiskDone, DiskFailed
 from spokeroute.register.cells import EMPTY, ballot_of
+from spokeroute.register.proposer import proposer
 
 Patch = tuple[Any, str, Any]
 """An owner, the name of one of its functions, and the faulty one."""
--- a/tools/model/patches_membership.py
+++ b/tools/model/patches_membership.py
@@ -9,10 +9,12 @@
 
 from spokeroute.common.effects import Effects, From, Send, Tell
 from spokeroute.common.ids import MemberId
-from spokeroute.register import acceptor, handover, membership, membership_policy
-from spokeroute.register.acceptor import Adopt
+from spokeroute.register.acceptor import acceptor
+from spokeroute.register.acceptor.acceptor import Adopt
+from spokeroute.register.acceptor.copy_page import copy_page
 from spokeroute.register.cells import Roster
-from spokeroute.register.copy_page import copy_page
+from spokeroute.register.membership import handover, membership
+from spokeroute.register.membership import policy as membership_policy
 from spokeroute.transport.messages import CopyAsk, CopyPart
 from tools.model import actions
 from tools.model.patches import Patch, step_patch
--- a/tools/model/world.py
+++ b/tools/model/world.py
@@ -16,10 +16,12 @@
 from spokeroute.common.bounds import Bounds
 from spokeroute.common.effects import From, Launch, Send, Tell
 from spokeroute.common.ids import Address, Incarnation, MemberId, Ms, NodeId
-from spokeroute.register import acceptor, handover, membership, proposer
-from spokeroute.register.acceptor import DiskDone, DiskFailed, DiskWrite
-from spokeroute.register.proposer import Settled
-from spokeroute.register.store import ReopenFailed, ReopenStore, StoreReopened
+from spokeroute.register.acceptor import acceptor
+from spokeroute.register.acceptor.acceptor import DiskDone, DiskFailed, DiskWrite
+from spokeroute.register.disk.store import ReopenFailed, ReopenStore, StoreReopened
+from spokeroute.register.membership import handover, membership
+from spokeroute.register.proposer import proposer
+from spokeroute.register.proposer.proposer import Settled
 from spokeroute.transport import messages as m
 from spokeroute.transport.messages import ViewEntry
 from spokeroute.transport.peers import ViewNow
--- a/tools/store_size.py
+++ b/tools/store_size.py
@@ -30,16 +30,16 @@
     WorkerId,
     ZoneName,
 )
-from spokeroute.dispatch.configuration import (
+from spokeroute.dispatch.configuration.configuration import (
     Configuration,
     pack_configuration,
     read_configuration,
 )
-from spokeroute.dispatch.placement_table import Floor, Placed, pack_floor
+from spokeroute.dispatch.placement.table import Floor, Placed, pack_floor
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.claims import Claim, pack
-from spokeroute.register.disk import Disk
-from spokeroute.register.store import DiskWrite
+from spokeroute.register.disk.disk import Disk
+from spokeroute.register.disk.store import DiskWrite
 
 MB = 1024 * 1024
 ZONES = ("north", "centre", "south")
