--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -123,6 +123,11 @@
     assert fleet.wait_ready(exs, 60) == []
     for name in exs:
         assert b"instance" in until_served(fleet, name, "/port-ins")
+    status, text = get(fleet.http["ex1"], "/spokeroute/metrics")
+    assert status == 200 and b"spokeroute_open_calls " in text
+    assert b'reason="no_proof"' in text  # the call that came before anything ruled
+    status, text = get(fleet.http["reg1"], "/metrics")
+    assert status == 200 and b"spokeroute_instances " in text
     assert b"instance" in until_served(fleet, "ex1", "/municipal/07/x")
     until_served(fleet, "ex1", "/port-ins", key="k1")
     until = time.monotonic() + 30
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -66,6 +66,17 @@
     assert door.call().path == "/health/up"  # among callers the path is anybody's
 
 
+def test_metrics_are_read_where_readiness_is_told_and_nowhere_else(door: Door) -> None:
+    door.front.metrics = lambda: b"spokeroute_open_calls 0.0\n"
+    ask = b"GET /spokeroute/metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    status, headers, body = Caller(door.ready_address).send(ask).answer()
+    assert (status, body) == (200, b"spokeroute_open_calls 0.0\n")
+    assert headers["content-type"].startswith("text/plain; version=0.0.4")
+    assert door.calls.empty()
+    assert Caller(door.address).send(ask).answer()[2] == b"done"
+    assert door.call().path == "/spokeroute/metrics"  # among callers the path is anybody's
+
+
 def test_chunks_are_put_together(door: Door) -> None:
     head = b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
     caller = Caller(door.address)
