--- a/tests/test_cold_starts_far.py
+++ b/tests/test_cold_starts_far.py
@@ -3,37 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import Any
 
 import pytest
 
 from spokeroute.common.bounds import Bounds
-from tests.sim.cluster import Sim, configuration
+from tests.sim.cluster import Sim
+from tests.sim.rare_services import with_rare_services
 
 REGIONS = {"north": "n", "centre": "c", "south": "s"}
 SERVICES = 60
 BOOT_MS = 300.0
+AIM_MS = 800
 WORK_MS = 40.0
 CALLS = 200
 GAP_MS = 45.0
 OVER_BOOT_MS = {50: 170, 95: 265, 99: 310}  # of a cold start, over its boot and its run, by share
 
 
-def many_small() -> dict[str, Any]:
-    """Many services that sleep, one route each."""
-    document = configuration(name="many small")
-    document["services"] += [
-        {"name": f"rare-{i}", "memoryMb": 64, "limit": 1, "coldMs": 0, "longestRunMs": 1000,
-         "startMs": int(BOOT_MS), "idleMs": 1000, "spares": 0}
-        for i in range(SERVICES)
-    ]  # fmt: skip
-    document["routes"] += [
-        {"path": f"/rare/{i}", "service": f"rare-{i}", "repeatable": True, "aimMs": 800}
-        for i in range(SERVICES)
-    ]
-    return document
-
-
 @pytest.fixture(params=[1, 2, 3, 4])
 def far(request: pytest.FixtureRequest) -> Iterator[Sim]:
     bounds = Bounds(members=5, rejection_safe=True, stop_drains=True, stale_ms=9_000)
@@ -42,7 +28,7 @@
     )
     made.platform.own_names = True
     made.platform.start_small_ms = BOOT_MS
-    made.settle(many_small())
+    made.settle(with_rare_services("many small", SERVICES, BOOT_MS, AIM_MS))
     yield made
     made.close()
 
--- a/tests/test_partial_views.py
+++ b/tests/test_partial_views.py
@@ -15,7 +15,8 @@
 from spokeroute.transport.call_messages import Ping, RoomAsk
 from spokeroute.transport.frames import decode
 from spokeroute.transport.process import Me, Process
-from tests.sim.cluster import Sim, configuration
+from tests.sim.cluster import Sim
+from tests.sim.rare_services import with_rare_services
 from tests.test_scenarios import clean
 
 BOOT_MS = 700.0
@@ -75,16 +76,7 @@
     sim = Sim(request.param, 12, bounds=bounds)
     sim.platform.own_names = True
     sim.platform.start_small_ms = BOOT_MS
-    document = configuration(name="sparse")
-    document["services"] += [
-        {"name": f"rare-{i}", "memoryMb": 64, "limit": 1, "coldMs": 0, "longestRunMs": 1000,
-         "startMs": int(BOOT_MS), "idleMs": 1000, "spares": 0}
-        for i in range(SERVICES)
-    ]  # fmt: skip
-    document["routes"] += [
-        {"path": f"/rare/{i}", "service": f"rare-{i}", "repeatable": True} for i in range(SERVICES)
-    ]
-    sim.settle(document)
+    sim.settle(with_rare_services("sparse", SERVICES, BOOT_MS))
     yield sim
     sim.close()
 
