Simulated network: a receiver's narrow link is taken when a frame arrives there

A frame that waited two seconds behind its sender's link held frames off the receiver's link that would arrive before it, so one node's full link spread to the others, which no network does.

--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -73,15 +73,14 @@
             self.between_regions.frames += 1
             self.between_regions.size_bytes += len(frame)
 
-    def _queued_ms(self, sender: Node, there: Node, size_bytes: int) -> float:
-        """How long a frame waits for, and takes on, narrow links on its way."""
-        at_ms = self.env.now
-        for key in ((sender.name, "out"), (there.name, "in")):
-            kbit = self.narrow_kbit.get(key[0])
-            if kbit:
-                at_ms = max(at_ms, self.busy_ms.get(key, 0.0)) + size_bytes * 8 / kbit
-                self.busy_ms[key] = at_ms
-        return at_ms - self.env.now
+    def _queued_ms(self, link: tuple[str, str], size_bytes: int) -> float:
+        """How long a frame that reaches a narrow link now waits for it, and takes on it."""
+        kbit = self.narrow_kbit.get(link[0])
+        if not kbit:
+            return 0.0
+        done_ms = max(self.env.now, self.busy_ms.get(link, 0.0)) + size_bytes * 8 / kbit
+        self.busy_ms[link] = done_ms
+        return done_ms - self.env.now
 
     def send(self, sender: Node, address: Address, frame: bytes) -> None:
         self.env.process(self._carry(sender, address, frame))
@@ -104,11 +103,15 @@
         delay = self.delay_ms(sender.zone, there.zone if there else "")
         if there is not None:
             self._count(sender, there, frame)
-            delay += self._queued_ms(sender, there, len(frame))
+            delay += self._queued_ms((sender.name, "out"), len(frame))
         key = (sender.name, address)
         at = max(self.env.now + delay, self.last_ms.get(key, 0.0))
         self.last_ms[key] = at
         yield self.env.timeout(at - self.env.now)
+        if there is not None and there.name in self.narrow_kbit:
+            # Taken at the frame's arrival: one that still waits behind its sender's link keeps
+            # no other off this one.
+            yield self.env.timeout(self._queued_ms((there.name, "in"), len(frame)))
         there = self.nodes.get(address)
         link = self.link(sender, address)
         if sender.births == born and link not in self.linked:
