Sight: the ring tells late answers, the configuration's own proof, heard members; 404s by old proofs

What was missing to tell the hypotheses apart: answers to questions that are not kept any more, when a majority named the configuration alike last, when any member was heard, the open ask's age in normal lines, and refusals as no route by a table that was proved over a second ago (a reason of its own). No logic changes.

--- a/spokeroute/exchange/outcomes.py
+++ b/spokeroute/exchange/outcomes.py
@@ -52,6 +52,7 @@
     NO_CORE = "no_core"
     BAD_REQUEST = "bad_request"
     NO_ROUTE = "no_route"
+    OLD_NO_ROUTE = "no_route_by_old_proof"  # the table that lacks it was proved long ago
     HOLDER_SILENT = "holder_silent"
     HOLDER_LOST = "holder_lost"
     INSTANCE_LOST = "instance_lost"
--- a/spokeroute/figures.py
+++ b/spokeroute/figures.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from spokeroute.ledger.ring import Ring
@@ -66,11 +66,19 @@
         Figures(process, loop, ring, world.compiled).look()
     """
 
-    def __init__(self, process: Process, loop: Loop, ring: Ring, compiled: WorkCounter) -> None:
+    def __init__(
+        self,
+        process: Process,
+        loop: Loop,
+        ring: Ring,
+        compiled: WorkCounter,
+        proof: Callable[[], str] = lambda: "",
+    ) -> None:
         self.process = process
         self.loop = loop
         self.ring = ring
         self.compiled = compiled
+        self.proof = proof
         self.processor_s = time.process_time()
         self.alarmed_s = time.monotonic() - ALARM_EVERY_S
         self.noted_s = time.monotonic()
@@ -93,7 +101,7 @@
         if alarm:
             self.alarmed_s = now_s
         self.ring.note(f"figures: for_s={for_s:.1f} {self._processor(for_s)} "
-                       f"{self._traffic(for_s)}", alarm)  # fmt: skip
+                       f"{self._traffic(for_s)} {self.proof()}".rstrip(), alarm)  # fmt: skip
         self.longest_s = 0.0
 
     def _processor(self, for_s: float) -> str:
--- a/spokeroute/register/replica/overdue.py
+++ b/spokeroute/register/replica/overdue.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from spokeroute.common.ids import Ms
+from spokeroute.common.ids import CONFIGURATION, Ms
 from spokeroute.register.replica.agreement import same_value
 from spokeroute.register.replica.state import State
 
@@ -24,12 +24,33 @@
     missing = _missing(state)
     if missing:
         parts.append(f"not here: {missing}")
-    ask = state.asks.open
-    if ask is not None:
-        parts.append(f"values asked of {ask.node} {now_ms - ask.sent_ms} ms ago")
+    parts.append(proof_text(state, now_ms))
     return "; ".join(parts)
 
 
+def proof_text(state: State, now_ms: Ms) -> str:
+    """What a process knows of its proofs, in one line: how old the newest one is, when a majority
+    named the configuration alike last, which member was asked for values, how many answers came to
+    questions that it does not keep any more.
+
+    Example:
+        >>> proof_text(State(()), Ms(5))
+        'proof_ms=-1 configuration_named_ms=-1 heard_ms=5 ask=none late_answers=0'
+    """
+    ask = state.asks.open
+    said = "none" if ask is None else f"{ask.node}/{now_ms - ask.sent_ms}ms"
+    return (
+        f"proof_ms={_age(state.proved_ms, now_ms)} "
+        f"configuration_named_ms={_age(state.named_ms.get(CONFIGURATION, Ms(-1)), now_ms)} "
+        f"heard_ms={now_ms - state.asks.heard_ms} ask={said} late_answers={state.late_answers}"
+    )
+
+
+def _age(since_ms: Ms, now_ms: Ms) -> int:
+    """How long ago something was; -1 where it never was."""
+    return now_ms - since_ms if since_ms >= 0 else -1
+
+
 def _missing(state: State) -> str:
     """The values that the newest answer named and that are not here, with what is here."""
     if not state.targets:
--- a/spokeroute/register/replica/state.py
+++ b/spokeroute/register/replica/state.py
@@ -109,6 +109,8 @@
     absent_of: Map[str, tuple[Ms, tuple[str, ...]]] = field(default_factory=Map)  # by member
     bounds: Bounds = Bounds()
     overdue: bool = False  # the newest proof is older than the lease, and this was noted
+    late_answers: int = 0  # that came to questions which are not kept any more
+    named_ms: Map[str, Ms] = field(default_factory=Map)  # when each register was agreed on last
     address: str = ""
     places: Places = Places()
     zones: Map[str, str] = field(default_factory=Map)  # of the registries that are known
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -9,10 +9,13 @@
 from immutables import Map
 
 from spokeroute import figures
-from spokeroute.common.ids import FLOOR, Ms
+from spokeroute.common.effects import From
+from spokeroute.common.ids import FLOOR, Incarnation, Ms, NodeId
 from spokeroute.figures import Figures, Work, WorkCounter, told
-from spokeroute.register.replica.overdue import overdue_text
+from spokeroute.register.replica import replica
+from spokeroute.register.replica.overdue import overdue_text, proof_text
 from spokeroute.register.replica.state import Target
+from spokeroute.transport.messages import ProbeAck
 from spokeroute.transport.traffic import Traffic, TrafficCounter
 from tests.sim.cluster import Sim
 from tests.sim.world import Node
@@ -106,3 +109,25 @@
         clock.now_s += 0.02
         made.look()
     assert written == []
+
+
+def test_an_answer_to_a_question_that_is_not_kept_is_counted_and_told(sim: Sim) -> None:
+    sim.settle()
+    node = sim.exchanges[0]
+    state = node.state("replica")
+    before = state.late_answers
+    forgotten = ProbeAck(-1, state.roster.epoch, (), (), ())
+    life = Incarnation(1)
+    after, _ = replica.step(state, From(NodeId("m1"), life, forgotten), node.now_ms())
+    assert after.late_answers == before + 1
+    assert f"late_answers={before + 1}" in proof_text(after, node.now_ms())
+
+
+def test_the_figures_tell_how_old_the_proof_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock()
+    made, written = figures_at(monkeypatch, clock)
+    made.proof = lambda: "proof_ms=70"
+    for gap_s in (0.6, 2.0):
+        clock.now_s += gap_s
+        made.look()
+    assert written[0].endswith("proof_ms=70")
