A member's newest answer proves as of its own question, however late; questions are bounded

Only the last eight questions counted: while calls wait one goes each 40 ms, so answers later than 320 ms proved nothing, were no sign of life, and their values were thrown away; all five members were then asked, each time with all reports that no answer had confirmed. Now a question stays open until its member answers it or a later one; a majority of the members' newest answers proves, as of the earliest of their questions; a member has two unanswered questions with reports at most, then small ones each 200 ms; a target whose values the open ask brings is not dropped for newer ones.

--- a/spokeroute/register/replica/agreement.py
+++ b/spokeroute/register/replica/agreement.py
@@ -1,48 +1,65 @@
-"""What the answers to a probe agree on."""
+"""What members' newest answers agree on."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from dataclasses import dataclass
+
 from immutables import Map
 
 from spokeroute.common.ids import SPREAD, Ms
-from spokeroute.register.cells import Roster, ballot_of
-from spokeroute.register.replica.state import Asked, Unlike
+from spokeroute.register.cells import ballot_of
+from spokeroute.register.replica.state import Answer, Unlike
 from spokeroute.transport.messages import Copy
 
 
-def agreed_by(roster: Roster, asked: Asked) -> dict[str, Copy]:
-    """The registers for which a majority named one ballot.
+@dataclass(frozen=True, slots=True)
+class Agreed:
+    """A copy whose ballot a majority named. Nothing newer was chosen before ``since_ms``, when the
+    earliest of the questions that this majority answered was sent."""
+
+    copy: Copy
+    since_ms: Ms
+
+
+def agreed_by(majority: int, answers: Iterable[Answer]) -> dict[str, Agreed]:
+    """The registers for which a majority of the members' newest answers names one ballot. They need
+    not be answers to one question: whoever chose something newer before the earliest of these
+    questions was sent had it accepted by one of these members, which would have named it.
 
     Example:
-        agreed_by(roster, Asked(Ms(0))) == {}
+        >>> agreed_by(2, ())
+        {}
     """
-    found: dict[str, Copy] = {}
-    for name in SPREAD:
-        counts: dict[tuple[int, str], int] = {}
-        for ack in asked.acks.values():
-            for copy in ack.copies:
-                if copy.name == name:
-                    key = (copy.counter, copy.member)
-                    counts[key] = counts.get(key, 0) + 1
-                    if counts[key] >= roster.majority:
-                        found[name] = copy
+    sent_ms: dict[tuple[str, int, str], list[Ms]] = {}
+    copies: dict[tuple[str, int, str], Copy] = {}
+    for answer in answers:
+        for copy in answer.copies:
+            key = (copy.name, copy.counter, copy.member)
+            copies[key] = copy
+            sent_ms.setdefault(key, []).append(answer.sent_ms)
+    found: dict[str, Agreed] = {}
+    for key, times in sent_ms.items():
+        if len(times) >= majority and key[0] in SPREAD:
+            newest_first = sorted(times, reverse=True)
+            found[key[0]] = Agreed(copies[key], newest_first[majority - 1])
     return found
 
 
 def seen_unlike(
-    before: Map[str, Unlike], asked: Asked, agreed: frozenset[str], now_ms: Ms
+    before: Map[str, Unlike], answers: Iterable[Answer], agreed: frozenset[str], now_ms: Ms
 ) -> Map[str, Unlike]:
     """The registers on which members differ. A round that is under way goes on to newer ballots;
     where none is named for long, it was cut short.
 
     Example:
-        seen_unlike(Map(), Asked(Ms(0)), frozenset(SPREAD), Ms(0)) == Map()
+        >>> seen_unlike(Map(), (), frozenset(), Ms(0))
+        immutables.Map({})
     """
+    copies = [copy for answer in answers for copy in answer.copies]
     found: dict[str, Unlike] = {}
     for name in SPREAD:
-        ballots = [
-            ballot_of(c) for ack in asked.acks.values() for c in ack.copies if c.name == name
-        ]
+        ballots = [ballot_of(copy) for copy in copies if copy.name == name]
         if name in agreed or not ballots:
             continue
         known, newest = before.get(name), max(ballots)
--- a/spokeroute/register/replica/overdue.py
+++ b/spokeroute/register/replica/overdue.py
@@ -15,10 +15,10 @@
         overdue_text(state, now_ms)
     """
     members = len(state.roster.members) if state.roster else 0
-    answers = max((len(asked.acks) for asked in state.probes.values()), default=0)
+    answers = sum(1 for each in state.answers.values() if each.sent_ms > state.proved_ms)
     parts = [
         f"no proof for {now_ms - state.proved_ms} ms",
-        f"answers to a question: {answers} of {members} members",
+        f"answers since: {answers} of {members} members",
         f"questions that wait for values: {len(state.targets)}",
     ]
     missing = _missing(state)
--- a/spokeroute/register/replica/proof.py
+++ b/spokeroute/register/replica/proof.py
@@ -11,17 +11,56 @@
 from spokeroute.common.effects import Effect, Effects, Note, Tell
 from spokeroute.common.ids import CONFIGURATION, ROSTER
 from spokeroute.common.replacing import replace
-from spokeroute.register.cells import ballot_of, unpack_roster
+from spokeroute.register.cells import Roster, ballot_of, unpack_roster
 from spokeroute.register.replica.agreement import same_value
+from spokeroute.register.replica.open_questions import OpenQuestions
 from spokeroute.register.replica.state import Fresh, Got, State, Target
+from spokeroute.register.replica.value_asks import OpenAsk
 from spokeroute.register.stamps import number_of
 from spokeroute.transport.messages import Copy
 from spokeroute.transport.peers import CopiesNow
 
 LEASE_MS = 2_000
+MOST_TARGETS = 16
 KEPT_BEFORE = 3  # of a register's values that newer ones came after; of compiled ones, one
 
 
+def under(state: State, roster: Roster) -> State:
+    """With a newer roster: answers of the one before it prove nothing any more.
+
+    Example:
+        under(State(()), roster).answers == Map()
+    """
+    return replace(state, roster=roster, questions=OpenQuestions(), answers=Map())
+
+
+def with_target(
+    targets: tuple[Target, ...], new: Target, ask: OpenAsk | None
+) -> tuple[Target, ...]:
+    """With a newer target, in place of the last one where both name the same. Past the bound the
+    oldest one is dropped, but never the one whose values the open ask brings.
+
+    Example:
+        >>> len(with_target((), Target(Ms(0), Map()), None))
+        1
+    """
+    if targets and _same_copies(targets[-1], new):
+        return (*targets[:-1], new)
+    if len(targets) < MOST_TARGETS:
+        return (*targets, new)
+    awaited = None
+    if ask is not None:
+        awaited = next((each for each in targets if each.asked_ms >= ask.sent_ms), None)
+    dropped = next(each for each in targets if each is not awaited)
+    return (*(each for each in targets if each is not dropped), new)
+
+
+def _same_copies(a: Target, b: Target) -> bool:
+    return a.copies.keys() == b.copies.keys() and all(
+        same_value(copy, b.copies[name]) for name, copy in a.copies.items()
+    )
+
+
 def is_wanted(state: State, copy: Copy) -> bool:
     """Whether a question that waits for its proof was answered with this very value.
 
@@ -112,7 +151,7 @@
         if ROSTER in ruling:
             roster = unpack_roster(ruling[ROSTER].value)
             if state.roster is None or roster.epoch > state.roster.epoch:
-                state = replace(state, roster=roster, probes=Map())
+                state = under(state, roster)
     return state, tuple(effects)
 
 
--- a/spokeroute/register/replica/questions.py
+++ b/spokeroute/register/replica/questions.py
@@ -57,6 +57,21 @@
     return replace(state, turn_ms=now_ms) if turn else state
 
 
+def light_question(state: State, epoch: int, now_ms: Ms) -> Probe:
+    """The probe for a member that has not answered those which reports went with.
+
+    Example:
+        >>> light_question(State(()), 1, Ms(0)).reports
+        False
+    """
+    proved_ago_ms = now_ms - state.proved_ms if state.proved_ms >= 0 else -1
+    return Probe(
+        state.nonce, epoch, (), (), (), (), state.reports.leaving, (), proved_ago_ms,
+        state.address, False, zone=state.places.zone, named=fingerprints(state.named),
+        reports=False,
+    )  # fmt: skip
+
+
 def question(state: State, epoch: int, base: int, now_ms: Ms) -> Probe:
     """The probe for members that have the report of the question ``base``.
 
--- a/spokeroute/register/replica/report_changes.py
+++ b/spokeroute/register/replica/report_changes.py
@@ -72,8 +72,8 @@
     def answered(
         self, node: str, incarnation: Incarnation, number: int, newest: int
     ) -> ReportChanges:
-        """A member answered a question: it has the report that went with it. ``newest`` is the last
-        question that was asked.
+        """A member answered a question: it has the report that went with it (``number`` is WHOLE
+        where none did). ``newest`` is the last question that was asked.
 
         Example:
             >>> ReportChanges().answered("m1", Incarnation(1), 7, 8).base("m1")
--- a/spokeroute/register/replica/state.py
+++ b/spokeroute/register/replica/state.py
@@ -12,9 +12,10 @@
 from spokeroute.common.places import Places
 from spokeroute.register.cells import Roster
 from spokeroute.register.replica.compile_queue import CompileQueue
+from spokeroute.register.replica.open_questions import OpenQuestions
 from spokeroute.register.replica.report_changes import ReportChanges
 from spokeroute.register.replica.value_asks import ValueAsks
-from spokeroute.transport.messages import Copy, DemandReport, HeldReport, ProbeAck, Took
+from spokeroute.transport.messages import Copy, DemandReport, HeldReport, Took
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,13 +46,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
-    """One probe and its answers."""
+class Answer:
+    """A member's newest answer: to which question, sent when, and the copies that it named."""
 
+    nonce: int
     sent_ms: Ms
-    members: int = 0  # that were asked
-    acks: Map[str, ProbeAck] = field(default_factory=Map)
-    named: Map[str, Copy] = field(default_factory=Map)  # copies that the probe stood for
+    copies: tuple[Copy, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +88,8 @@
     listeners: tuple[str, ...]
     roster: Roster | None = None
     registries: tuple[NodeId, ...] = ()
-    probes: Map[int, Asked] = field(default_factory=Map)
+    questions: OpenQuestions = OpenQuestions()
+    answers: Map[str, Answer] = field(default_factory=Map)  # by member
     nonce: int = 0
     next_ms: Ms = Ms(0)
     ruling: Map[str, Got] = field(default_factory=Map)
--- a/spokeroute/register/replica/value_asks.py
+++ b/spokeroute/register/replica/value_asks.py
@@ -62,11 +62,14 @@
         """
         return now_ms - self.heard_ms > SILENT_MS
 
-    def asked(self, members: tuple[NodeId, ...], nonce: int, now_ms: Ms) -> ValueAsks:
-        """One more ask: of the first member, or of the next where the last one did not answer.
+    def asked(
+        self, members: tuple[NodeId, ...], may: frozenset[str], nonce: int, now_ms: Ms
+    ) -> ValueAsks:
+        """One more ask: of the first member, or of the next where the last one did not answer; of
+        those that may be asked now.
 
         Example:
-            >>> ValueAsks().asked((NodeId("m1"),), 1, Ms(0)).open.node
+            >>> ValueAsks().asked((NodeId("m1"),), frozenset(["m1"]), 1, Ms(0)).open.node
             'm1'
         """
         turn, turned_ms, patience_ms = self.turn, self.turned_ms, self.patience_ms
@@ -75,7 +78,8 @@
             patience_ms = min(2 * patience_ms, LONGEST_PATIENCE_MS)
         elif turn and now_ms - turned_ms >= NEAR_AGAIN_MS:
             turn = 0
-        node = members[turn % len(members)]
+        first = turn % len(members)
+        node = next(each for each in (*members[first:], *members[:first]) if each in may)
         return replace(
             self,
             open=OpenAsk(node, nonce, now_ms),
@@ -90,7 +94,8 @@
         then. What is only slow stays open.
 
         Example:
-            >>> ValueAsks().asked((NodeId("m1"),), 1, Ms(0)).answered("m1", 1, Ms(9)).open is None
+            >>> asks = ValueAsks().asked((NodeId("m1"),), frozenset(["m1"]), 1, Ms(0))
+            >>> asks.answered("m1", 1, Ms(9)).open is None
             True
         """
         heard = replace(self, heard_ms=now_ms)
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -42,7 +42,7 @@
     sim.net.cuts |= {(each.name, lone.name) for each in sim.registries}
     sim.run(6_000)
     assert len(alarms(sim, lone)) == 1
-    assert "answers to a question: 0 of 3 members" in alarms(sim, lone)[0]
+    assert "answers since: 0 of 3 members" in alarms(sim, lone)[0]
     sim.net.cuts.clear()
     sim.run(1_000)
     assert "proof again after" in alarms(sim, lone)[-1] and len(alarms(sim, lone)) == 2
