A member that is behind the others is passed over when values are asked for

Where an asked member's answer names an older version than a majority had named before it was asked, the next ask goes to the next member, and to the near one again after five seconds.

Ruled out: passing over a member by its silence (it answers), or by missing values alone (values that are too large for an answer are missing too).

--- a/spokeroute/register/replica/proof.py
+++ b/spokeroute/register/replica/proof.py
@@ -14,7 +14,7 @@
 from spokeroute.register.cells import Roster, ballot_of, unpack_roster
 from spokeroute.register.replica.agreement import same_value
 from spokeroute.register.replica.open_questions import OpenQuestions
-from spokeroute.register.replica.state import Fresh, Got, State, Target
+from spokeroute.register.replica.state import Answer, Fresh, Got, State, Target
 from spokeroute.register.replica.value_asks import OpenAsk
 from spokeroute.register.stamps import number_of
 from spokeroute.transport.messages import Copy
@@ -71,6 +71,21 @@
     return any(each is not None and same_value(each, copy) for each in named)
 
 
+def is_behind(state: State, ask: OpenAsk, answer: Answer) -> bool:
+    """Whether a member that was asked for values names an older version of some register than a
+    majority had named before it was asked.
+
+    Example:
+        is_behind(state, state.asks.open, answer)
+    """
+    newest = {name: got.copy.version for name, got in state.ruling.items()}
+    for target in state.targets:
+        if target.asked_ms <= ask.sent_ms:
+            named = {name: copy.version for name, copy in target.copies.items()}
+            newest = {name: max(named[name], newest.get(name, 0)) for name in named}
+    return any(copy.version < newest.get(copy.name, 0) for copy in answer.copies)
+
+
 def keep(state: State, got: Got) -> State:
     """Keep a value, and for a while those that it comes after: an answer may name one of them.
 
--- a/spokeroute/register/replica/value_asks.py
+++ b/spokeroute/register/replica/value_asks.py
@@ -105,6 +105,15 @@
             return heard
         return replace(heard, open=None, patience_ms=FIRST_PATIENCE_MS)
 
+    def passed_on(self, now_ms: Ms) -> ValueAsks:
+        """The member that answered is behind the others: the next one is asked.
+
+        Example:
+            >>> ValueAsks().passed_on(Ms(5)).turn
+            1
+        """
+        return replace(self, turn=self.turn + 1, turned_ms=now_ms)
+
     def may_fetch(self, name: str, now_ms: Ms) -> bool:
         """Whether a register's value may be fetched by itself: nothing that may bring it is open.
 
