--- a/spokeroute/register/replica/questions.py
+++ b/spokeroute/register/replica/questions.py
@@ -44,6 +44,20 @@
     return tuple(dict.fromkeys((*nearest, *near)))
 
 
+def members_to_report(state: State, now_ms: Ms) -> frozenset[str]:
+    """To whom reports go with a probe: in turn, to all that are asked; between two turns, where
+    calls wait, to the member that places. The others only have them for the day when they place.
+
+    Example:
+        >>> members_to_report(State(()), Ms(0))
+        frozenset()
+    """
+    roster, placing = state.roster, state.reports.placement
+    members = roster.ids if roster is not None else state.registries
+    between_turns = now_ms - state.turn_ms < PROBE_MS
+    return frozenset((placing,) if between_turns and placing in members else members)
+
+
 def turned(state: State, asked: int, now_ms: Ms) -> State:
     """With when members were asked in turn, and when all of them were.
 
