--- a/spokeroute/register/replica/open_questions.py
+++ b/spokeroute/register/replica/open_questions.py
@@ -2,8 +2,9 @@
 
 A question stays here until its member answers it or a later one, as answers keep their order: what
 is answered late proves as much as what is answered at once, only of an earlier time. So that slow
-answers don't make for more questions, a member gets two questions with reports at the most; while
-it answers neither, small ones without reports go to it at a low pace, and find out when it is back.
+answers don't make for more questions, a member has four unanswered ones at most, two of them with
+reports; while it answers none, small ones without reports go to it at a low pace, and find out when
+it is back.
 """
 
 from __future__ import annotations
@@ -16,7 +17,8 @@
 from spokeroute.common.replacing import replace
 from spokeroute.transport.messages import Copy
 
-MOST_WITH_REPORTS = 2  # of one member's unanswered questions
+MOST_UNANSWERED = 4  # of one member's, that go out at any pace
+MOST_WITH_REPORTS = 2  # of those
 UNANSWERED_PACE_MS = 200  # between questions to a member that has not answered those
 MOST_KEPT = 64  # of one member's: answers that take longer than these prove nothing
 
@@ -47,7 +49,7 @@
             True
         """
         unanswered = self.by_member.get(node, ())
-        if len(unanswered) < MOST_WITH_REPORTS:
+        if len(unanswered) < MOST_UNANSWERED:
             return True
         return now_ms - unanswered[-1].sent_ms >= UNANSWERED_PACE_MS
 
@@ -58,7 +60,8 @@
             >>> OpenQuestions().may_report("m1")
             True
         """
-        return len(self.by_member.get(node, ())) < MOST_WITH_REPORTS
+        unanswered = self.by_member.get(node, ())
+        return sum(1 for each in unanswered if each.reports) < MOST_WITH_REPORTS
 
     def asked(self, question: OpenQuestion) -> OpenQuestions:
         """With one more question.
--- a/spokeroute/register/replica/questions.py
+++ b/spokeroute/register/replica/questions.py
@@ -71,16 +71,17 @@
     return replace(state, turn_ms=now_ms) if turn else state
 
 
-def light_question(state: State, epoch: int, now_ms: Ms) -> Probe:
-    """The probe for a member that has not answered those which reports went with.
+def light_question(state: State, epoch: int, demand: bool, now_ms: Ms) -> Probe:
+    """The probe without reports on held instances; with what is asked for, or without that as well.
 
     Example:
-        >>> light_question(State(()), 1, Ms(0)).reports
+        >>> light_question(State(()), 1, False, Ms(0)).reports
         False
     """
+    asked_for = state.reports.demand if demand else ()
     proved_ago_ms = now_ms - state.proved_ms if state.proved_ms >= 0 else -1
     return Probe(
-        state.nonce, epoch, (), (), (), (), state.reports.leaving, (), proved_ago_ms,
+        state.nonce, epoch, (), (), asked_for, (), state.reports.leaving, (), proved_ago_ms,
         state.address, False, zone=state.places.zone, named=fingerprints(state.named),
         reports=False,
     )  # fmt: skip
