Each register is proved by itself: a configuration waits for no placement table's value

A question proved only where all registers' values that it named were here. Each register now rules by the newest question that named a value of it that is here; decisions are as fresh as the earliest of those times, as before.

--- a/spokeroute/register/replica/proof.py
+++ b/spokeroute/register/replica/proof.py
@@ -1,7 +1,7 @@
 """What a process holds of the spread registers, and when that is proved to be the newest.
 
-A question that a majority answered alike is a target: once all values that it names are here, they
-rule from the time of that question on, and never go back to older ones.
+A question that a majority answered alike is a target: once a value that it names is here, it rules
+from the time of that question on, and never goes back to an older one.
 """
 
 from __future__ import annotations
@@ -9,7 +9,7 @@
 from immutables import Map
 
 from spokeroute.common.effects import Effect, Effects, Note, Tell
-from spokeroute.common.ids import CONFIGURATION, ROSTER
+from spokeroute.common.ids import CONFIGURATION, ROSTER, SPREAD, Ms
 from spokeroute.common.replacing import replace
 from spokeroute.register.cells import Roster, ballot_of, unpack_roster
 from spokeroute.register.replica.agreement import same_value
@@ -117,47 +117,57 @@
 
 
 def prove(state: State) -> tuple[State, Effects]:
-    """The newest question all of whose answer is here proves it, from that question's time.
+    """Each register is proved by the newest question whose answer names a value of it that is here,
+    from that question's time; what a process decides by, from the earliest of those times. So no
+    register waits for another one's value.
 
     Example:
         state, effects = prove(state)
     """
-    for target in reversed(state.targets):
-        ruling = _ruling_by(state, target)
-        if ruling is not None:
-            return _proved(state, target, ruling)
-    return state, ()
-
-
-def _ruling_by(state: State, target: Target) -> Map[str, Got] | None:
-    """What rules by a target; None while a value is missing, or where it would go back."""
-    ruling = state.ruling
-    for name, copy in target.copies.items():
-        if copy.version == 0:
-            continue
-        old, got = ruling.get(name), found(state, copy)
-        if got is None:
-            if old is None or not same_value(old.copy, copy):
-                return None
-            continue
-        if old is None or old.copy.version < copy.version:
-            ruling = ruling.set(name, replace(got, copy=copy))
-        elif not same_value(old.copy, copy):
-            return None  # never back to an older one
-        elif ballot_of(old.copy) != ballot_of(copy):
-            ruling = ruling.set(name, replace(old, copy=copy))
-    return ruling
-
-
-def _proved(state: State, target: Target, ruling: Map[str, Got]) -> tuple[State, Effects]:
+    ruling, proved_of = state.ruling, state.proved_of
+    for name in SPREAD:
+        for target in reversed(state.targets):
+            if target.asked_ms <= proved_of.get(name, Ms(-1)):
+                break
+            found_here = _ruling_by(state, target.copies[name])
+            if found_here is not None:
+                proved_of = proved_of.set(name, target.asked_ms)
+                ruling = ruling.set(name, found_here) if found_here.copy.version else ruling
+                break
+    if proved_of == state.proved_of:
+        return state, ()
+    return _proved(state, ruling, proved_of)
+
+
+def _ruling_by(state: State, copy: Copy) -> Got | None:
+    """What rules where a majority named a copy; None while its value is missing, or where it would
+    go back."""
+    if copy.version == 0:
+        return Got(copy, b"")
+    old, got = state.ruling.get(copy.name), found(state, copy)
+    if old is not None and same_value(old.copy, copy):
+        return old if ballot_of(old.copy) == ballot_of(copy) else replace(old, copy=copy)
+    if got is None or (old is not None and old.copy.version >= copy.version):
+        return None
+    return replace(got, copy=copy)
+
+
+def _proved(state: State, ruling: Map[str, Got], proved_of: Map[str, Ms]) -> tuple[State, Effects]:
     changed = any(
         name not in state.ruling or not same_value(state.ruling[name].copy, got.copy)
         for name, got in ruling.items()
     )
-    late_ms = target.asked_ms - state.proved_ms
-    left = tuple(each for each in state.targets if each.asked_ms > target.asked_ms)
-    effects: list[Effect] = [Note(f"proof again after {late_ms} ms")] if state.overdue else []
-    state = replace(state, ruling=ruling, proved_ms=target.asked_ms, targets=left, overdue=False)
+    proved_ms = min(proved_of.get(name, Ms(-1)) for name in SPREAD)
+    left = tuple(each for each in state.targets if each.asked_ms > proved_ms)
+    again = state.overdue and proved_ms > state.proved_ms
+    text = f"proof again after {proved_ms - state.proved_ms} ms"
+    effects: list[Effect] = [Note(text)] if again else []
+    state = replace(
+        state, ruling=ruling, proved_of=proved_of, proved_ms=proved_ms, targets=left,
+        overdue=state.overdue and not again,
+    )  # fmt: skip
+    if proved_ms < 0:
+        return state, ()
     fresh = fresh_of(state, changed)
     effects.extend(Tell(name, fresh) for name in state.listeners)
     if changed:
@@ -190,4 +200,5 @@
             for name in names
         ),
         number_of(ruling.value) if ruling else 0,
+        state.proved_of.get(CONFIGURATION, Ms(-1)),
     )
--- a/spokeroute/register/replica/state.py
+++ b/spokeroute/register/replica/state.py
@@ -43,6 +43,7 @@
     changed: bool
     absent: frozenset[str] = frozenset()
     number: int = 0  # the operator's, of the configuration
+    configuration_ms: Ms = Ms(-1)  # when the configuration itself was the newest
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """What a majority named in answer to one question: it rules from ``asked_ms`` on, once all of
+    """What a majority named in answer to one question: each value rules from ``asked_ms`` on, once
     it is here. Several may wait for their values, as those come over a narrow link later than the
     answers to the next questions."""
 
@@ -97,7 +98,8 @@
     before: Map[str, tuple[Got, ...]] = field(default_factory=Map)  # here before them, newest last
     named: Map[str, Copy] = field(default_factory=Map)  # what a majority named alike last
     targets: tuple[Target, ...] = ()  # since the newest proof, oldest first
-    proved_ms: Ms = Ms(-1)
+    proved_of: Map[str, Ms] = field(default_factory=Map)  # by register
+    proved_ms: Ms = Ms(-1)  # the earliest of them, once there is one of each
     reports: Reports = Reports((), ())
     unlike: Map[str, Unlike] = field(default_factory=Map)  # registers on which members differ
     back_ms: Ms = Ms(-(10**6))  # when members answered again after a silence of all of them
