A node that hears a majority refuses calls once its configuration is unproved for too long

Now: where a majority was heard for apply_ms (config-apply-ms on the platform) without a gap of 2 s, and the configuration was not proved meanwhile, calls are refused as not run, with Retry-After, and the node is not ready. After an outage the bound runs anew from the first contact on, so the return of the core refuses nothing that it did not before.

--- a/spokeroute/common/bounds.py
+++ b/spokeroute/common/bounds.py
@@ -19,6 +19,9 @@
     """How long a proof rules while a majority of the core can be reached."""
     stale_ms: int = 2_000
     """How long an exchange goes on by its last proof while it reaches no majority."""
+    apply_ms: int = 3_000
+    """How long after its acknowledgement a configuration is in force at every exchange that hears a
+    majority of the core; one that can't be sure of it refuses calls as not run."""
     rejection_safe: bool = False
     """Whether an instance itself refuses what is over its limit, as not run: a lost holder is
     then replaced at once."""
--- a/spokeroute/register/replica/state.py
+++ b/spokeroute/register/replica/state.py
@@ -46,6 +46,15 @@
     configuration_ms: Ms = Ms(-1)  # when the configuration itself was the newest
 
 
+@dataclass(frozen=True, slots=True)
+class InContact:
+    """To whoever decides: a majority of the core is heard since ``since_ms`` without a gap, and was
+    at ``at_ms``, but the configuration is not proved to be the newest."""
+
+    since_ms: Ms
+    at_ms: Ms
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """A member's newest answer: to which question, sent when, and the copies that it named."""
@@ -53,6 +62,7 @@
     nonce: int
     sent_ms: Ms
     copies: tuple[Copy, ...]
+    heard_ms: Ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +101,8 @@
     registries: tuple[NodeId, ...] = ()
     questions: OpenQuestions = OpenQuestions()
     answers: Map[str, Answer] = field(default_factory=Map)  # by member
+    contact_ms: Ms = Ms(-1)  # since when a majority of them is heard without a gap
+    told_contact_ms: Ms = Ms(-(10**6))
     nonce: int = 0
     next_ms: Ms = Ms(0)
     ruling: Map[str, Got] = field(default_factory=Map)
