--- a/spokeroute/register/acceptor/probed.py
+++ b/spokeroute/register/acceptor/probed.py
@@ -9,7 +9,7 @@
 from spokeroute.common.ids import SPREAD, NodeId
 from spokeroute.register.cells import EMPTY
 from spokeroute.register.patches import make_patch
-from spokeroute.register.replica.named_copies import unlike
+from spokeroute.register.replica.named_copies import absent_fingerprint, unlike
 from spokeroute.transport.messages import Copy, FetchAsk, FetchGot, Probe, ProbeAck, ValuePatch
 
 if TYPE_CHECKING:
@@ -40,7 +40,11 @@
         elif len(value) <= INLINE_BYTES:
             values.append(FetchGot(copy, value))
     told = unlike(probe.named, copies)
-    ack = ProbeAck(probe.nonce, roster.epoch, told, tuple(values), state.absent, tuple(patches))
+    same = bool(state.absent) and probe.absent == absent_fingerprint(state.absent)
+    absent = () if same else state.absent
+    ack = ProbeAck(
+        probe.nonce, roster.epoch, told, tuple(values), absent, tuple(patches), absent_same=same
+    )
     return (Send(node, ack),)
 
 
--- a/spokeroute/register/replica/named_copies.py
+++ b/spokeroute/register/replica/named_copies.py
@@ -69,3 +69,17 @@
     """
     told = {copy.name for copy in copies}
     return (*copies, *(copy for name, copy in named.items() if name not in told))
+
+
+@lru_cache(maxsize=KEPT_FINGERPRINTS)
+def absent_fingerprint(absent: tuple[str, ...]) -> bytes:
+    """What stands for a list of absent instances in a probe; nothing for an empty one.
+
+    Example:
+        >>> absent_fingerprint(())
+        b''
+    """
+    if not absent:
+        return b""
+    text = "\0".join(absent)
+    return hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES).digest()
--- a/spokeroute/register/replica/open_questions.py
+++ b/spokeroute/register/replica/open_questions.py
@@ -33,6 +33,7 @@
     members: int  # that it went to
     reports: bool = True  # whether reports went along
     named: Map[str, Copy] = field(default_factory=Map)  # copies that the probe stood for
+    absent: tuple[str, ...] = ()  # instances that it stood for
 
 
 @dataclass(frozen=True, slots=True)
