A table rules beside an older configuration at front nodes only, not where placement is decided

Since each register is proved by itself a placement table could rule before the configuration that it was made by. At front nodes that is harmless: routes come from the configuration alone. Who places would stop the instances of services that its older configuration lacks, so there the table waits, as before.

--- a/spokeroute/register/replica/proof.py
+++ b/spokeroute/register/replica/proof.py
@@ -9,7 +9,7 @@
 from immutables import Map
 
 from spokeroute.common.effects import Effect, Effects, Note, Tell
-from spokeroute.common.ids import CONFIGURATION, ROSTER, SPREAD, Ms
+from spokeroute.common.ids import CONFIGURATION, FLOOR, ROSTER, SPREAD, Ms
 from spokeroute.common.replacing import replace
 from spokeroute.register.cells import Roster, ballot_of, unpack_roster
 from spokeroute.register.replica.agreement import same_value
@@ -129,6 +129,8 @@
         for target in reversed(state.targets):
             if target.asked_ms <= proved_of.get(name, Ms(-1)):
                 break
+            if name == FLOOR and state.floor_waits and not _configured(ruling, target):
+                continue
             found_here = _ruling_by(state, target.copies[name])
             if found_here is not None:
                 proved_of = proved_of.set(name, target.asked_ms)
@@ -139,6 +141,15 @@
     return _proved(state, ruling, proved_of)
 
 
+def _configured(ruling: Map[str, Got], target: Target) -> bool:
+    """Whether the configuration that a target names rules, or a newer one. Instances of services
+    that an older one lacks would be stopped by it."""
+    version = target.copies[CONFIGURATION].version
+    return version == 0 or (
+        CONFIGURATION in ruling and ruling[CONFIGURATION].copy.version >= version
+    )
+
+
 def _ruling_by(state: State, copy: Copy) -> Got | None:
     """What rules where a majority named a copy; None while its value is missing, or where it would
     go back."""
--- a/spokeroute/register/replica/state.py
+++ b/spokeroute/register/replica/state.py
@@ -129,6 +129,7 @@
     address: str = ""
     places: Places = Places()
     zones: Map[str, str] = field(default_factory=Map)  # of the registries that are known
+    floor_waits: bool = False  # who places: no placement table rules beside an older configuration
 
     @property
     def target_ms(self) -> Ms:
--- a/spokeroute/registry_node.py
+++ b/spokeroute/registry_node.py
@@ -116,6 +116,7 @@
             places=start.places,
             nonce=first_nonce(me.incarnation),
             compiles=compile_queue(start.switches),
+            floor_waits=True,
         ),
         replica.step,
         takes=(m.ProbeAck, m.FetchGot, m.ValuePatch, m.RosterNews),
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -23,7 +23,8 @@
 )
 from spokeroute.register.cells import Cell, Roster, digest_of
 from spokeroute.register.replica import replica
-from spokeroute.register.replica.replica import State
+from spokeroute.register.replica.replica import Compiled, State
+from spokeroute.register.stamps import NUMBER, stamped
 from spokeroute.transport.messages import Copy, FetchGot, Finish, Probe, ProbeAck
 
 MEMBERS = tuple(MemberId(f"m{number}") for number in range(3))
@@ -146,3 +147,54 @@
             ack = ProbeAck(nonce, 1, (*NOTHING, copy_of(version)), (), ())
             state, _ = replica.step(state, From(member, LIFE, ack), Ms(at_ms + 5))
     assert finished and 600 <= finished[0] <= 800
+
+
+def document(version: int) -> bytes:
+    return stamped(NUMBER.pack(0), NUMBER.pack(version))
+
+
+def configuration(version: int) -> Copy:
+    return Copy(CONFIGURATION, version, digest_of(document(version)), version, "m1")
+
+
+def named(state: State, nonce: int, at_ms: int, floor: int, configured: int) -> State:
+    """Two of three members name a placement table and a configuration."""
+    copies = (*NOTHING[1:], configuration(configured), copy_of(floor))
+    for member in MEMBERS[:2]:
+        ack = ProbeAck(nonce, 1, copies, (), ())
+        state, _ = replica.step(state, From(member, LIFE, ack), Ms(at_ms))
+    return state
+
+
+def compiled(state: State, version: int, at_ms: int) -> State:
+    done = Compiled(configuration(version), document(version), object())
+    return replica.step(state, done, Ms(at_ms))[0]
+
+
+@pytest.mark.parametrize("places", [False, True])
+def test_a_configuration_rules_though_no_table_of_its_question_is_here(places: bool) -> None:
+    """The tables changed ten times while it was compiled: it never ruled, where a question proved
+    only once all that it named was here."""
+    state, nonce = asked(replace(begun(), floor_waits=places), 1_000)
+    state = named(state, nonce, 1_005, 5, 1)
+    state = compiled(state, 1, 1_300)
+    assert state.ruling[CONFIGURATION].copy.version == 1 and state.proved_ms == -1
+    state, nonce = asked(state, 1_400)
+    state = named(state, nonce, 1_405, 9, 1)
+    state = came(state, 9, 1_410)
+    assert (state.proved_ms, ruling(state)) == (1_400, 9)
+
+
+@pytest.mark.parametrize("places", [False, True])
+def test_who_places_goes_by_no_table_beside_an_older_configuration(places: bool) -> None:
+    """It would stop the instances of services that its configuration lacks."""
+    state, nonce = asked(replace(begun(), floor_waits=places), 1_000)
+    state = compiled(came(named(state, nonce, 1_005, 5, 1), 5, 1_006), 1, 1_007)
+    assert (state.proved_ms, ruling(state)) == (1_000, 5)
+    state, nonce = asked(state, 1_400)
+    state = came(named(state, nonce, 1_405, 6, 2), 6, 1_410)
+    assert state.ruling[CONFIGURATION].copy.version == 1
+    assert ruling(state) == (5 if places else 6)
+    assert state.proved_ms == 1_000
+    state = compiled(state, 2, 1_500)
+    assert (state.proved_ms, ruling(state)) == (1_400, 6)
