--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -23,21 +23,18 @@
 
 from spokeroute.common.effects import Effects, From, Send, Tick
 from spokeroute.common.ids import (
-    CONFIGURATION,
-    EVACUATION,
     FLOOR,
-    ROSTER,
     Address,
     Epoch,
-    Incarnation,
     MemberId,
     Ms,
 )
 from spokeroute.common.places import Places
-from spokeroute.register.cells import Cell, Roster, digest_of
+from spokeroute.register.cells import Roster
 from spokeroute.register.replica import replica
 from spokeroute.register.replica.replica import Reports, State
-from spokeroute.transport.messages import Copy, FetchAsk, FetchGot, HeldReport, Probe, ProbeAck
+from spokeroute.transport.messages import FetchAsk, FetchGot, HeldReport, Probe, ProbeAck
+from tests.named_tables import LIFE, NOTHING, copy_of, table
 from tests.sim.storms import paths_of, storm, watched, wide_sim
 from tools.log import Told
 
@@ -49,8 +46,6 @@
 OLDEST_PROOF_MS = 2_000
 
 BEAT_MS = 20
-LIFE = Incarnation(1)
-NOTHING = tuple(Cell().copy(name) for name in (CONFIGURATION, EVACUATION, ROSTER))
 MEMBERS = tuple(MemberId(f"m{number}") for number in range(5))
 ZONES: Map[str, str] = Map({str(member): "a" if member == "m0" else "b" for member in MEMBERS})
 
@@ -102,14 +97,6 @@
     return now_ms - state.proved_ms
 
 
-def table(version: int) -> bytes:
-    return f"table {version}".encode()
-
-
-def copy_of(version: int) -> Copy:
-    return Copy(FLOOR, version, digest_of(table(version)), version, "m1")
-
-
 def asker(**changes: object) -> State:
     """A node of zone a that knows the core's five members; m0 alone is in its zone."""
     roster = Roster(Epoch(1), tuple((member, Address(f"{member}:1")) for member in MEMBERS))
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -11,34 +11,22 @@
 from spokeroute.common.effects import From, Send, Tick
 from spokeroute.common.ids import (
     CONFIGURATION,
-    EVACUATION,
     FLOOR,
-    ROSTER,
     Address,
     Epoch,
-    Incarnation,
     MemberId,
     Ms,
     NodeId,
 )
-from spokeroute.register.cells import Cell, Roster, digest_of
+from spokeroute.register.cells import Roster, digest_of
 from spokeroute.register.replica import replica
 from spokeroute.register.replica.replica import Compiled, State
 from spokeroute.register.stamps import NUMBER, stamped
 from spokeroute.transport.messages import Copy, FetchGot, Finish, Probe, ProbeAck
+from tests.named_tables import LIFE, NOTHING, copy_of, table
 
 MEMBERS = tuple(MemberId(f"m{number}") for number in range(3))
 MEMBER = NodeId("m0")
-LIFE = Incarnation(1)
-NOTHING = tuple(Cell().copy(name) for name in (CONFIGURATION, EVACUATION, ROSTER))
-
-
-def table(version: int) -> bytes:
-    return f"table {version}".encode()
-
-
-def copy_of(version: int) -> Copy:
-    return Copy(FLOOR, version, digest_of(table(version)), version, "m1")
 
 
 def begun() -> State:
