A call that came back from an instance that drains is told at once, and stays away from it

Cause: the holder answered "draining", which no table said yet. The call waited 30 ms, was sent there again each 80 ms, up to four times, and as the tables named an instance, the core heard of its wait only with the report in turn (200 ms).

New tests: tests/test_given_up.py.

--- a/spokeroute/exchange/reasons.py
+++ b/spokeroute/exchange/reasons.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 NOT_HELD = "not held here"
+DRAINS = "draining"  # its instance takes no calls any more, and is stopped
 BUSY = "busy"  # a queue is as long as it may be
 LEFT_QUEUE = "left the queue"
 NO_ROOM_IN_TIME = "no room in time"
--- /dev/null
+++ b/tests/test_given_up.py
@@ -0,0 +1,94 @@
+"""A holder said that its instance drains, and the tables did not say so yet: the call came back to
+the same instance each 80 ms, and the core heard of its wait only with the next report in turn."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from spokeroute.common.answers import Ran
+from spokeroute.common.bounds import Bounds
+from spokeroute.common.effects import From, Tell
+from spokeroute.common.ids import Incarnation, Ms, NodeId
+from spokeroute.common.replacing import replace
+from spokeroute.exchange import calls
+from spokeroute.exchange.entry import State, adopt, coming, given_up
+from spokeroute.exchange.reasons import DRAINS, NO_ROOM_IN_TIME, NOT_HELD
+from spokeroute.register.replica.replica import Reports
+from spokeroute.transport.call_messages import Forwarded
+from tests.sim.cluster import Sim
+
+RARE = "small-1"
+
+
+@pytest.fixture
+def sim() -> Iterator[Sim]:
+    made = Sim(5, bounds=Bounds(rejection_safe=True))
+    made.settle()
+    yield made
+    made.close()
+
+
+def alone(state: State) -> State:
+    """The same, where the tables name no instance but the one that the call was sent to."""
+    here = tuple(each for each in state.tables.by_service[RARE] if each.id in state.outstanding)
+    assert len(here) == 1
+    by_service = state.tables.by_service.set(RARE, here)
+    return replace(state, tables=replace(state.tables, by_service=by_service))
+
+
+def sent(sim: Sim) -> tuple[State, str]:
+    """An entry's state whose one call is on its way to the service's only instance."""
+    sim.call("/small/1", sim.exchanges[0])
+    for _ in range(2_000):
+        state: State = sim.exchanges[0].state("calls")
+        if state.attempt_of:
+            return alone(state), next(iter(state.attempt_of))
+        sim.run(1)
+    raise AssertionError("the call was never sent")
+
+
+def told(state: State, attempt_id: str, reason: str, now_ms: Ms) -> tuple[State, int]:
+    """The state after its holder's word, and how many reports went to the core with it."""
+    call = next(iter(state.calls.values()))
+    holder = call.attempts[attempt_id]
+    word = Forwarded(attempt_id, Ran.NO, reason, 0, (), b"")
+    frame = From(NodeId(holder.holder), Incarnation(holder.holder_incarnation), word)
+    state, effects = calls.step(state, frame, now_ms)
+    reports = [each for each in effects if isinstance(each, Tell)]
+    return state, sum(isinstance(each.event, Reports) for each in reports)
+
+
+@pytest.mark.parametrize("reason", [DRAINS, NOT_HELD])
+def test_a_call_that_comes_back_from_an_instance_given_up_is_reported_at_once(
+    sim: Sim, reason: str
+) -> None:
+    state, attempt_id = sent(sim)
+    now_ms = Ms(state.report_ms - 100)  # a report's turn is half over
+    state, reports = told(state, attempt_id, reason, now_ms)
+    assert reports == 1
+    assert not coming(state, RARE, now_ms)
+
+
+def test_a_call_that_found_no_room_is_not(sim: Sim) -> None:
+    state, attempt_id = sent(sim)
+    now_ms = Ms(state.report_ms - 100)
+    state, reports = told(state, attempt_id, NO_ROOM_IN_TIME, now_ms)
+    assert reports == 0
+    assert coming(state, RARE, now_ms)
+
+
+def test_nobody_else_sends_to_an_instance_that_drains(sim: Sim) -> None:
+    """One that is only held by nobody may be sent to unheld; one that drains refuses."""
+    state, attempt_id = sent(sim)
+    now_ms = Ms(state.report_ms - 100)
+    instance = next(iter(state.calls.values())).attempts[attempt_id].instance
+    placed = state.tables.by_id[instance]
+    later_ms = Ms(now_ms + 900)  # its leave from failed sends is over
+    drains, _ = told(state, attempt_id, DRAINS, now_ms)
+    assert given_up(drains, placed, later_ms)
+    assert adopt(drains, next(iter(drains.calls.values())), later_ms) is None
+    assert not given_up(drains, placed, Ms(now_ms + 1_000))
+    absent, _ = told(state, attempt_id, NOT_HELD, now_ms)
+    assert adopt(absent, next(iter(absent.calls.values())), later_ms) is not None
