--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -10,7 +10,8 @@
 import pytest
 
 from tools.make_site import KINDS, bench_site, text_of, trouble_of
-from tools.sites import PLANNED, SLOTS, TROUBLES, SiteError, Trouble, read_site, site_of
+from tools.site_checks import read_site, site_of
+from tools.sites import PLANNED, SLOTS, TROUBLES, SiteError, Trouble
 
 FOLDER = Path(__file__).parent / "sites"
 DESCRIPTIONS = sorted(FOLDER.glob("*.toml"))
--- a/tools/make_site.py
+++ b/tools/make_site.py
@@ -17,6 +17,7 @@
 
 import cappa
 
+from tools.site_checks import read_site
 from tools.sites import (
     Day,
     Function,
@@ -25,7 +26,6 @@
     SiteError,
     Trouble,
     Zone,
-    read_site,
     region_of,
 )
 
