--- a/tests/test_model_scripts.py
+++ b/tests/test_model_scripts.py
@@ -11,7 +11,8 @@
 from tools.model.faults import FAULTS, planted
 from tools.model.history import BrokenInvariantError
 from tools.model.preludes import agreed_round
-from tools.model.scenarios import SCENARIOS, Scenario, begin
+from tools.model.scenario import Scenario, begin
+from tools.model.scenarios import SCENARIOS
 from tools.model.search import advance
 from tools.model.world import World
 
--- a/tools/model/__main__.py
+++ b/tools/model/__main__.py
@@ -17,7 +17,8 @@
 import cappa
 
 from tools.model.faults import FAULTS, planted
-from tools.model.scenarios import SCENARIOS, Scenario, with_members
+from tools.model.scenario import Scenario, with_members
+from tools.model.scenarios import SCENARIOS
 from tools.model.search import Outcome, explore, replay, shrink, walks
 
 
--- a/tools/model/scenarios.py
+++ b/tools/model/scenarios.py
@@ -1,18 +1,8 @@
-"""Where runs begin, and how much of each kind of trouble they may meet."""
+"""The scenarios that the checker plays, by name."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
-
-from immutables import Map
-
-from spokeroute.common.bounds import Bounds
-from spokeroute.common.ids import Address, Epoch, MemberId, Ms
-from spokeroute.register.cells import Roster
-from spokeroute.register.changes import Ask, Change, Read, Swap
-from tools.model.actions import MOST_DRAWN, Asks, ClientAsk, apply
-from tools.model.disk import Disk
-from tools.model.history import History
+from spokeroute.register.changes import Read, Swap
 from tools.model.preludes import (
     FOUNDING,
     GROWN,
@@ -26,88 +16,38 @@
     REPLACED,
     SECOND_BLANK,
 )
-from tools.model.world import CLIENT, World, boot
+from tools.model.scenario import Once, Scenario, asks
 
-START_MS = Ms(10_000)
 CONFIGURATION = "configuration"
 PLACEMENT = "placement"
 NUMBER = "number/7"
 
+TWO_SWAPS = asks(
+    ("a", 0, CONFIGURATION, Swap(0, b"A")),
+    ("b", 1, CONFIGURATION, Swap(0, b"B")),
+    ("r", 2, CONFIGURATION, Read()),
+)
+"""Two members swap the configuration, the third reads it."""
 
-@dataclass(frozen=True, slots=True)
-class Once:
-    """A write-once content.
-
-    Example:
-        Once(b"x").decide(1, b"y") is None
-    """
-
-    value: bytes
-
-    def decide(self, version: int, value: bytes) -> bytes | None:
-        """The content, if there is none.
-
-        Example:
-            Once(b"x").decide(0, b"") == b"x"
-        """
-        return None if version else self.value
-
-
-class PreludeError(Exception):
-    """A scenario's prelude does not fit the cores any more."""
-
-
-@dataclass(frozen=True, slots=True)
-class Scenario:
-    """A beginning: members, clients' asks, and a budget for each kind of trouble."""
-
-    name: str
-    asks: Asks
-    budget: dict[str, int]
-    members: int = 3
-    core: int = 3  # how many members it should have
-    syncs: bool = False
-    blank: bool = False  # whether the core is still to be founded
-    prelude: tuple[str, ...] = ()  # what happened before
-
-
-def _asks(*lines: tuple[str, int, str, Change]) -> Asks:
-    return {
-        op: ClientAsk(slot, Ask(op, register, change, CLIENT))
-        for op, slot, register, change in lines
-    }
+SWAPS_OF_OUTER_MEMBERS = asks(
+    ("a", 0, CONFIGURATION, Swap(0, b"A")),
+    ("b", 2, CONFIGURATION, Swap(0, b"B")),
+    ("r", 2, CONFIGURATION, Read()),
+)
+"""The first and the third member swap, the third reads."""
 
+FOUNDING_SWAP = asks(
+    ("a", 2, CONFIGURATION, Swap(0, b"A")),
+    ("r", 1, CONFIGURATION, Read()),
+)
+"""The third member swaps, the second reads."""
 
-def begin(scenario: Scenario) -> World:
-    """A scenario's first world, after its prelude."""
-    ids = tuple(MemberId(f"m{i + 1}") for i in range(scenario.members))
-    members = tuple((name, Address(f"h{i + 1}:1")) for i, name in enumerate(ids))
-    ample = dict.fromkeys(scenario.budget, len(scenario.prelude))
-    ample |= {"beat": len(scenario.prelude), "repeat": 9, "wipe": 9, "join": 9}
-    budget = {**ample, **{f"ask {op}": 1 for op in scenario.asks}, "drawn": MOST_DRAWN}
-    disk = Disk()
-    if not scenario.blank:
-        disk = Disk(roster=Roster(Epoch(1), members), votes=True)
-    world = World(
-        (),
-        (),
-        Map(budget),
-        History(),
-        Bounds(members=scenario.core),
-        scenario.blank,
-        tuple(address for _, address in members),
-        scenario.syncs,
-    )
-    for slot, (name, address) in enumerate(members):
-        world = boot(world, slot, name, address, disk, START_MS)
-    world = replace(world, bag=())
-    for action in scenario.prelude:
-        after = apply(world, action, scenario.asks)
-        if after is None:
-            raise PreludeError(f"{scenario.name}: {action!r} can't happen where it stands")
-        world = after
-    left = {name: n for name, n in world.budget.items() if name == "drawn" or name[:4] == "ask "}
-    return replace(world, budget=Map({**scenario.budget, **left}))
+LATE_SWAP = asks(
+    ("a", 0, PLACEMENT, Swap(0, b"A")),
+    ("r", 0, PLACEMENT, Read()),
+    ("x", 1, NUMBER, Once(b"X")),
+)
+"""The first member swaps the placement and reads it, the second decides a number."""
 
 
 SCENARIOS = {
@@ -115,26 +55,18 @@
     for each in (
         Scenario(
             "rounds",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 2, "repeat": 1},
             syncs=True,
         ),
         Scenario(
             "disks",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 2, "restart": 2, "full": 2, "beat": 2},
         ),
         Scenario(
             "lives",
-            _asks(
+            asks(
                 ("a", 0, PLACEMENT, Swap(0, b"A")),
                 ("b", 0, PLACEMENT, Swap(0, b"B")),
                 ("r", 0, PLACEMENT, Read()),
@@ -144,27 +76,19 @@
         ),
         Scenario(
             "lives-late",
-            _asks(
-                ("a", 0, PLACEMENT, Swap(0, b"A")),
-                ("r", 0, PLACEMENT, Read()),
-                ("x", 1, NUMBER, Once(b"X")),
-            ),
+            LATE_SWAP,
             {"restart": 1},
             prelude=LATE_PROMISES,
         ),
         Scenario(
             "lives-again",
-            _asks(
-                ("a", 0, PLACEMENT, Swap(0, b"A")),
-                ("r", 0, PLACEMENT, Read()),
-                ("x", 1, NUMBER, Once(b"X")),
-            ),
+            LATE_SWAP,
             {"restart": 1},
             prelude=(*LATE_PROMISES, "restart m1"),
         ),
         Scenario(
             "numbers",
-            _asks(
+            asks(
                 ("a", 0, NUMBER, Once(b"A")),
                 ("b", 1, NUMBER, Once(b"B")),
                 ("c", 2, NUMBER, Once(b"C")),
@@ -175,7 +99,7 @@
         ),
         Scenario(
             "replace",
-            _asks(
+            asks(
                 ("a", 0, CONFIGURATION, Swap(0, b"A")),
                 ("b", 1, CONFIGURATION, Swap(0, b"B")),
                 ("r", 1, CONFIGURATION, Read()),
@@ -186,7 +110,7 @@
         ),
         Scenario(
             "grow",
-            _asks(
+            asks(
                 ("a", 0, CONFIGURATION, Swap(0, b"A")),
                 ("b", 1, CONFIGURATION, Swap(0, b"B")),
                 ("r", 2, CONFIGURATION, Read()),
@@ -198,29 +122,21 @@
         ),
         Scenario(
             "replaced",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 1, "beat": 4},
             syncs=True,
             prelude=REPLACED,
         ),
         Scenario(
             "joining",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 1, "beat": 4},
             syncs=True,
             prelude=JOINING,
         ),
         Scenario(
             "second-blank",
-            _asks(("r", 1, CONFIGURATION, Read())),
+            asks(("r", 1, CONFIGURATION, Read())),
             {"round": 1, "beat": 3},
             members=5,
             core=5,
@@ -229,11 +145,7 @@
         ),
         Scenario(
             "grown",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 2, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            SWAPS_OF_OUTER_MEMBERS,
             {"round": 1, "wipe": 1, "beat": 8},
             core=5,
             syncs=True,
@@ -241,11 +153,7 @@
         ),
         Scenario(
             "grown-contended",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 2, "beat": 6},
             core=5,
             syncs=True,
@@ -253,11 +161,7 @@
         ),
         Scenario(
             "grown-copied",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 2},
             core=5,
             syncs=True,
@@ -265,11 +169,7 @@
         ),
         Scenario(
             "grown-voting",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 2, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            SWAPS_OF_OUTER_MEMBERS,
             {"round": 1, "beat": 6},
             core=5,
             syncs=True,
@@ -277,7 +177,7 @@
         ),
         Scenario(
             "grown-unheard",
-            _asks(
+            asks(
                 ("a", 0, CONFIGURATION, Swap(0, b"A")),
                 ("r", 2, CONFIGURATION, Read()),
             ),
@@ -288,18 +188,14 @@
         ),
         Scenario(
             "handed",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 2, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            SWAPS_OF_OUTER_MEMBERS,
             {"round": 2, "repeat": 1, "beat": 3},
             syncs=True,
             prelude=HANDED,
         ),
         Scenario(
             "overtaken",
-            _asks(
+            asks(
                 ("a", 0, CONFIGURATION, Swap(0, b"A")),
                 ("b", 1, CONFIGURATION, Swap(1, b"B")),
                 ("r", 2, CONFIGURATION, Read()),
@@ -309,7 +205,7 @@
         ),
         Scenario(
             "disks-wiped",
-            _asks(
+            asks(
                 ("a", 0, CONFIGURATION, Swap(0, b"A")),
                 ("b", 1, CONFIGURATION, Swap(0, b"B")),
                 ("r", 1, CONFIGURATION, Read()),
@@ -319,31 +215,20 @@
         ),
         Scenario(
             "leaving",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 3, "leave": 1, "beat": 14},
             syncs=True,
         ),
         Scenario(
             "succession",
-            _asks(
-                ("a", 0, CONFIGURATION, Swap(0, b"A")),
-                ("b", 1, CONFIGURATION, Swap(0, b"B")),
-                ("r", 2, CONFIGURATION, Read()),
-            ),
+            TWO_SWAPS,
             {"round": 3, "leave": 2, "join": 1, "beat": 14, "restart": 1},
             syncs=True,
         ),
-        Scenario("found", _asks(), {"wipe": 1, "beat": 8}, blank=True, syncs=True),
+        Scenario("found", asks(), {"wipe": 1, "beat": 8}, blank=True, syncs=True),
         Scenario(
             "founding",
-            _asks(
-                ("a", 2, CONFIGURATION, Swap(0, b"A")),
-                ("r", 1, CONFIGURATION, Read()),
-            ),
+            FOUNDING_SWAP,
             {"wipe": 1, "beat": 6},
             blank=True,
             syncs=True,
@@ -351,10 +236,7 @@
         ),
         Scenario(
             "founding-low",
-            _asks(
-                ("a", 2, CONFIGURATION, Swap(0, b"A")),
-                ("r", 1, CONFIGURATION, Read()),
-            ),
+            FOUNDING_SWAP,
             {"wipe": 1, "beat": 6, "low": 1},
             blank=True,
             syncs=True,
@@ -362,7 +244,7 @@
         ),
         Scenario(
             "everything",
-            _asks(
+            asks(
                 ("a", 0, CONFIGURATION, Swap(0, b"A")),
                 ("b", 1, CONFIGURATION, Swap(0, b"B")),
                 ("c", 0, CONFIGURATION, Swap(1, b"C")),
@@ -385,12 +267,3 @@
         ),
     )
 }
-
-
-def with_members(scenario: Scenario, members: int) -> Scenario:
-    """The same with another number of members.
-
-    Example:
-        with_members(SCENARIOS["rounds"], 5).members == 5
-    """
-    return replace(scenario, members=members, core=max(scenario.core, members))
--- a/tools/model/search.py
+++ b/tools/model/search.py
@@ -9,7 +9,7 @@
 
 from tools.model.actions import Asks, apply, enabled
 from tools.model.history import BrokenInvariantError, Invariant
-from tools.model.scenarios import Scenario, begin
+from tools.model.scenario import Scenario, begin
 from tools.model.world import World, agreed
 
 PROGRESS_STATES = 20_000
