Another member is asked for a claim once claims take longer than lately, then ever later

Ruled out: the proposers' own backoff (it grows, but each ask began a new op without it). Besides: calls that waited for their claims were taken for a line at the instances, and others were refused with "the queue is about 20000 ms long" beside free instances; asks without an answer stayed in the entry's map for good.

The users' platform has no keys: nothing of a call without one changes; adopt and ask_core moved into modules of their own, unchanged.

--- a/spokeroute/exchange/backlog.py
+++ b/spokeroute/exchange/backlog.py
@@ -21,11 +21,22 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenCalls:
-    """The open calls of one service, and since when there were as many as make a crowd."""
+    """The open calls of one service, and since when as many as make a crowd were in line."""
 
     count: int = 0
+    claiming: int = 0  # of them: they wait for the core, and not for an instance yet
     crowd_since_ms: Ms = Ms(-1)
 
+    @property
+    def in_line(self) -> int:
+        """How many wait for an instance, or run there.
+
+        Example:
+            >>> OpenCalls(count=3, claiming=2).in_line
+            1
+        """
+        return self.count - self.claiming
+
 
 @dataclass(frozen=True, slots=True)
 class Backlog:
@@ -34,20 +45,29 @@
     open: Map[str, OpenCalls] = field(default_factory=Map)
     ended: Counts = field(default_factory=lambda: Counts(PACE_MS, PACE_BUCKETS + 1))
 
-    def opened(self, service: str, now_ms: Ms) -> Backlog:
-        """One more call is open.
+    def opened(self, service: str, now_ms: Ms, claiming: bool = False) -> Backlog:
+        """One more call is open, in line at once or once its claim is won.
 
         Example:
             >>> Backlog().opened("s", Ms(0)).count("s")
             1
         """
         old = self.open.get(service, OpenCalls())
-        count = old.count + 1
-        since_ms = now_ms if count == CROWD_CALLS else old.crowd_since_ms
-        return replace(self, open=self.open.set(service, OpenCalls(count, since_ms)))
+        new = replace(old, count=old.count + 1, claiming=old.claiming + claiming)
+        return self._moved(service, old, new, now_ms)
+
+    def claimed(self, service: str, now_ms: Ms) -> Backlog:
+        """A call won its claim: it is in line now.
+
+        Example:
+            >>> Backlog().opened("s", Ms(0), True).claimed("s", Ms(5)).open["s"].in_line
+            1
+        """
+        old = self.open.get(service, OpenCalls())
+        return self._moved(service, old, replace(old, claiming=old.claiming - 1), now_ms)
 
-    def closed(self, service: str) -> Backlog:
-        """One call got its answer, whichever.
+    def closed(self, service: str, claiming: bool = False) -> Backlog:
+        """One call got its answer, whichever; it was in line, or still claiming.
 
         Example:
             >>> Backlog().opened("s", Ms(0)).closed("s").count("s")
@@ -56,7 +76,13 @@
         old = self.open.get(service, OpenCalls())
         if old.count <= 1:
             return replace(self, open=self.open.delete(service)) if old.count else self
-        return replace(self, open=self.open.set(service, replace(old, count=old.count - 1)))
+        new = replace(old, count=old.count - 1, claiming=old.claiming - claiming)
+        return replace(self, open=self.open.set(service, new))
+
+    def _moved(self, service: str, old: OpenCalls, new: OpenCalls, now_ms: Ms) -> Backlog:
+        if old.in_line < CROWD_CALLS <= new.in_line:
+            new = replace(new, crowd_since_ms=now_ms)
+        return replace(self, open=self.open.set(service, new))
 
     def answered(self, service: str, now_ms: Ms) -> Backlog:
         """An instance answered a call of the service.
@@ -85,10 +111,10 @@
             0
         """
         here = self.open.get(service, OpenCalls())
-        if here.count < CROWD_CALLS or now_ms - here.crowd_since_ms < CROWD_MS:
+        if here.in_line < CROWD_CALLS or now_ms - here.crowd_since_ms < CROWD_MS:
             return 0
         ended = self.ended.total(service, now_ms, PACE_BUCKETS, before=1)
         if not ended:
             return 0
         per_s = ended * 1000.0 / (PACE_MS * PACE_BUCKETS) * growth
-        return int(here.count * 1000 / per_s)
+        return int(here.in_line * 1000 / per_s)
--- /dev/null
+++ b/spokeroute/exchange/claim_asks.py
@@ -0,0 +1,94 @@
+"""The asks of members for what a call's key needs: whom, and when another one.
+
+A claim takes two rounds, each behind a sync. Another member that is asked meanwhile begins a round
+of its own on the same register, and stops the first. So the next ask waits for what claims took
+lately, and twice as long after each ask without an answer.
+"""
+
+from __future__ import annotations
+
+from spokeroute.common.effects import Effects, Send
+from spokeroute.common.ids import Ms
+from spokeroute.common.replacing import replace
+from spokeroute.exchange.claiming import ask_claim
+from spokeroute.exchange.entry import State, put
+from spokeroute.exchange.round_trip import RoundTrip
+from spokeroute.exchange.types import Call, ClaimAsked, Phase
+from spokeroute.transport.messages import ClaimGot
+
+LEAST_RETRY_MS = 300
+MOST_RETRY_MS = 2_000  # a member gives a claim up by itself then
+
+
+def ask_core(state: State, call: Call, to: str, now_ms: Ms) -> tuple[State, Effects]:
+    """Ask a registry for what a call's key needs: its claim, or that it is freed.
+
+    Example:
+        state, effects = ask_core(state, call, "claim", now_ms)
+    """
+    op_id = f"{call.ask.call_id}/{to}/{state.draws}"
+    state = replace(state, draws=state.draws + 1)
+    asked = (*call.claim_asks, ClaimAsked(op_id, now_ms))
+    call = replace(call, claim_asks=asked, claim_tries=call.claim_tries + 1)
+    state = replace(put(state, call), op_of=state.op_of.set(op_id, call.ask.slot.index))
+    registries = state.registries
+    if not registries:
+        return state, ()
+    first = sum(call.ask.call_id.encode())  # each ask goes to the next registry
+    node = registries[(first + call.claim_tries) % len(registries)]
+    return state, (Send(node, ask_claim(call, op_id, to, now_ms)),)
+
+
+def retry_due(state: State, call: Call, now_ms: Ms) -> bool:
+    """Whether another member is to be asked, as the last one asked has not answered in time.
+
+    Example:
+        retry_due(state, call, now_ms)
+    """
+    if not call.claim_asks:
+        return True
+    waited_ms = now_ms - call.claim_asks[-1].asked_ms
+    return waited_ms >= retry_after_ms(state.claim_trip, call.claim_tries)
+
+
+def retry_after_ms(trip: RoundTrip | None, tries: int) -> float:
+    """How long the last of so many asks is waited for.
+
+    Example:
+        >>> [retry_after_ms(None, tries) for tries in (1, 2, 3, 4)]
+        [300.0, 600.0, 1200.0, 2000.0]
+    """
+    seen_ms = trip.timeout_ms if trip is not None else 0.0
+    first_ms = max(float(LEAST_RETRY_MS), seen_ms)
+    return min(float(MOST_RETRY_MS), first_ms * 2.0 ** (tries - 1))
+
+
+def claim_answered(state: State, got: ClaimGot, now_ms: Ms) -> tuple[State, Call | None]:
+    """The state after a member's answer, and the call if the answer counts for it. A claim that was
+    won counts whichever ask won it; any other answer counts if it is to the last ask, as a later
+    one may have won what an earlier one found taken.
+
+    Example:
+        state, call = claim_answered(state, got, now_ms)
+    """
+    call = state.calls.get(state.op_of.get(got.op_id, -1))
+    if call is None:
+        return state, None
+    state = replace(state, op_of=state.op_of.delete(got.op_id))
+    asked = next((each for each in call.claim_asks if each.op_id == got.op_id), None)
+    if asked is None:
+        return state, None
+    if not got.reason:
+        state = _sampled(state, float(now_ms - asked.asked_ms))
+    is_last = asked is call.claim_asks[-1]
+    left = tuple(each for each in call.claim_asks if each is not asked)
+    call = replace(call, claim_asks=left)
+    state = put(state, call)
+    counts = is_last or (call.phase == Phase.CLAIMING and got.won)
+    return state, call if counts else None
+
+
+def _sampled(state: State, took_ms: float) -> State:
+    trip = state.claim_trip
+    sampled = trip.sampled(took_ms) if trip is not None else RoundTrip.first(took_ms)
+    return replace(state, claim_trip=sampled)
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -7,10 +7,10 @@
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.common.places import Distance
 from spokeroute.common.replacing import replace
+from spokeroute.exchange.claim_asks import ask_core
 from spokeroute.exchange.claiming import ask_claim, not_run
 from spokeroute.exchange.entry import (
     State,
-    adopt,
     end_attempt,
     expect_ms,
     lost_to,
@@ -33,6 +33,7 @@
     Call,
     Phase,
 )
+from spokeroute.exchange.unheld import adopt
 from spokeroute.exchange.waits import Wait
 from spokeroute.transport.call_messages import Forward, ForwardDrop
 
@@ -44,24 +45,6 @@
 TURNED_HOLD_MS = 90
 
 
-def ask_core(state: State, call: Call, to: str, now_ms: Ms) -> tuple[State, Effects]:
-    """Ask a registry for what a call's key needs: its claim, or that it is freed.
-
-    Example:
-        state, effects = ask_core(state, call, "claim", now_ms)
-    """
-    op_id = f"{call.ask.call_id}/{to}/{state.draws}"
-    state = replace(state, draws=state.draws + 1)
-    call = replace(call, claim_op=op_id, claim_ms=now_ms, claim_asks=call.claim_asks + 1)
-    state = replace(put(state, call), op_of=state.op_of.set(op_id, call.ask.slot.index))
-    registries = state.registries
-    if not registries:
-        return state, ()
-    first = sum(call.ask.call_id.encode())  # each ask goes to the next registry
-    node = registries[(first + call.claim_asks) % len(registries)]
-    return state, (Send(node, ask_claim(call, op_id, to, now_ms)),)
-
-
 def send_on(state: State, call: Call, now_ms: Ms) -> tuple[State, Effects]:
     """Pick an instance and forward the call to its holder, or hold it.
 
--- /dev/null
+++ b/spokeroute/exchange/unheld.py
@@ -0,0 +1,43 @@
+"""Instances that no living exchange holds, where an entry may send to them itself."""
+
+from __future__ import annotations
+
+import zlib
+
+from spokeroute.common.ids import Incarnation, Ms
+from spokeroute.common.replacing import replace
+from spokeroute.dispatch.placement.table import Placed
+from spokeroute.exchange.entry import State, lost_to
+from spokeroute.exchange.pick import UNHELD, Picked, instances_for, usable
+from spokeroute.exchange.types import Call
+
+
+def adopt(state: State, call: Call, now_ms: Ms) -> Picked | None:
+    """An instance that no living exchange holds, where instances turn away by themselves what is
+    over their limit: this exchange sends to it unheld, one call at a time.
+
+    Example:
+        adopt(state, call, now_ms)
+    """
+    lost = lost_to(state, now_ms)
+    tables = state.tables
+    free = [
+        placed
+        for placed in instances_for(call, tables, state.places)
+        if (placed.holder == "" or lost(placed))
+        and usable(replace(placed, holder=state.me), tables)
+        and placed.id not in call.touched
+        and state.shunned_ms.get(placed.id, -1) <= now_ms
+        and state.drains_ms.get(placed.id, -1) <= now_ms
+        and state.outstanding.get(placed.id, 0) < 1
+    ]
+    if not free:
+        return None
+
+    def by_distance_then_spread(placed: Placed) -> tuple[int, int]:
+        spread = zlib.crc32(f"{call.ask.call_id}/{placed.id}".encode())
+        return state.places.distance(placed.zone), spread
+
+    best = min(free, key=by_distance_then_spread)
+    mine = replace(best, holder=state.me, holder_incarnation=Incarnation(state.incarnation))
+    return Picked(mine, UNHELD)
--- a/tests/test_slow_claims.py
+++ b/tests/test_slow_claims.py
@@ -1,14 +1,21 @@
-"""Disks took 300 ms a sync, so a claim's two rounds took longer than the 300 ms after which an entry
-asked another member. That one began a round of its own on the same register and stopped the first,
-whose answer would have been thrown away besides. So each call had 28 rounds begun, none was won, and
-all 120 of 120 keyed calls ended after 5 s with "no_core", though each member answered."""
+"""Disks took 300 ms a sync, so a claim's two rounds took longer than the 300 ms after which an
+entry asked another member. That one began a round of its own on the same register and stopped the
+first, whose answer would have been thrown away besides. So each call had 28 rounds begun, none was
+won, and all 120 of 120 keyed calls ended after 5 s with "no_core", though each member answered."""
 
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
 
 import pytest
 
+from spokeroute.common.effects import Effects, From, Reply, Send, Tick
+from spokeroute.common.ids import Incarnation, Ms, NodeId
+from spokeroute.exchange import calls
+from spokeroute.exchange.entry import State
+from spokeroute.exchange.types import Call, Phase
+from spokeroute.transport.messages import ClaimAsk, ClaimGot
 from tests.sim.cluster import Sim
 
 CALLS = 60
@@ -44,3 +51,98 @@
     assert statuses[200] == CALLS, statuses
     # Two rounds, each behind a sync that is under way; and the first retries, until it is learned.
     assert took_ms[len(took_ms) // 2] <= 2 * ROUNDS * sync_ms + 300, took_ms[len(took_ms) // 2]
+
+
+@pytest.fixture
+def sim() -> Iterator[Sim]:
+    made = Sim(4)
+    made.settle()
+    yield made
+    made.close()
+
+
+def claiming(sim: Sim) -> State:
+    """An entry's state with one keyed call that waits for its claim."""
+    sim.call("/corrections", sim.exchanges[0], key="k", wait_ms=20_000)
+    for _ in range(100):
+        state: State = sim.exchanges[0].state("calls")
+        if any(call.claim_asks for call in state.calls.values()):
+            return state
+        sim.run(1)
+    raise AssertionError("no claim was asked for")
+
+
+def only(state: State) -> Call:
+    (call,) = state.calls.values()
+    return call
+
+
+def asks(effects: Effects) -> list[ClaimAsk]:
+    found = [each.message for each in effects if isinstance(each, Send)]
+    return [each for each in found if isinstance(each, ClaimAsk)]
+
+
+def waited(state: State, for_ms: int) -> tuple[State, list[tuple[int, ClaimAsk]]]:
+    """The state after a while without any answer, and what was asked when."""
+    from_ms = only(state).start_ms
+    asked: list[tuple[int, ClaimAsk]] = []
+    for after_ms in range(0, for_ms, 20):
+        state, effects = calls.step(state, Tick(), Ms(from_ms + after_ms))
+        asked.extend((after_ms, each) for each in asks(effects))
+    return state, asked
+
+
+def told(state: State, op_id: str, won: bool, holder: str, now_ms: Ms) -> tuple[State, Effects]:
+    call = only(state)
+    got = ClaimGot(op_id, won, call.fingerprint, holder, "in progress", "")
+    return calls.step(state, From(NodeId("reg1"), Incarnation(1), got), now_ms)
+
+
+def test_each_ask_without_an_answer_is_waited_for_twice_as_long(sim: Sim) -> None:
+    _, asked = waited(claiming(sim), 6_500)
+    assert [after_ms for after_ms, _ in asked] == [300, 900, 2_100, 4_100, 6_100]
+
+
+def test_a_claim_that_an_earlier_ask_won_counts(sim: Sim) -> None:
+    state, _ = waited(claiming(sim), 1_000)
+    call = only(state)
+    now_ms = Ms(call.start_ms + 1_000)
+    assert len(call.claim_asks) == 3
+    state, effects = told(state, call.claim_asks[0].op_id, True, call.ask.call_id, now_ms)
+    assert only(state).claimed and only(state).phase != Phase.CLAIMING
+    assert not state.op_of, "what was asked besides is forgotten"
+    assert not any(isinstance(each, Reply) for each in effects)
+
+
+def test_a_claim_that_an_earlier_ask_found_taken_is_not_the_last_word(sim: Sim) -> None:
+    """It may have been freed since, and won by the ask that is still open."""
+    state, _ = waited(claiming(sim), 400)
+    call = only(state)
+    now_ms = Ms(call.start_ms + 400)
+    first, last = call.claim_asks
+    state, effects = told(state, first.op_id, False, "another", now_ms)
+    assert only(state).phase == Phase.CLAIMING
+    assert not effects
+    state, effects = told(state, last.op_id, False, "another", now_ms)
+    (reply,) = [each for each in effects if isinstance(each, Reply)]
+    assert reply.answer.status == 409
+    assert not state.calls and not state.op_of
+
+
+def test_the_next_ask_waits_for_as_long_as_claims_took_lately(sim: Sim) -> None:
+    state, _ = waited(claiming(sim), 1_000)
+    call = only(state)
+    state, _ = told(
+        state, call.claim_asks[0].op_id, True, call.ask.call_id, Ms(call.start_ms + 1_000)
+    )
+    assert state.claim_trip is not None
+    assert state.claim_trip.smoothed_ms == 1_000
+
+
+def test_calls_that_wait_for_their_claims_are_no_line_at_an_instance(sim: Sim) -> None:
+    state = claiming(sim)
+    service = only(state).service.name
+    assert state.backlog.open[service].in_line == 0
+    call = only(state)
+    state, _ = told(state, call.claim_asks[0].op_id, True, call.ask.call_id, Ms(call.start_ms + 20))
+    assert state.backlog.open[service].in_line == state.backlog.count(service) == 1
