--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -12,7 +12,8 @@
 import pytest
 
 from tests.test_fleet import EXAMPLE, client, post, until_served
-from tools.fleet import Fleet, free_ports
+from tools.fleet import Fleet
+from tools.ports import free_ports
 from tools.relay import Relay
 
 # Real processes draw free ports: two fleets at once may draw the same one.
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -28,7 +28,7 @@
 from tests.sim.acts import holder_of
 from tests.sim.cluster import Sim, configuration
 from tests.sim.world import Node
-from tools.fleet import free_ports
+from tools.ports import free_ports
 
 WRITE_MS, PROOF_MS, ROLE_MS = 600, 1_000, 1_200
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,8 +15,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tools.fleet import free_ports
 from tools.log import Asked, Down, Log, Run, Told
+from tools.ports import free_ports
 from tools.soak.cloud_standin import CloudStandin, sealed_handler
 from tools.soak.judges import RECOVERY_MS, judge_soak, recovery_ms
 from tools.soak.plan import (
--- a/tests/test_soak_regions.py
+++ b/tests/test_soak_regions.py
@@ -11,7 +11,8 @@
 
 from spokeroute.transport.call_messages import Ping
 from spokeroute.transport.frames import Envelope, encode
-from tools.fleet import Fleet, free_ports, last_line
+from tools.fleet import Fleet, last_line
+from tools.ports import free_ports
 from tools.relay import DelayRelay, between_regions, sender_of
 from tools.soak import __main__ as command
 from tools.soak.run import Soak, SoakError
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -6,11 +6,8 @@
 from __future__ import annotations
 
 import argparse
-import contextlib
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -20,22 +17,9 @@
 import urllib3
 
 from tools.log import Down
+from tools.ports import free_ports
 
 ZONES = ("north", "centre", "south")
-PORTS = (10_000, 32_000)  # below those that the system gives to outgoing connections
-
-
-def free_ports(count: int) -> list[int]:
-    """Ports that were free a moment ago, and that no outgoing connection is given meanwhile."""
-    draw = random.SystemRandom()
-    held: list[socket.socket] = []
-    while len(held) < count:
-        with contextlib.suppress(OSError):  # somebody has it: the next draw
-            held.append(socket.create_server(("127.0.0.1", draw.randrange(*PORTS))))
-    ports = [int(s.getsockname()[1]) for s in held]
-    for each in held:
-        each.close()
-    return ports
 
 
 def get(address: str, path: str, wait_s: float = 1.0) -> tuple[int, bytes]:
--- a/tools/soak/adapter.py
+++ b/tools/soak/adapter.py
@@ -12,9 +12,10 @@
 
 import urllib3
 
-from tools.fleet import ZONES, Fleet, free_ports
+from tools.fleet import ZONES, Fleet
 from tools.load import Load, now_ms
 from tools.log import Asked, Told
+from tools.ports import free_ports
 from tools.soak.clients import Wire
 
 ROOT = Path(__file__).parent.parent.parent
--- a/tools/soak/region_fleet.py
+++ b/tools/soak/region_fleet.py
@@ -4,7 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from tools.fleet import Fleet, free_ports
+from tools.fleet import Fleet
+from tools.ports import free_ports
 from tools.relay import DelayRelay, between_regions
 
 DELAY_S = 0.02  # one way between the regions
