Soak: how old a process is counts when it is told to end, not when that is waited for

Cause, by its plan: ex3 was killed with half of the fronts at 12.5 s, started again at 15 s at the earliest, frozen at 18.05 s, told to end at 18.32 s, woken at 21.25 s. A process that is told to end within 5 s of its start may not heed signals yet and is excused; the 5 s were reckoned to 21.25 s. ex3 had written nothing. Ruled out: a second SIGTERM while it ended (the plan has none). The judge is as strict as before for a process that is told to end later. tests/test_soak_acts.py: red before, green after. Open: a process could heed SIGTERM from its first line on.

--- a/tools/soak/acts.py
+++ b/tools/soak/acts.py
@@ -49,6 +49,7 @@
         self.front_added = front_added
         self.ended: list[Ended] = []
         self.started_ms: dict[str, float] = {}
+        self.told_ms: dict[str, float] = {}  # when each was told to end last
         self.locks: dict[str, threading.Lock] = defaultdict(threading.Lock)
         self.world = threading.Lock()  # one act on all processes, or on the workers, at a time
         self.last_trouble_ms = 0.0
@@ -126,6 +127,8 @@
             process = self.fleet.processes.get(name)
             if process is None or process.poll() is not None:
                 return False
+            if number == signal.SIGTERM:
+                self.told_ms[name] = now_ms()
             self.fleet.signal(name, number)
             return True
 
@@ -146,8 +149,12 @@
             code = None
             self._send(name, signal.SIGKILL)
         killed = killed or code == -signal.SIGKILL
-        young = asked_ms - self.started_ms.get(name, asked_ms - YOUNG_MS) < YOUNG_MS
-        self.ended.append(Ended(name, asked_ms, now_ms(), code, killed, young))
+        self.ended.append(Ended(name, asked_ms, now_ms(), code, killed, self._was_young(name)))
+
+    def _was_young(self, name: str) -> bool:
+        """Whether a process had just been started when it was told to end."""
+        told_ms = self.told_ms.get(name, 0.0)
+        return told_ms - self.started_ms.get(name, told_ms - YOUNG_MS) < YOUNG_MS
 
     def _ensure(self, name: str) -> None:
         """Start a process again if it has ended."""
