--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -27,10 +28,11 @@
 
 
 @pytest.fixture(params=[1, 2, 3])
-def going_on(request: pytest.FixtureRequest) -> Sim:
+def going_on(request: pytest.FixtureRequest) -> Iterator[Sim]:
     made = Sim(request.param, 3, bounds=BOUNDS)
     made.settle()
-    return made
+    yield made
+    made.close()
 
 
 def values_never_come(sim: Sim, node: Node) -> None:
