Sight: fields of a configuration, and rules of the platform, that nothing goes by are told

What an instance was shown stands in no log, and a field that the adapter does not translate is dropped without a word: nothing told "nothing goes by the keys" from a race. A node says at its start which parts of `active-contracts` it does not know, and a registry which fields of a configuration it does not go by, once for each new set of them. Translating stands in a module of its own.

No change of logic. Tests: tests/test_adapter.py (its list of the adapter's modules has one more).

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -21,7 +21,7 @@
 
 ROOT = Path(__file__).parent.parent
 FOLDER = ROOT / "platform"
-MODULES = ("cloud", "node", "operator_edge", "settings_file", "words")
+MODULES = ("cloud", "documents", "node", "operator_edge", "settings_file", "words")
 WORDS = (
     "x-attempt-id", "x-deadline-remaining", "x-expected-instance", "x-not-executed",
     "x-server-seal", "x-duty-holder", "x-fence-number", "/api/", "page-token", "memory-mb",
@@ -77,7 +77,7 @@
 
 
 def translated(doc: Any) -> Any:
-    from operator_edge import translate
+    from documents import translate
 
     return read(translate(doc), ())
 
@@ -124,6 +124,25 @@
             settings_of(read_lines(LINES + line + "\n"))
 
 
+def test_a_rule_that_nothing_goes_by_is_named() -> None:
+    from settings_file import read_lines, unknown_contracts
+
+    assert unknown_contracts(read_lines(LINES)) == ()
+    named = read_lines(LINES + "active-contracts=base,drain, tides,functions\n")
+    assert unknown_contracts(named) == ("tides",)
+
+
+def test_a_field_that_nothing_goes_by_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    from operator_edge import OperatorEdge
+
+    edge = OperatorEdge(None)  # type: ignore[arg-type]
+    for version, unread in ((1, ("x",)), (2, ("x",)), (3, ()), (4, ("x", "routes[].y"))):
+        edge._tell_unread(version, unread)
+    told = [record.getMessage() for record in caplog.records]
+    assert [text.split(" has ")[0] for text in told] == ["configuration 1", "configuration 4"]
+    assert told[1].endswith("x, routes[].y")
+
+
 def test_a_wrong_file_ends_the_start_in_one_line(tmp_path: Path) -> None:
     path = tmp_path / "settings.conf"
     path.write_text(LINES.replace("zone=a", "zone="))
@@ -162,7 +181,7 @@
     ],
 )  # fmt: skip
 def test_invalid_configurations_are_refused(change: dict[str, Any]) -> None:
-    from operator_edge import DocumentError
+    from documents import DocumentError
 
     try:
         got = translated(document(**change))
