Calls need the key of a tenant, run in its name, and no key goes further than where it came

Cause: the product had no tenants. The adapter left `tenants` and `public` out of a configuration that named them, without a word, and `Authorization` was passed on as any other header, so that what should have been closed was open. Class: what binds is dropped in translation.

The product has tenants now, with digests of keys; the node that a call enters at lets it in, again before each send, and tells the instance the tenant in place of the key; 401 only by a configuration that was proved within the lease; a withdrawn key ends calls that wait, also in holders' queues; two tenants' equal idempotency keys are two. The adapter translates. `tenants: []` closes. Priorities of tenants are read and kept; heeding them is a change of its own.

Judges of keys read every simulated run.

--- a/spokeroute/common/bounds.py
+++ b/spokeroute/common/bounds.py
@@ -22,6 +22,9 @@
     apply_ms: int = 3_000
     """How long after its acknowledgement a configuration is in force at every exchange that hears a
     majority of the core; one that can't be sure of it refuses calls as not run."""
+    keys_ms: int = 0
+    """How old the proof of a configuration may be by which a tenant's key is taken: a deployment
+    that rather refuses than takes a withdrawn key sets it. 0: as old as a proof that rules."""
     rejection_safe: bool = False
     """Whether an instance itself refuses what is over its limit, as not run: a lost holder is
     then replaced at once."""
--- a/spokeroute/dispatch/configuration/models.py
+++ b/spokeroute/dispatch/configuration/models.py
@@ -94,6 +94,7 @@
     aim_ms: int = field(default=0, metadata=_written("aimMs"))
     priority: int = 0
     regions: tuple[str, ...] = ()  # its calls run, and their bodies go, only there; none: anywhere
+    public: bool = False  # its calls need no key, where others do
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -106,6 +107,16 @@
         return tuple(x.service for x in self.split) or (self.service,)
 
 
+@dataclass(frozen=True)
+class Tenant(Part):
+    """Who holds one of these keys calls in this name. Of keys only digests are kept (SHA-256)."""
+
+    name: str
+    key_digests: tuple[str, ...] = field(default=(), metadata=_written("keyDigests"))
+    priority: int = 0
+    regions: tuple[str, ...] = ()  # its calls run only there, besides what their route says
+
+
 @dataclass(frozen=True)
 class Limits(Part):
     """What a caller may send, and how long it may take."""
@@ -144,6 +155,8 @@
     thresholds: Thresholds = field(default_factory=Thresholds)
     name: str = ""
     limits: Limits = field(default_factory=Limits)
+    tenants: tuple[Tenant, ...] | None = None
+    """None: calls need no key. An empty list: nobody has one, and only public routes are open."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokeroute/dispatch/configuration/route_table.py
+++ b/spokeroute/dispatch/configuration/route_table.py
@@ -8,6 +8,7 @@
 
 from spokeroute.common.ids import Version
 from spokeroute.dispatch.configuration.models import Limits, Programs, Route, Service, Thresholds
+from spokeroute.dispatch.configuration.tenant_keys import TenantKeys
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,8 @@
     """The least aim of the routes to a service; one without any is not in it."""
     regions: Mapping[str, frozenset[str]] = field(default_factory=dict)
     """The regions of a service whose routes name some."""
+    tenants: TenantKeys | None = None
+    """None: calls need no key."""
 
     def route(self, path: str, host: str = "") -> Route | None:
         """The route of a path at a host: the host's own first, then those of any host.
--- a/spokeroute/dispatch/configuration/table_reader.py
+++ b/spokeroute/dispatch/configuration/table_reader.py
@@ -13,15 +13,18 @@
 from typing import Any
 
 from spokeroute.common.ids import Version
+from spokeroute.common.replacing import replace
 from spokeroute.dispatch.configuration.models import (
     Limits,
     Programs,
     Route,
     Service,
     Share,
+    Tenant,
     Thresholds,
 )
 from spokeroute.dispatch.configuration.route_table import HostRoutes, Table
+from spokeroute.dispatch.configuration.tenant_keys import TenantKeys
 from spokeroute.register.packed import unpack
 from spokeroute.register.stamps import NUMBER
 
@@ -66,6 +69,7 @@
     def __init__(self) -> None:
         self._routes = Rows({})
         self._services = Rows({})
+        self._tenants = Rows({})
 
     @property
     def rows(self) -> int:
@@ -75,7 +79,7 @@
             >>> TableReader().rows
             0
         """
-        return len(self._routes.read) + len(self._services.read)
+        return sum(len(each.read) for each in (self._routes, self._services, self._tenants))
 
     @property
     def rows_read(self) -> int:
@@ -85,7 +89,7 @@
             >>> TableReader().rows_read
             0
         """
-        return self._routes.anew + self._services.anew
+        return sum(each.anew for each in (self._routes, self._services, self._tenants))
 
     def read(self, version: Version, digest: str, value: bytes) -> Table:
         """A register's value as tables; for an edge thread, not for the loop.
@@ -97,14 +101,20 @@
         decided, found, _ = text.partition(DOCUMENT)
         routes, decided = _cut_list(decided, "routes")
         services, decided = _cut_list(decided, "services")
+        tenants, decided = _cut_list(decided, "tenants")
         raw = json.loads(decided + "}" if found else decided)["configuration"]
         routes = routes or _texts_of(raw["routes"])
         services = services or _texts_of(raw["services"])
         self._routes = read_rows(routes, self._routes.read, _route_of)
         self._services = read_rows(services, self._services.read, Service.from_dict)
-        return _table_of(
+        self._tenants = read_rows(tenants, self._tenants.read, _tenant_of)
+        table = _table_of(
             version, digest, raw, self._routes.read.values(), self._services.read.values()
         )
+        # Configurations of earlier releases have no tenants; one that lists none has no keys.
+        if raw.get("tenants") is None:
+            return table
+        return replace(table, tenants=TenantKeys.of(self._tenants.read.values()))
 
 
 def build_table(version: Version, digest: str, value: bytes) -> Table:
@@ -138,9 +148,15 @@
         raw["path"], raw["service"], tuple(raw["methods"]), raw["repeatable"],
         raw["perClientPerS"], raw["host"], split, raw["attempts"], raw["timeoutMs"],
         raw["aimMs"], raw["priority"], tuple(raw.get("regions", ())),
+        raw.get("public", False),
     )  # fmt: skip
 
 
+def _tenant_of(raw: Mapping[str, Any]) -> Tenant:
+    """A tenant that was checked before it was kept."""
+    return Tenant(raw["name"], tuple(raw["keyDigests"]), raw["priority"], tuple(raw["regions"]))
+
+
 def _table_of(
     version: Version,
     digest: str,
--- a/spokeroute/dispatch/configuration/validation.py
+++ b/spokeroute/dispatch/configuration/validation.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from spokeroute.dispatch.configuration.models import Configuration, Fault, Limits, Route, Service
+from spokeroute.dispatch.configuration.models import (
+    Configuration,
+    Fault,
+    Limits,
+    Route,
+    Service,
+    Tenant,
+)
+from spokeroute.dispatch.configuration.tenant_keys import DIGEST
 from spokeroute.dispatch.policy import (
     RANK_FIELDS,
     SHIFT_FIELDS,
@@ -11,6 +19,8 @@
 )
 
 MAX_WORKER_MB = 8_192
+MOST_NAME_CHARS = 128
+MOST_PRIORITY = 1_000
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
 
 
@@ -37,6 +47,7 @@
     for i, route in enumerate(configuration.routes):
         faults.extend(_check_route(f"routes[{i}]", route, names, seen))
         seen.add((route.host, route.path))
+    faults.extend(_check_tenants(configuration.tenants or ()))
     faults.extend(_check_limits(configuration.limits))
     limits = configuration.thresholds
     for name, value, top in (
@@ -59,17 +70,20 @@
 
 
 def check_regions(configuration: Configuration, regions: frozenset[str]) -> list[Fault]:
-    """Routes that name a region which this deployment does not have.
+    """Routes and tenants that name a region which this deployment does not have.
 
     Example:
         >>> check_regions(Configuration((), (), ()), frozenset())
         []
     """
     known = ", ".join(sorted(regions)) or "none: settings name no regions"
+    named = [(f"routes[{i}]", each.regions) for i, each in enumerate(configuration.routes)]
+    tenants = configuration.tenants or ()
+    named += [(f"tenants[{i}]", each.regions) for i, each in enumerate(tenants)]
     return [
-        Fault(f"routes[{i}].regions", f"unknown region {name!r}", f"known: {known}")
-        for i, route in enumerate(configuration.routes)
-        for name in route.regions
+        Fault(f"{path}.regions", f"unknown region {name!r}", f"known: {known}")
+        for path, names in named
+        for name in names
         if name not in regions
     ]
 
@@ -123,7 +137,7 @@
         ("timeoutMs", route.timeout_ms, 1, 3_600_000),
         ("aimMs", route.aim_ms, 0, 3_600_000),
         ("attempts", route.attempts, 1, 100),
-        ("priority", route.priority, 0, 1_000),
+        ("priority", route.priority, 0, MOST_PRIORITY),
     ):
         if not low <= value <= high:
             faults.append(Fault(f"{path}.{field_name}", f"is {value}", f"choose {low} to {high}"))
@@ -134,6 +148,39 @@
     return faults
 
 
+def _check_tenants(tenants: tuple[Tenant, ...]) -> list[Fault]:
+    """Names and keys stand once; no fault tells a key, nor its digest."""
+    faults: list[Fault] = []
+    names: set[str] = set()
+    holder: dict[str, int] = {}
+    for i, tenant in enumerate(tenants):
+        path, name = f"tenants[{i}]", tenant.name
+        if not _is_header_value(name):
+            remedy = f"use 1 to {MOST_NAME_CHARS} visible characters of ASCII, blanks between them"
+            faults.append(Fault(f"{path}.name", "is no name", remedy))
+        elif name in names:
+            faults.append(Fault(f"{path}.name", f"{name!r} stands twice", "name it once"))
+        names.add(name)
+        if not 0 <= tenant.priority <= MOST_PRIORITY:
+            remedy = f"choose 0 to {MOST_PRIORITY}"
+            faults.append(Fault(f"{path}.priority", f"is {tenant.priority}", remedy))
+        for at, digest in enumerate(tenant.key_digests):
+            where = f"{path}.keyDigests[{at}]"
+            if not DIGEST.fullmatch(digest):
+                remedy = "write what `spokeroute client key-digest` prints"
+                faults.append(Fault(where, "is no digest of a key", remedy))
+            elif holder.setdefault(digest, i) != i:
+                shared = f"is a key of tenants[{holder[digest]}] too"
+                faults.append(Fault(where, shared, "give each tenant keys of its own"))
+    return faults
+
+
+def _is_header_value(name: str) -> bool:
+    """Whether a name can be told to an instance in a header's line."""
+    shown = name.isascii() and name.isprintable() and name == name.strip()
+    return shown and 0 < len(name) <= MOST_NAME_CHARS
+
+
 def _check_limits(limits: Limits) -> list[Fault]:
     return [
         Fault(f"limits.{name}", f"is {value}", f"choose {low} or more")
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -7,6 +7,7 @@
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.common.places import Distance
 from spokeroute.common.replacing import replace
+from spokeroute.exchange.authentication import shown_headers
 from spokeroute.exchange.claim_asks import ask_core
 from spokeroute.exchange.claiming import ask_claim, not_run
 from spokeroute.exchange.entry import (
@@ -35,6 +36,7 @@
 )
 from spokeroute.exchange.unheld import adopt
 from spokeroute.exchange.waits import Wait
+from spokeroute.exchange.withdrawal import REASONS, key_fault
 from spokeroute.transport.call_messages import Forward, ForwardDrop
 
 HOLD_MS = 30
@@ -53,6 +55,9 @@
     """
     if not state.tables.fresh(now_ms):
         return refuse(state, call, Kind.NOT_FRESH, "", now_ms)
+    fault = key_fault(state, call)
+    if fault is not None:
+        return refuse(state, call, fault, REASONS[fault], now_ms)
     picked = pick(
         call, state.tables, state.lists, state.outstanding, state.shunned_ms,
         state.me, now_ms, state.places, lost_to(state, now_ms),
@@ -127,8 +132,8 @@
     path = ask.target or with_query
     forward = Forward(
         attempt_id, call.service.name, placed.id, placed.holder_incarnation, ask.method, path,
-        ask.headers, ask.body, max(0, call.deadline_ms - now_ms), ask.attempt,
-        picked.rule == UNHELD,
+        shown_headers(state.tables.table, ask.headers, ask.credential), ask.body,
+        max(0, call.deadline_ms - now_ms), ask.attempt, call.tenant, picked.rule == UNHELD,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     waits = state.waits
--- a/spokeroute/exchange/outcomes.py
+++ b/spokeroute/exchange/outcomes.py
@@ -51,6 +51,7 @@
     UNREACHED = "instance_unreached"
     NO_CORE = "no_core"
     BAD_REQUEST = "bad_request"
+    NO_KEY = "no_key"  # it needs the key of a tenant, and showed none that is in force
     NO_ROUTE = "no_route"
     OLD_NO_ROUTE = "no_route_by_old_proof"  # the table that lacks it was proved long ago
     HOLDER_SILENT = "holder_silent"
@@ -62,6 +63,8 @@
 
 BY_KIND = {
     Kind.NO_ROUTE: Reason.NO_ROUTE,
+    Kind.NO_KEY: Reason.NO_KEY,
+    Kind.NO_REGION: Reason.BAD_REQUEST,
     Kind.METHOD: Reason.BAD_REQUEST,
     Kind.BAD_WAIT: Reason.BAD_REQUEST,
     Kind.BAD_KEY: Reason.BAD_REQUEST,
--- a/spokeroute/exchange/requests.py
+++ b/spokeroute/exchange/requests.py
@@ -6,6 +6,7 @@
 
 from spokeroute.common.answers import Answer, Ran, problem
 from spokeroute.http.framing import HOP
+from spokeroute.transport.call_messages import Pairs
 
 DROPPED = HOP | {"expect", "http2-settings"}
 BAD_REQUESTS = {
@@ -64,7 +65,7 @@
     return name, name.lower()
 
 
-def passed_on(headers: dict[str, str]) -> tuple[tuple[str, str], ...]:
+def passed_on(headers: dict[str, str]) -> Pairs:
     """The headers that are an instance's business too.
 
     Example:
@@ -80,3 +81,14 @@
         if low not in dropped:
             kept.append((name, value))
     return tuple(kept)
+
+
+def without_credential(headers: Pairs, name: str) -> tuple[Pairs, Pairs]:
+    """The headers without the caller's credential, and the credential.
+
+    Example:
+        >>> without_credential((("A", "1"), ("Authorization", "Bearer k")), "authorization")
+        ((('A', '1'),), (('Authorization', 'Bearer k'),))
+    """
+    kept = tuple(header for header in headers if header[0].lower() != name)
+    return kept, tuple(header for header in headers if header[0].lower() == name)
--- a/spokeroute/transport/call_messages.py
+++ b/spokeroute/transport/call_messages.py
@@ -21,6 +21,7 @@
     body: bytes
     wait_left_ms: int
     caller_attempt: str  # the caller's own id of the attempt; empty where it gives none
+    tenant: str = ""  # in whose name it runs; empty: in nobody's
     guest: bool = False  # to this very process, for an instance that no living exchange holds
 
 
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -246,7 +246,7 @@
 
     def call(
         self, path: str, exchange: Node | None = None, key: str = "", wait_ms: int = 5000,
-        client: str = "", body: bytes = b"{}",
+        client: str = "", body: bytes = b"{}", api_key: str = "",
     ) -> Asked:  # fmt: skip
         """One caller's call."""
         if exchange is None:
@@ -257,6 +257,7 @@
         asked = Asked(
             name, key, path, route["service"], not route.get("repeatable"), exchange.name,
             self.env.now, wait_ms, method=route.get("methods", ["GET"])[0], client=client or name,
+            api_key=api_key,
         )  # fmt: skip
         self.asked.append(asked)
         if not exchange.alive:
@@ -271,6 +272,7 @@
                 asked.ran, asked.kind = doc.get("ran", ""), doc.get("kind", "")
                 asked.retry_after = dict(answer.headers).get("Retry-After", "")
 
+        credential = (("Authorization", f"Bearer {api_key}"),) if api_key else ()
         headers = (("Standin-Call", name), *((("Idempotency-Key", key),) if key else ()))
         exchange.ask(
             "calls",
@@ -286,6 +288,7 @@
                 str(wait_ms),
                 key,
                 0,
+                credential=credential,
             ),
             tell,
         )
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -328,6 +328,7 @@
             self.seat(server.worker).zone, call, heads.get("idempotency-key", ""),
             job.path, job.attempt_id, server.running, server.limit,
             self.env.now - server.up_at_ms,
+            tenant=job.tenant, key_shown="authorization" in heads,
         )  # fmt: skip
         self.runs.append(run)
         yield self.env.timeout(self.work_ms * self.rng.uniform(0.6, 1.4))
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -27,6 +27,7 @@
     "x-server-seal", "x-duty-holder", "x-fence-number", "/api/", "page-token", "memory-mb",
     "boot-ms", "path-prefix", "route-kind", "max-concurrency", "seed-nodes", "first-start",
     "internal-port-range", "listen-addresses", "free-memory-mb", "target-latency-ms",
+    "x-tenant-name", "api-keys", "revoke-ms", "revocation-closed",
 )  # fmt: skip
 LINES = """
 node-name=front-a-1
--- a/tools/judges.py
+++ b/tools/judges.py
@@ -10,6 +10,7 @@
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
 
+from tools.key_judges import KEY_JUDGES
 from tools.log import Asked, Log, Run
 from tools.readback import acked_reads_back, one_content_a_number, refused_never_rules
 from tools.ruling import Rulings, unsure
@@ -290,7 +291,7 @@
     newest_rules, evacuated_get_nothing, drained_get_nothing, vanished_get_nothing,
     seconds_within_share,
     cold_within_rate, within_limit, acked_reads_back, refused_never_rules,
-    one_content_a_number, back_within,
+    one_content_a_number, back_within, *KEY_JUDGES,
 )  # fmt: skip
 
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -52,7 +52,16 @@
     }
     if asked.key:
         found["Idempotency-Key"] = asked.key
-    return found
+    return found | bearer(asked)
+
+
+def bearer(asked: Asked) -> dict[str, str]:
+    """The header with a caller's key, if it has one.
+
+    Example:
+        bearer(asked)["Authorization"]
+    """
+    return {"Authorization": f"Bearer {asked.api_key}"} if asked.api_key else {}
 
 
 def own_path(asked: Asked) -> str:
@@ -91,9 +100,12 @@
         """Apply the configuration as an operator would."""
         self.applies += 1
         doc = {**self.doc, "name": f"{self.doc['name']} {self.applies}"}
-        told = Told("apply", now_ms(), detail=doc["name"], sent=doc)
+        return self.send_configuration(Told("apply", now_ms(), detail=doc["name"], sent=doc))
+
+    def send_configuration(self, told: Told) -> Told:
+        """Send a configuration as an operator would; how it ended is kept."""
         self.told.append(told)
-        return self.ask(told, "PUT", "/configuration", json.dumps(doc).encode())
+        return self.ask(told, "PUT", "/configuration", json.dumps(told.sent).encode())
 
     def ask(self, told: Told, method: str, path: str, body: bytes | None = None) -> Told:
         """One operator request at some registry; a broken connection leaves it unsure."""
@@ -194,6 +206,7 @@
                 e["atMs"], e["instance"], e["service"], e["worker"], zone_of(e["worker"]),
                 e["call"], keys.get(e["call"], ""), e["path"], e["attempt_id"], e["running"],
                 e["limit"], e["atMs"] - up.get(e["instance"], 0.0),
+                tenant=e.get("tenant", ""), key_shown=e.get("keyShown", False),
             )  # fmt: skip
             runs.append(run)
             by_try[run.attempt_id] = run
--- a/tools/log.py
+++ b/tools/log.py
@@ -23,6 +23,8 @@
     limit: int
     cold_for_ms: float  # how long ago it came up
     done_ms: float = -1.0  # when its whole answer left the instance
+    tenant: str = ""  # in whose name it ran, as the instance was told
+    key_shown: bool = False  # the instance was shown a caller's credential
 
 
 @dataclass
@@ -47,6 +49,7 @@
     method: str = ""
     client: str = ""
     retry_after: str = ""  # when a refusal says to come back
+    api_key: str = ""  # of its tenant, as the caller sent it
 
 
 @dataclass
--- a/tools/standin.py
+++ b/tools/standin.py
@@ -246,7 +246,9 @@
                 running = instance.running
             standin.write("run", instance=instance.id, service=instance.service, call=call,
                           attempt_id=attempt_id, running=running, limit=instance.limit,
-                          path=self.path, worker=instance.worker)  # fmt: skip
+                          path=self.path, worker=instance.worker,
+                          tenant=self.headers.get("Spokeroute-Tenant", ""),
+                          keyShown="Authorization" in self.headers)  # fmt: skip
             cold = now_ms() - instance.up_at_ms < standin.args.cold_ms
             work_ms = standin.rng.uniform(0.6, 1.4) * standin.args.work_ms * (2 if cold else 1)
             time.sleep(work_ms / 1000)
