Priorities decide whose turn it is in holders' queues, a tenant's before its route's

Of four turns at an instance three go to the most urgent call, first come first, one to the call that has waited the longest; who may join a queue does not hang on ranks.

The warm-up rate's reckoning moved to the held instance; where tests planted a fault in it or asked whether a queue takes its last call, they do so at its new place, as strictly.

--- a/spokeroute/dispatch/configuration/models.py
+++ b/spokeroute/dispatch/configuration/models.py
@@ -113,7 +113,7 @@
 
     name: str
     key_digests: tuple[str, ...] = field(default=(), metadata=_written("keyDigests"))
-    priority: int = 0
+    priority: int = 0  # 0 is the most urgent; it goes before the route's
     regions: tuple[str, ...] = ()  # its calls run only there, besides what their route says
 
 
--- a/spokeroute/exchange/held_instance.py
+++ b/spokeroute/exchange/held_instance.py
@@ -21,6 +21,10 @@
 SAMPLE_MS = 1_000
 QUEUE_FACTOR = 4
 QUEUE_PLUS = 8
+COLD_FACTOR = 1.5
+COLD_PLUS_PER_S = 5.0
+RATE_WINDOW_MS = 2_000
+TURNS_IN_ROUND = 4  # of which one is of who has waited the longest
 QUEUED_TOLD_MS = 40  # a call that waits for this long is told to its entry
 COLD_SPAN_MS = 1_050  # a second, and what sends may crowd together on their way
 
@@ -47,6 +51,28 @@
     free_at_ms: Ms = Ms(-1)
 
 
+def in_turn(queue: tuple[Waiting, ...], turns: int) -> tuple[Waiting, ...]:
+    """Calls that wait, in the order in which they get their turns after so many: of four turns
+    one is of who has waited the longest, the others of the most urgent, first come first.
+
+    Example:
+        in_turn((), 0) == ()
+    """
+    ranks = {each.forward.rank for each in queue}
+    if len(ranks) < 2:
+        return queue
+    by_age = sorted(queue, key=lambda each: each.since_ms)
+    by_rank = sorted(by_age, key=lambda each: each.forward.rank)
+    order: list[Waiting] = []
+    while by_age:
+        oldest = (turns + len(order)) % TURNS_IN_ROUND == 0
+        chosen = by_age[0] if oldest else by_rank[0]
+        by_age.remove(chosen)
+        by_rank.remove(chosen)
+        order.append(chosen)
+    return tuple(order)
+
+
 @dataclass(frozen=True, slots=True)
 class HeldInstance:
     """One instance that this process holds, with its queue and its limit."""
@@ -73,6 +99,7 @@
     run_ms: float = 0.0  # how long a call usually takes there
     said: str = ""  # the last word that the core was told of it
     unheld: bool = False  # nobody living holds it: one call at a time, until somebody does
+    turns: int = 0  # how many calls it was handed
 
     @property
     def booting(self) -> bool:
@@ -165,17 +192,47 @@
         """
         return self.run_ms * (position + len(self.handed) / 2) / max(1, self.placed.limit)
 
-    def takes_last(self, wait_ms: int) -> bool:
-        """Whether the last call of the queue may stay: the queue is within its bound, and the
-        call's turn comes well within its wait.
+    def joined(self, waiting: Waiting) -> HeldInstance:
+        """With one call more in the queue, which stands in the order of turns.
+
+        Example:
+            HeldInstance(placed).joined(waiting).queue == (waiting,)
+        """
+        return replace(self, queue=in_turn((*self.queue, waiting), self.turns))
+
+    def without_room_for(self, forward: Forward) -> HeldInstance | None:
+        """Without a call that just came, as it may not stay in the queue: that is over its bound,
+        or the call's turn would come too late in its wait. None where it may, or is handed on.
+
+        Example:
+            HeldInstance(placed).without_room_for(forward) is None
+        """
+        found = (i for i, each in enumerate(self.queue) if each.forward is forward)
+        position = next(found, None)
+        if position is None:
+            return None
+        full = len(self.queue) > QUEUE_FACTOR * self.placed.limit + QUEUE_PLUS
+        if not full and self.turn_ms(position) <= WAIT_SHARE * forward.wait_left_ms:
+            return None
+        return replace(self, queue=(*self.queue[:position], *self.queue[position + 1 :]))
+
+    def _cold_room(self, now_ms: Ms) -> bool:
+        """Whether a cold instance may get one more: in any second one and a half times its own
+        rate, plus five."""
+        answered = sum(1 for at_ms in self.answered_ms if now_ms - at_ms < RATE_WINDOW_MS)
+        rate = answered * 1000.0 / RATE_WINDOW_MS
+        sent = sum(1 for at_ms in self.cold_ms if now_ms - at_ms < COLD_SPAN_MS)
+        return sent + 1 <= COLD_FACTOR * rate + COLD_PLUS_PER_S
+
+    def room(self, now_ms: Ms) -> bool:
+        """Whether a call may be handed to it now, by its limit and its warm-up rate.
 
         Example:
-            HeldInstance(placed).takes_last(500)
+            HeldInstance(placed).room(Ms(20))
         """
-        most = QUEUE_FACTOR * self.placed.limit + QUEUE_PLUS
-        if len(self.queue) > most:
+        if self.booting or len(self.handed) >= self.placed.limit:
             return False
-        return self.turn_ms(len(self.queue) - 1) <= WAIT_SHARE * wait_ms
+        return self.placed.warm or self._cold_room(now_ms)
 
     def handing(self, waiting: Waiting, now_ms: Ms) -> HeldInstance:
         """With a call handed to the instance.
@@ -188,7 +245,9 @@
         kept = [at_ms for at_ms in self.cold_ms if now_ms - at_ms < COLD_SPAN_MS]
         cold_ms = () if self.placed.warm else (*kept, now_ms)
         instance = self.sampled(now_ms)
-        return replace(instance, handed=instance.handed.set(attempt_id, handed), cold_ms=cold_ms)
+        turns = instance.turns + 1
+        more = instance.handed.set(attempt_id, handed)
+        return replace(instance, handed=more, cold_ms=cold_ms, turns=turns)
 
     def ended(self, done: AttemptDone, handed: Handed, run_ms: int, now_ms: Ms) -> HeldInstance:
         """After an attempt's end. One that may still run keeps its place until it can't.
--- a/spokeroute/exchange/moves.py
+++ b/spokeroute/exchange/moves.py
@@ -133,7 +133,8 @@
     forward = Forward(
         attempt_id, call.service.name, placed.id, placed.holder_incarnation, ask.method, path,
         shown_headers(state.tables.table, ask.headers, ask.credential), ask.body,
-        max(0, call.deadline_ms - now_ms), ask.attempt, call.tenant, picked.rule == UNHELD,
+        max(0, call.deadline_ms - now_ms), ask.attempt, call.tenant, call.rank,
+        picked.rule == UNHELD,
     )  # fmt: skip
     count = state.outstanding.get(placed.id, 0) + 1
     waits = state.waits
--- a/spokeroute/exchange/requeue.py
+++ b/spokeroute/exchange/requeue.py
@@ -64,7 +64,7 @@
 
 
 def ask_back(state: State, instance: str, free: int) -> tuple[State, Effects]:
-    """An instance has room: ask as many calls back, first those that wait for the longest time.
+    """An instance has room: ask as many calls back, first the most urgent, then by their age.
 
     Example:
         state, effects = ask_back(state, "a", 1)
@@ -77,7 +77,7 @@
         for call, attempt_id, each in _queued(state)
         if call.service.name == placed.service and each.instance != instance
     ]
-    here.sort(key=lambda found: (found[0].start_ms, found[1]))
+    here.sort(key=lambda found: (found[0].rank, found[0].start_ms, found[1]))
     effects: list[Effect] = []
     for call, attempt_id, each in here[:free]:
         asked = call.attempts.set(attempt_id, replace(each, asked_back=True))
--- a/spokeroute/transport/call_messages.py
+++ b/spokeroute/transport/call_messages.py
@@ -22,6 +22,7 @@
     wait_left_ms: int
     caller_attempt: str  # the caller's own id of the attempt; empty where it gives none
     tenant: str = ""  # in whose name it runs; empty: in nobody's
+    rank: int = 0  # how urgent it is; 0: the most
     guest: bool = False  # to this very process, for an instance that no living exchange holds
 
 
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -11,7 +11,8 @@
 from spokeroute.common.effects import SlotId
 from spokeroute.dispatch.placement import listing, placement, plan, upkeep
 from spokeroute.dispatch.scaling import scaler, scaling
-from spokeroute.exchange import budget, holder, types
+from spokeroute.exchange import budget, held_instance, holder, types
+from spokeroute.exchange.held_instance import HeldInstance
 from spokeroute.exchange.types import AttemptDone
 from spokeroute.register.replica import replica
 from tests.sim.cluster import Sim, configuration
@@ -289,12 +290,12 @@
 @pytest.mark.parametrize("plus", [3, 99])
 def test_cold_within_rate_speaks(sim: Sim, monkeypatch: pytest.MonkeyPatch, plus: int) -> None:
     sim.settle()
-    honest = holder._cold_room
+    honest = HeldInstance._cold_room
     if plus == 99:
-        monkeypatch.setattr(holder, "_cold_room", lambda seat, now_ms: True)
+        monkeypatch.setattr(HeldInstance, "_cold_room", lambda seat, now_ms: True)
     else:
-        monkeypatch.setattr(holder, "COLD_PLUS_PER_S", holder.COLD_PLUS_PER_S + plus)
-        assert holder._cold_room is honest
+        monkeypatch.setattr(held_instance, "COLD_PLUS_PER_S", held_instance.COLD_PLUS_PER_S + plus)
+        assert HeldInstance._cold_room is honest
     services = configuration()["services"]
     services[0] = {**services[0], "name": "fresh", "coldMs": 8_000}
     routes = [{"path": "/readings", "service": "fresh", "methods": ["POST"], "repeatable": True,
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -60,11 +60,21 @@
 
 
 def test_a_queue_takes_in_only_what_gets_its_turn_well_within_its_wait() -> None:
-    five = [waiting(f"c{n}") for n in range(5)]
-    assert held(*five).turn_ms(4) == 2_250.0
-    assert held(*five).takes_last(2_900)
-    assert not held(*five).takes_last(2_700)
-    assert held(*five, run_ms=0.0).takes_last(200)  # no run ended yet: taken in on trust
+    def without_room(left_ms: int, run_ms: float = 500.0) -> HeldInstance | None:
+        last = waiting("c4", left_ms)
+        queue = (*(waiting(f"c{n}") for n in range(4)), last)
+        return held(*queue, run_ms=run_ms).without_room_for(last.forward)
+
+    assert held().turn_ms(4) == 2_250.0
+    assert without_room(2_900) is None
+    left = without_room(2_700)
+    assert left is not None and [w.forward.attempt_id for w in left.queue] == [
+        "c0",
+        "c1",
+        "c2",
+        "c3",
+    ]
+    assert without_room(200, run_ms=0.0) is None  # no run ended yet: taken in on trust
 
 
 def test_an_entry_hears_once_that_a_call_waits_but_not_while_its_instance_starts() -> None:
