Soak: callers show tenants' keys that come, go and move, and every run is asked what it was shown

So that the class of the incident is looked for by real processes under signals, in both dialects. `comes_back` does not count calls that were refused for their keys: whether that was right is the new judges' word.

--- a/tools/soak/adapter.py
+++ b/tools/soak/adapter.py
@@ -13,10 +13,11 @@
 import urllib3
 
 from tools.fleet import ZONES, Fleet
-from tools.load import Load, now_ms
+from tools.load import bearer, now_ms
 from tools.log import Asked, Told
 from tools.ports import free_ports
 from tools.soak.clients import Wire
+from tools.soak.keys import KeyedLoad, keys_at, tenants_at
 
 ROOT = Path(__file__).parent.parent.parent
 HOST = "calls.example"
@@ -122,6 +123,7 @@
         "X-Attempt-Id": secrets.token_hex(8),
         "X-Deadline-Remaining": str(asked.wait_ms),
         "Standin-Call": asked.call,
+        **bearer(asked),
     }
 
 
@@ -137,7 +139,7 @@
     return f"{prefix_of(asked.path)}x"
 
 
-class AdapterLoad(Load):
+class AdapterLoad(KeyedLoad):
     """Operators and calls in the platform's words; the log keeps the product's."""
 
     def __init__(self, fleet: Fleet, doc: dict[str, Any], seed: int) -> None:
@@ -152,7 +154,7 @@
                 "name": f"r{at}", "hostname": HOST, "path-prefix": prefix_of(route["path"]),
                 "route-kind": "idempotent" if route.get("repeatable") else "non_idempotent",
                 "timeout-ms": timeout_ms if not at else 8_000, "target-latency-ms": 500,
-                "priority": 1, "service": route["service"], "max-attempts": 2,
+                "priority": 1, "service": route["service"], "max-attempts": 2, "public": False,
             }
             for at, route in enumerate(self.doc["routes"])
         ]  # fmt: skip
@@ -166,7 +168,14 @@
         ]  # fmt: skip
         limits = {"max-header-bytes": 16_384, "max-body-bytes": 262_144,
                   "header-timeout-ms": 4_000, "idle-timeout-ms": 15_000}  # fmt: skip
-        return {"version": version, "routes": routes, "services": services, "limits": limits}
+        tenants = [
+            {"name": name, "api-keys": keys, "priority": at}
+            for at, (name, keys) in enumerate(keys_at(version).items())
+        ]
+        return {
+            "version": version, "routes": routes, "services": services, "limits": limits,
+            "tenants": tenants,
+        }  # fmt: skip
 
     def apply(self) -> Told:
         """Send the next configuration; the operators draw their numbers from one row."""
@@ -177,7 +186,11 @@
         text = json.dumps(self.document(version, 8_000 + version % 50))
         self.documents[version] = text
         told = Told("apply", now_ms(), detail=f"v{version}", number=version)
-        told.sent = {"name": f"v{version}", "routes": self.doc["routes"]}
+        told.sent = {
+            "name": f"v{version}",
+            "routes": self.doc["routes"],
+            "tenants": tenants_at(version),
+        }
         self.told.append(told)
         return self.ask(told, "PUT", "/api/configuration", text.encode())
 
--- a/tools/soak/cloud_standin.py
+++ b/tools/soak/cloud_standin.py
@@ -141,7 +141,9 @@
             call = self.headers.get("Standin-Call", "")
             standin.write("run", instance=instance.id, service=instance.service, call=call,
                           attempt_id=attempt_id, running=running, limit=instance.limit,
-                          path=self.path, worker=instance.worker)  # fmt: skip
+                          path=self.path, worker=instance.worker,
+                          tenant=self.headers.get("X-Tenant-Name", ""),
+                          keyShown="Authorization" in self.headers)  # fmt: skip
             time.sleep(standin.rng.uniform(0.6, 1.4) * standin.args.work_ms / 1000)
             with standin.lock:
                 instance.running -= 1
--- a/tools/soak/judges.py
+++ b/tools/soak/judges.py
@@ -15,7 +15,8 @@
     success_is_whole,
     within_limit,
 )
-from tools.log import Down, Log
+from tools.key_judges import KEY_JUDGES, UNKNOWN_KEY
+from tools.log import Asked, Down, Log
 from tools.readback import acked_reads_back, one_content_a_number, refused_never_rules
 from tools.soak.records import Size, SoakLog
 
@@ -130,11 +131,17 @@
     return max(float(getattr(each, what)) for each in sizes)
 
 
+def _counts(asked: Asked) -> bool:
+    """Whether a call can be served: it ended, and its key was not refused as nobody's, of which the
+    judges of keys speak."""
+    return asked.status not in (-1, UNKNOWN_KEY)
+
+
 def comes_back(soak: SoakLog) -> list[str]:
     """Service is back within the bound after the last trouble, and so is the configuration."""
     found = [] if soak.read_back else ["the configuration could not be read at the end"]
     begin_ms = soak.last_trouble_ms + RECOVERY_MS
-    asked = [a for a in soak.log.asked if a.at_ms >= begin_ms and a.status != -1]
+    asked = [a for a in soak.log.asked if a.at_ms >= begin_ms and _counts(a)]
     served = [a for a in asked if 200 <= a.status < 300]
     if len(asked) >= RECOVERY_CALLS and len(served) < SERVED_SHARE * len(asked):
         found.append(f"{len(served)} of {len(asked)} calls are served after the last trouble")
@@ -157,7 +164,7 @@
 
 def recovery_ms(soak: SoakLog) -> float:
     """From the last trouble until calls are served as a rule again; -1 where that never came."""
-    asked = sorted((a for a in soak.log.asked if a.status != -1), key=lambda a: a.at_ms)
+    asked = sorted((a for a in soak.log.asked if _counts(a)), key=lambda a: a.at_ms)
     late = [a for a in asked if a.at_ms >= soak.last_trouble_ms]
     for at in range(len(late)):
         window = late[at : at + RECOVERY_CALLS]
@@ -171,6 +178,7 @@
 LOG_JUDGES = (
     once_never_twice, not_run_holds, success_is_whole, right_service, within_limit,
     evacuated_get_nothing, acked_reads_back, refused_never_rules, one_content_a_number,
+    *KEY_JUDGES,
 )  # fmt: skip
 SOAK_JUDGES: tuple[SoakJudge, ...] = (
     none_lost, one_final_answer, no_work_for_the_gone, ends_in_order, nothing_creeps, comes_back,
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -19,6 +19,7 @@
 from tools.soak.adapter import ADAPTER_WIRE, AdapterFleet, AdapterLoad
 from tools.soak.clients import OWN_WIRE, Client, Wire
 from tools.soak.judges import judge_soak, recovery_ms
+from tools.soak.keys import KeyedLoad
 from tools.soak.plan import Act, plan_of
 from tools.soak.records import SoakLog
 from tools.soak.region_fleet import RegionFleet
@@ -102,7 +103,7 @@
         )
 
     def _played(self) -> SoakLog:
-        load_of = AdapterLoad if isinstance(self.fleet, AdapterFleet) else Load
+        load_of = AdapterLoad if isinstance(self.fleet, AdapterFleet) else KeyedLoad
         load = load_of(self.fleet, self.doc, self.seed)
         load.small = load.small[:SMALL_SHARE]
         self._await_service(load)
