The adapter refuses what asks for more than plain HTTP/1.1, and tells ways that it doesn't know

Cause: the incident's, elsewhere: `tls-enabled` and `protocol` of a service were left out in translation, so one that asks for TLS would have been called in plain text; `config_mode`, `discovery` and `entry` were not read.

Ruled out as the same cause: unknown fields of the product's own configurations and Gateway API manifests, which are refused by name.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -131,6 +131,8 @@
     assert unknown_contracts(read_lines(LINES)) == ()
     named = read_lines(LINES + "active-contracts=base,drain, tides,functions\n")
     assert unknown_contracts(named) == ("tides",)
+    other_way = read_lines(LINES + "config_mode=lowest\nentry=virtual_ip\ndiscovery=cloud_api\n")
+    assert unknown_contracts(other_way) == ("config_mode=lowest",)
 
 
 def test_a_field_that_nothing_goes_by_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
@@ -173,6 +175,8 @@
     [
         {"routes": 5},
         {"services": []},
+        {"services": [{**x, "tls-enabled": True} for x in document()["services"]]},
+        {"services": [{**x, "protocol": "h2"} for x in document()["services"]]},
         {"routes": [{**document()["routes"][0], "timeout-ms": 0}]},
         {"routes": [{**document()["routes"][0], "service": "none"}]},
         {"routes": [document()["routes"][0]] * 2},
