Judges of keys: a run before any configuration is in nobody's name

Cause: logs of tests/test_soak.py have runs and no configuration, or one that comes later; the judge found no configuration in force and spoke at 16 of its cases, each of them another judge's. A run that no route of any configuration allows is right_service's word.

--- a/tools/key_judges.py
+++ b/tools/key_judges.py
@@ -27,7 +27,7 @@
             continue
         from_ms = run.at_ms - _away_ms(log, a.exchange, run.at_ms)
         names = {_tenant(a, ruling) for ruling in rulings.within(from_ms, run.at_ms)}
-        if run.tenant not in names:
+        if run.tenant not in (names or {""}):  # before any configuration it is nobody's
             found.append(f"{run.call} ran in the name of {run.tenant!r}")
     return found
 
