--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -30,7 +30,7 @@
 from spokeroute.dispatch.placement.table import UP, Placed
 from spokeroute.exchange import calls, entry, holder
 from spokeroute.exchange.budget import Budget
-from spokeroute.exchange.calls import _lost_holders
+from spokeroute.exchange.lost_holders import lose_moved
 from spokeroute.exchange.reasons import NOT_HELD
 from spokeroute.exchange.types import Tables
 from spokeroute.transport.call_messages import (
@@ -117,7 +117,7 @@
         tables = open_.tables
         other = {p.id: replace(p, holder=NodeId("ex9")) for p in tables.floor.instances}
         moved = replace(tables, by_id=Map(other))
-        state, effects = _lost_holders(replace(open_, tables=moved), node.now_ms())
+        state, effects = lose_moved(replace(open_, tables=moved), node.now_ms())
         assert effects == () and state.calls == open_.calls
     safe.run(3_000)
     assert [a.status for a in asked] == [200] * 6
