--- a/spokeroute/exchange/requests.py
+++ b/spokeroute/exchange/requests.py
@@ -5,7 +5,12 @@
 from functools import lru_cache
 
 from spokeroute.common.answers import Answer, Ran, problem
+from spokeroute.common.effects import SlotId
+from spokeroute.common.ids import CallId
+from spokeroute.exchange.types import CallIn
+from spokeroute.http.dialect import CallerDialect
 from spokeroute.http.framing import HOP
+from spokeroute.http.parser import Parser
 from spokeroute.transport.call_messages import Pairs
 
 DROPPED = HOP | {"expect", "http2-settings"}
@@ -92,3 +97,44 @@
     """
     kept = tuple(header for header in headers if header[0].lower() != name)
     return kept, tuple(header for header in headers if header[0].lower() == name)
+
+
+class CallReader:
+    """Reads whole requests as calls, by how callers speak.
+
+    Example:
+        CallReader(CallerDialect()).wait(request) == "700"
+    """
+
+    def __init__(self, dialect: CallerDialect) -> None:
+        self.wait_key = header_key(dialect.wait_header)
+        self.attempt_key = header_key(dialect.attempt_header)
+        self.once_key = header_key(dialect.key_header)
+        self.client_key = header_key(dialect.client_header)
+        self.credential_name = dialect.credential_header.lower()
+
+    def wait(self, request: Parser) -> str:
+        """How long the caller waits, as it says so.
+
+        Example:
+            reader.wait(request) == "700"
+        """
+        return request.headers.get(self.wait_key, "")
+
+    def call(
+        self, request: Parser, slot: SlotId, call_id: CallId, address: str, path: str,
+        waited_ms: int,
+    ) -> CallIn:  # fmt: skip
+        """The call that a request asks for; its credential stands apart from what is passed on.
+
+        Example:
+            reader.call(request, slot, CallId("ex1-0"), "10.0.0.9", "/readings", 0).path
+        """
+        headers = request.headers
+        shown, credential = without_credential(passed_on(headers), self.credential_name)
+        body = request.get_body_stream().read() if request.body_rcv is not None else b""
+        return CallIn(
+            slot, call_id, headers.get(self.client_key) or address, request.command, path,
+            request.query, shown, body, self.wait(request), headers.get(self.once_key, ""),
+            waited_ms, request.host, headers.get(self.attempt_key, ""), request.target, credential,
+        )  # fmt: skip
