--- a/tools/soak/judges.py
+++ b/tools/soak/judges.py
@@ -26,7 +26,7 @@
 MOST_GONE = 3
 RECOVERY_MS = 12_000.0
 RECOVERY_CALLS = 20
-SERVED_SHARE = 0.9
+SERVED_SHARE = 0.95  # of the calls that their clients did not leave
 GROWTH, MORE_DESCRIPTORS, MORE_THREADS, MORE_MB = 1.5, 64, 24, 24.0
 
 SoakJudge = Callable[[SoakLog], list[str]]
@@ -132,9 +132,9 @@
 
 
 def _counts(asked: Asked) -> bool:
-    """Whether a call can be served: it ended, and its key was not refused as nobody's, of which the
-    judges of keys speak."""
-    return asked.status not in (-1, UNKNOWN_KEY)
+    """Whether a call can be served: it ended, its client did not leave it, and its key was not
+    refused as nobody's, of which the judges of keys speak."""
+    return asked.status not in (-1, UNKNOWN_KEY) and asked.kind != "left"
 
 
 def comes_back(soak: SoakLog) -> list[str]:
@@ -144,7 +144,11 @@
     asked = [a for a in soak.log.asked if a.at_ms >= begin_ms and _counts(a)]
     served = [a for a in asked if 200 <= a.status < 300]
     if len(asked) >= RECOVERY_CALLS and len(served) < SERVED_SHARE * len(asked):
-        found.append(f"{len(served)} of {len(asked)} calls are served after the last trouble")
+        ends = Counter(f"{a.status} {a.kind}".strip() for a in asked).most_common()
+        found.append(
+            f"{len(served)} of {len(asked)} calls are served after the last trouble: "
+            + ", ".join(f"{count} {end}" for end, count in ends)
+        )
     return found
 
 
