--- a/review/harness.py
+++ b/review/harness.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -636,6 +637,9 @@
     work_s: Callable[[str], float] = lambda service: 0.045,
 ) -> int:  # fmt: skip
     """Run a case; 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(
+        signal.SIGTERM, lambda number, frame: sys.exit(2)
+    )  # what was started is ended too
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(case / "record.txt")
     record.write("case", trouble=trouble)
