--- a/review/harness.py
+++ b/review/harness.py
@@ -34,6 +34,7 @@
 WORKERS_PER_ZONE = 2
 WORKER_MB = 7_395
 LIST_LAG_S = 0.8
+STOPS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 CONTACT_S = 4.0  # contact-timeout-ms
 ACKNOWLEDGE_S = 5.0  # acknowledge-ms
 SILENCE_S = 1.0  # after which the operator turns to another node
@@ -637,9 +638,8 @@
     work_s: Callable[[str], float] = lambda service: 0.045,
 ) -> int:  # fmt: skip
     """Run a case; 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    signal.signal(
-        signal.SIGTERM, lambda number, frame: sys.exit(2)
-    )  # what was started is ended too
+    for number in STOPS:  # what was started is ended too
+        signal.signal(number, lambda number, frame: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(case / "record.txt")
     record.write("case", trouble=trouble)
@@ -655,6 +655,8 @@
         print(f"the case could not run: {fault}")
         return 2
     finally:
+        for number in STOPS:  # a second one does not cut this short
+            signal.signal(number, signal.SIG_IGN)
         fleet.end()
         platform.end()
     for line in broken:
