--- a/spokeroute/common/bounds.py
+++ b/spokeroute/common/bounds.py
@@ -34,6 +34,10 @@
     budget_window_ms: int = 10_000
     budget_extra: float = 36.0
     """Second sends in a window, over all exchanges, on top of the ratio."""
+    cold_overshoot: float = 1.5
+    """How many times its stated rate a cold instance may get in a second, and"""
+    cold_start_slack: float = 5.0
+    """so many calls more."""
     starts_per_s: float = 80.0
     starts_burst: float = 15.0
     list_ms: int = 400
--- a/spokeroute/dispatch/configuration/models.py
+++ b/spokeroute/dispatch/configuration/models.py
@@ -69,7 +69,8 @@
     spares: int = 1
     idle_ms: int = field(default=60_000, metadata=_aliased("idleMs"))
     connections: int = 1_000
-    cold_per_s: float = field(default=0.0, metadata=_aliased("coldPerS"))
+    cold_per_s: float | None = field(default=None, metadata=_aliased("coldPerS"))
+    """Calls a second that an instance handles while it is cold; None: found by what it answers."""
 
 
 @dataclass(frozen=True)
--- a/spokeroute/dispatch/configuration/validation.py
+++ b/spokeroute/dispatch/configuration/validation.py
@@ -88,6 +88,10 @@
     ]
 
 
+MAX_COLD_PER_S = 1_000_000
+MAX_COLD_MS = 86_400_000
+
+
 def _check_service(path: str, service: Service, names: set[str]) -> list[Fault]:
     faults: list[Fault] = []
     if not service.name or len(service.name) > 64 or not service.name.replace("-", "").isalnum():
@@ -103,7 +107,7 @@
         ("limit", service.limit, 1, 1000),
         ("startMs", service.start_ms, 0, 120_000),
         ("longestRunMs", service.longest_run_ms, 10, 60_000),
-        ("coldMs", service.cold_ms, 0, 120_000),
+        ("coldMs", service.cold_ms, 0, MAX_COLD_MS),
         ("minInstances", service.min_instances, 0, 100),
         ("spares", service.spares, 0, 3),
         ("idleMs", service.idle_ms, 1_000, 86_400_000),
@@ -111,6 +115,10 @@
     ):
         if not low <= value <= high:
             faults.append(Fault(f"{path}.{name}", f"is {value}", f"choose {low} to {high}"))
+    if service.cold_per_s is not None and not 0 <= service.cold_per_s <= MAX_COLD_PER_S:
+        faults.append(
+            Fault(f"{path}.coldPerS", f"is {service.cold_per_s}", f"choose 0 to {MAX_COLD_PER_S}")
+        )
     return faults
 
 
--- a/spokeroute/dispatch/placement/planning_pass.py
+++ b/spokeroute/dispatch/placement/planning_pass.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from spokeroute.common.bounds import Bounds
 from spokeroute.common.ids import (
     Address,
     Incarnation,
@@ -72,6 +73,7 @@
     places: Places = Places()
     switches: Switches = Switches()
     addresses: Mapping[NodeId, Address] = field(default_factory=dict)  # of exchanges
+    bounds: Bounds = Bounds()
 
 
 @dataclass(frozen=True, slots=True)
--- a/spokeroute/dispatch/scaling/service_scaling.py
+++ b/spokeroute/dispatch/scaling/service_scaling.py
@@ -7,8 +7,11 @@
 from spokeroute.dispatch.configuration.configuration import Service
 from spokeroute.dispatch.placement.planning_pass import PlanningPass
 from spokeroute.dispatch.placement.table import DRAINING, STARTING, UP, Placed
+from spokeroute.dispatch.scaling.cold_rate import cold_rate_of, is_never_cold
 from spokeroute.dispatch.scaling.sizing import (
+    ALL_WARM,
     Demand,
+    Warming,
     best_worker,
     boot_fits,
     free_memory_of,
@@ -65,7 +68,8 @@
     running = sum(1 for p in counted_instances if p.state == UP)
     lone = seen.switches.lone_spare
     warm_aim_ms = _kept_warm_aim_ms(work, service)
-    wanted = wanted_of(service, demand, running, seen.now_ms, warm_aim_ms, _bounded(work))
+    warming = _warming(work, service, counted_instances)
+    wanted = wanted_of(service, demand, running, seen.now_ms, warm_aim_ms, _bounded(work), warming)
     aim_ms = seen.table.aim_ms.get(service.name, 0)
     total = wanted + spares_of(service, demand, wanted, seen.now_ms, aim_ms, lone)
     if len(counted_instances) < total:
@@ -85,6 +89,14 @@
     return work.seen.switches.bounded_growth
 
 
+def _warming(work: PlanningPass, service: Service, counted_instances: list[Placed]) -> Warming:
+    """How many instances are warm, for a service that states what a cold one handles."""
+    rate = cold_rate_of(service, work.seen.bounds)
+    if rate is None or is_never_cold(service):
+        return ALL_WARM
+    return Warming(sum(1 for p in counted_instances if p.state == UP and p.warm), rate.most_per_s)
+
+
 def _inputs(
     work: PlanningPass,
     service: Service,
@@ -94,7 +106,10 @@
 ) -> dict[str, object]:
     """The inputs of a scaling decision, for its ledger entry."""
     seen = work.seen
+    warming = _warming(work, service, counted_instances)
+    limited = {"warm": warming.warm, "coldPerS": warming.cold_per_s} if warming.cold_per_s else {}
     return {
+        **limited,
         "service": service.to_dict(),
         "level": demand.level,
         "waiting": demand.waiting,
--- a/spokeroute/exchange/held_instance.py
+++ b/spokeroute/exchange/held_instance.py
@@ -10,6 +10,12 @@
 from spokeroute.common.ids import Ms, NodeId
 from spokeroute.common.replacing import replace
 from spokeroute.dispatch.placement.table import DRAINING, STARTING, Placed
+from spokeroute.dispatch.scaling.cold_rate import (
+    RATE_SECOND_MS,
+    TAKEOVER_WAIT_MS,
+    ColdRate,
+    arrivals_in_second,
+)
 from spokeroute.exchange.connect import ConnectJob
 from spokeroute.exchange.reasons import Cause, caused_by
 from spokeroute.exchange.types import WAIT_SHARE, AttemptDone
@@ -100,6 +106,10 @@
     reported_status: str = ""  # the last status that the registries were sent
     unheld: bool = False  # it has no live holder: one call at a time until it has one
     dispatch_count: int = 0
+    cold_rate: ColdRate | None = None  # stated for its service; None: by what it answers
+    cold_ends_ms: tuple[Ms, ...] = ()  # ends of calls that reached it cold, within a second
+    cold_from_ms: Ms = Ms(-1)  # nothing is sent while it is cold before this
+    fresh: bool = False  # no process can have sent to it before this one held it
 
     @property
     def booting(self) -> bool:
@@ -190,7 +200,10 @@
         Example:
             HeldInstance(placed).estimated_wait_ms(3) == 0.0
         """
-        return self.run_ms * (position + len(self.in_flight) / 2) / max(1, self.placed.limit)
+        run_wait_ms = self.run_ms * (position + len(self.in_flight) / 2) / max(1, self.placed.limit)
+        if self.placed.warm or self.cold_rate is None:
+            return run_wait_ms
+        return max(run_wait_ms, position * RATE_SECOND_MS / self.cold_rate.most_per_s)
 
     def with_queued(self, queued: QueuedCall) -> HeldInstance:
         """With one more call in the queue, which is kept in dispatch order.
@@ -224,15 +237,30 @@
         sent = sum(1 for at_ms in self.cold_sends_ms if now_ms - at_ms < WARM_UP_WINDOW_MS)
         return sent + 1 <= WARM_UP_FACTOR * rate + WARM_UP_EXTRA_PER_S
 
-    def has_capacity(self, now_ms: Ms) -> bool:
-        """Whether its limit and its warm-up rate allow one more call now.
+    def has_capacity(self, now_ms: Ms, proof_age_ms: int = 0) -> bool:
+        """Whether its limit and its warm-up rate allow one more call now, by a proof of this age.
 
         Example:
             HeldInstance(placed).has_capacity(Ms(20))
         """
         if self.booting or len(self.in_flight) >= self.placed.limit:
             return False
-        return self.placed.warm or self._warm_up_allows(now_ms)
+        if self.placed.warm:
+            return True
+        if self.cold_rate is None:
+            return self._warm_up_allows(now_ms)
+        arrivals = arrivals_in_second(self.cold_ends_ms, len(self.in_flight), now_ms)
+        return now_ms >= self.cold_from_ms and arrivals < self.cold_rate.allowed(proof_age_ms)
+
+    def with_takeover_wait(self, now_ms: Ms) -> HeldInstance:
+        """Taken over from a holder that may have sent calls lately, and may still trickle.
+
+        Example:
+            HeldInstance(placed).with_takeover_wait(Ms(20)).cold_from_ms > 20
+        """
+        if self.cold_rate is None:
+            return self
+        return replace(self, cold_from_ms=Ms(now_ms + TAKEOVER_WAIT_MS))
 
     def with_dispatched(self, queued: QueuedCall, now_ms: Ms) -> HeldInstance:
         """With a call dispatched to the instance.
@@ -268,6 +296,8 @@
             instance = replace(self, in_flight=self.in_flight.set(done.attempt_id, pending))
         else:
             instance = replace(self, in_flight=self.in_flight.delete(done.attempt_id))
+        if done.ran != Ran.NO or caused_by(done.reason, Cause.REFUSED):
+            instance = instance._with_cold_end(now_ms)
         if done.ran == Ran.YES:
             return replace(
                 instance, answered=instance.answered + 1,
@@ -279,6 +309,13 @@
             return replace(instance, failures=instance.failures + 1, confirmed=done.confirmed)
         return instance
 
+    def _with_cold_end(self, now_ms: Ms) -> HeldInstance:
+        """After the end of a call that reached it."""
+        if self.placed.warm or self.cold_rate is None:
+            return replace(self, cold_ends_ms=()) if self.cold_ends_ms else self
+        recent = [at_ms for at_ms in self.cold_ends_ms if now_ms - at_ms < RATE_SECOND_MS]
+        return replace(self, cold_ends_ms=(*recent, now_ms))
+
     def with_expired_removed(self, now_ms: Ms) -> HeldInstance:
         """Without the unanswered attempts that can no longer be running.
 
--- a/spokeroute/exchange/unheld.py
+++ b/spokeroute/exchange/unheld.py
@@ -7,6 +7,7 @@
 from spokeroute.common.ids import Incarnation, Ms
 from spokeroute.common.replacing import replace
 from spokeroute.dispatch.placement.table import Placed
+from spokeroute.dispatch.scaling.cold_rate import is_held_only
 from spokeroute.exchange.call_state import State, lost_instances
 from spokeroute.exchange.pick import UNHELD_RULE, Picked, instances_for, usable
 from spokeroute.exchange.types import Call
@@ -26,6 +27,7 @@
         for placed in instances_for(call, tables, state.places)
         if (placed.holder == "" or lost(placed))
         and usable(replace(placed, holder=state.me), tables)
+        and not is_held_only(placed, tables.table)
         and placed.id not in call.tried_instances
         and state.avoided_until_ms.get(placed.id, -1) <= now_ms
         and state.draining_until_ms.get(placed.id, -1) <= now_ms
--- a/tests/sim/cluster.py
+++ b/tests/sim/cluster.py
@@ -26,6 +26,7 @@
 from tests.sim.net import Net
 from tests.sim.platform import Platform
 from tests.sim.world import Node
+from tools.judges import COLD_FACTOR, COLD_PLUS
 from tools.log import Asked, Down, Log, Return, Told
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
@@ -114,6 +115,7 @@
         self.returns: list[Return] = []
         self.entered: dict[str, float] = {}  # ledger entry -> when a first disk had it
         self.cold_ms: dict[str, float] = {}
+        self.cold_bounds: dict[str, float] = {}
         self.env.process(self._watch())
 
     def draw(self) -> int:
@@ -193,6 +195,9 @@
         told = Told("apply", self.env.now, number=number, order_id=order_id)
         told.detail, told.sent = str(doc.get("name", "")), doc
         self.cold_ms.update({x["name"]: x.get("coldMs", 2000) for x in doc["services"]})
+        for each in doc["services"]:
+            if each.get("coldPerS") is not None:
+                self.cold_bounds[each["name"]] = COLD_FACTOR * each["coldPerS"] + COLD_PLUS
         self.told.append(told)
         node = self.registries[registry]
         node.ask(
@@ -337,6 +342,7 @@
             self.env.now, self.asked, platform.runs, platform.answers, self.told,
             self.cold_ms, drained, platform.shown_gone_ms, platform.dead_sends, self.downs,
             platform.dials, platform.shown_empty, platform.stop_ms, platform.starts, self.returns,
+            self.cold_bounds, platform.turned_cold,
         )  # fmt: skip
 
     def close(self) -> None:
--- a/tests/sim/platform.py
+++ b/tests/sim/platform.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections.abc import Generator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import simpy
@@ -20,7 +20,7 @@
 from spokeroute.dispatch.scaling.sizing import ListedWorker
 from spokeroute.exchange.connect import ConnectDone, ConnectJob
 from spokeroute.exchange.types import AttemptDone, SendAttempt
-from tools.log import Dial, Emptied, Run
+from tools.log import Dial, Emptied, Run, TurnedCold
 
 Steps = Generator[Any, Any, None]
 
@@ -41,6 +41,8 @@
     gone_at_ms: float = -1.0
     running: int = 0
     behave: str = "well"  # garbage, short, late, dies, lost
+    cold_until_ms: float = 0.0  # after it turned cold again
+    arrivals_ms: list[float] = field(default_factory=list)
 
 
 class Platform:
@@ -89,8 +91,25 @@
         self.lost_answers = 0  # so many starts are carried out, and their answers lost
         self.full: list[tuple[float, str]] = []  # starts that found no room, and where
         self.knocks: list[tuple[float, str, bool]] = []  # plain connects, and what came of them
+        self.turned_cold: list[TurnedCold] = []
+        self.cold_falls: dict[str, tuple[float, float]] = {}  # service -> cold ms, falls over at
         env.process(self._snap())
 
+    def turn_cold(self, name: str, for_ms: float) -> None:
+        """A running instance is cold again; the list tells how much longer."""
+        until_ms = self.env.now + for_ms
+        self.servers[name].cold_until_ms = until_ms
+        self.turned_cold.append(TurnedCold(name, self.env.now, until_ms))
+
+    def _falls_over(self, server: Server) -> bool:
+        """Whether an instance gets well above what it takes while it is cold."""
+        cold_ms, falls_at = self.cold_falls.get(server.service, (0.0, 0.0))
+        now_ms = self.env.now
+        server.arrivals_ms = [at_ms for at_ms in server.arrivals_ms if at_ms > now_ms - 1_000]
+        server.arrivals_ms.append(now_ms)
+        cold = now_ms < max(server.up_at_ms + cold_ms, server.cold_until_ms)
+        return cold and falls_at > 0 and len(server.arrivals_ms) > falls_at
+
     def seat(self, worker: str) -> ListedWorker:
         return next(s for s in self.seats if s.id == worker)
 
@@ -109,6 +128,7 @@
                     WorkerId(s.worker),
                     Address(s.address),
                     s.state,
+                    max(0, int(s.cold_until_ms - self.env.now)),
                 )
                 for s in self.servers.values()
                 if not (self.own_names and s.state == "starting")
@@ -321,6 +341,10 @@
             self.turned_away_ms.append(self.env.now)
             answered.succeed(("turned away", b""))
             return
+        if self._falls_over(server):
+            self.end(server.id)
+            answered.succeed(("lost", b""))
+            return
         server.running += 1
         call = heads.get("standin-call", "")
         run = Run(
--- a/tests/test_judges.py
+++ b/tests/test_judges.py
@@ -11,7 +11,7 @@
 from spokeroute.common.effects import SlotId
 from spokeroute.dispatch.placement import listing, placement, plan, timers
 from spokeroute.dispatch.scaling import service_scaling, sizing
-from spokeroute.exchange import budget, held_instance, holder, types
+from spokeroute.exchange import budget, held_instance, holder_state, types
 from spokeroute.exchange.held_instance import HeldInstance
 from spokeroute.exchange.types import AttemptDone
 from spokeroute.register.replica import replica
@@ -41,7 +41,7 @@
 def never_stale(monkeypatch: pytest.MonkeyPatch) -> None:
     """A lease without end: copies decide although nothing proves them."""
     monkeypatch.setattr(replica, "LEASE_MS", 10**9)
-    monkeypatch.setattr(holder, "FRESH_MARGIN_MS", -(10**9))
+    monkeypatch.setattr(holder_state, "FRESH_MARGIN_MS", -(10**9))
     monkeypatch.setattr(types.Tables, "fresh", lambda self, now_ms: self.table is not None)
     monkeypatch.setattr(types.Tables, "routes_current", lambda tables, now_ms: True)
 
--- a/tools/judges.py
+++ b/tools/judges.py
@@ -23,6 +23,7 @@
 WINDOW_MS = 10_000.0
 COLD_FACTOR = 1.5
 COLD_PLUS = 5.0
+COLD_TOLD_MS = 3_000.0
 RATE_MS = 2_000.0
 BACK_MS = 12_000.0
 LEVEL_MS = 5_000.0
@@ -236,7 +237,8 @@
     found: list[str] = []
     by_instance: dict[str, list[Run]] = defaultdict(list)
     for run in log.runs:
-        by_instance[run.instance].append(run)
+        if run.service not in log.cold_bounds:
+            by_instance[run.instance].append(run)
     for name, runs in by_instance.items():
         cold = sorted(r.at_ms for r in runs if r.cold_for_ms < log.cold_ms.get(r.service, 0.0))
         done = sorted(r.done_ms for r in runs if r.done_ms >= 0)
@@ -253,6 +255,32 @@
     return found
 
 
+def cold_within_stated_rate(log: Log) -> list[str]:
+    """A cold instance whose service states a rate gets at most 1.5 times that, plus five, in any
+    second, from all processes together. One that turned cold again counts once the platform's list
+    had the time to tell."""
+    told_by_ms = {each.instance: each.from_ms + COLD_TOLD_MS for each in log.turned_cold}
+    warm_again_ms = {each.instance: each.to_ms for each in log.turned_cold}
+    cold: dict[str, list[float]] = defaultdict(list)
+    bounds: dict[str, float] = {}
+    for run in log.runs:
+        bound = log.cold_bounds.get(run.service)
+        if bound is None:
+            continue
+        started = run.cold_for_ms < log.cold_ms.get(run.service, 0.0)
+        from_ms = told_by_ms.get(run.instance, float("inf"))
+        if started or from_ms <= run.at_ms < warm_again_ms.get(run.instance, 0.0):
+            cold[run.instance].append(run.at_ms)
+            bounds[run.instance] = bound
+    found: list[str] = []
+    for name, times in cold.items():
+        times.sort()
+        most = max(i + 1 - bisect_right(times, at_ms - 1_000) for i, at_ms in enumerate(times))
+        if most > bounds[name]:
+            found.append(f"{name}: {most} in a second while cold, {bounds[name]:g} is the most")
+    return found
+
+
 def within_limit(log: Log) -> list[str]:
     """An instance never runs more at once than it may."""
     return [
@@ -290,7 +318,7 @@
     once_never_twice, not_run_holds, one_answer_in_time, success_is_whole, right_service,
     newest_rules, evacuated_get_nothing, drained_get_nothing, vanished_get_nothing,
     seconds_within_share,
-    cold_within_rate, within_limit, acked_reads_back, refused_never_rules,
+    cold_within_rate, cold_within_stated_rate, within_limit, acked_reads_back, refused_never_rules,
     one_content_a_number, back_within, *KEY_JUDGES,
 )  # fmt: skip
 
--- a/tools/log.py
+++ b/tools/log.py
@@ -103,6 +103,15 @@
     back_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class TurnedCold:
+    """A warm instance was cold again for a while."""
+
+    instance: str
+    from_ms: float
+    to_ms: float
+
+
 @dataclass
 class Log:
     """A whole run's log. Times are of one clock."""
@@ -122,3 +131,5 @@
     stop_ms: dict[str, float] = field(default_factory=dict)  # instance -> its stop was asked for
     starts: list[tuple[float, str]] = field(default_factory=list)  # when, and in which zone
     returns: list[Return] = field(default_factory=list)
+    cold_bounds: dict[str, float] = field(default_factory=dict)  # service -> a second, if stated
+    turned_cold: list[TurnedCold] = field(default_factory=list)
