Soak: cold instances of busy services state a rate, and a judge counts what they get

The soak had no service with a stated rate, so changes of holders among real processes were not judged by it.

--- a/tools/load.py
+++ b/tools/load.py
@@ -27,7 +27,7 @@
 
 from tools.faults import RETURNS, SCENARIOS, events
 from tools.fleet import Fleet
-from tools.judges import judge, level
+from tools.judges import COLD_FACTOR, COLD_PLUS, judge, level
 from tools.log import Asked, Emptied, Log, Return, Run, Told
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -187,6 +187,17 @@
         pool.shutdown(wait=True)
 
 
+def cold_bounds_of(doc: dict[str, Any]) -> dict[str, float]:
+    """The most calls a second that a cold instance may get, of the services that state a rate.
+
+    Example:
+        >>> cold_bounds_of({"services": [{"name": "a", "coldPerS": 10.0}, {"name": "b"}]})
+        {'a': 20.0}
+    """
+    stated = {x["name"]: x["coldPerS"] for x in doc["services"] if "coldPerS" in x}
+    return {name: COLD_FACTOR * rate + COLD_PLUS for name, rate in stated.items()}
+
+
 def read_log(folder: Path, load: Load, zones: list[str]) -> Log:
     """The stand-in's log and the callers' own, as the judges want them."""
     runs: list[Run] = []
@@ -231,6 +242,7 @@
     return Log(
         now_ms(), load.asked, runs, answers, load.told, cold, downs=load.fleet.downs,
         emptied=emptied, stop_ms=stops, starts=starts, returns=load.returns,
+        cold_bounds=cold_bounds_of(load.doc),
     )  # fmt: skip
 
 
--- a/tools/soak/adapter.py
+++ b/tools/soak/adapter.py
@@ -161,8 +161,9 @@
         services = [
             {
                 "name": each["name"], "memory-mb": each["memoryMb"], "boot-ms": each["startMs"],
-                "max-concurrency": each["limit"], "connection-limit": 200, "cold-per-s": 0.0,
-                "cold-start-s": 0.0,
+                "max-concurrency": each["limit"], "connection-limit": 200,
+                "cold-per-s": each.get("coldPerS", 0.0),
+                "cold-start-s": each["coldMs"] / 1_000 if "coldPerS" in each else 0.0,
             }
             for each in self.doc["services"]
         ]  # fmt: skip
--- a/tools/soak/judges.py
+++ b/tools/soak/judges.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from tools.judges import (
+    cold_within_stated_rate,
     evacuated_get_nothing,
     not_run_holds,
     once_never_twice,
@@ -186,8 +187,8 @@
 
 LOG_JUDGES = (
     once_never_twice, not_run_holds, success_is_whole, right_service, within_limit,
-    evacuated_get_nothing, acked_reads_back, refused_never_rules, one_content_a_number,
-    *KEY_JUDGES,
+    evacuated_get_nothing, cold_within_stated_rate, acked_reads_back, refused_never_rules,
+    one_content_a_number, *KEY_JUDGES,
 )  # fmt: skip
 SOAK_JUDGES: tuple[SoakJudge, ...] = (
     none_lost, one_final_answer, no_work_for_the_gone, ends_in_order, nothing_creeps, comes_back,
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -34,6 +34,7 @@
 READ_BACK_S = 20.0
 ACTS_S = 60.0  # most time that acts may take beyond the run
 MOST_CALLS = 200_000
+COLD_PER_S = 10.0  # that an instance of a busy service handles while it is cold
 SMALL_SHARE = 12  # routes to sleeping functions that are called
 
 
@@ -63,6 +64,9 @@
         self.seed = seed
         self.seconds = seconds
         self.doc: dict[str, Any] = json.loads((EXAMPLES / "tooluur.json").read_text())
+        for each in self.doc["services"]:
+            if each.get("minInstances", 0):
+                each["coldPerS"] = COLD_PER_S
         limits = {each["name"]: each["limit"] for each in self.doc["services"]}
         self.fleet: Fleet
         if adapter:
