--- a/spokeroute/dispatch/scaling/cold_rate.py
+++ b/spokeroute/dispatch/scaling/cold_rate.py
@@ -69,13 +69,13 @@
 
 
 def cold_rate_of(service: Service | None, bounds: Bounds) -> ColdRate | None:
-    """The rates for a service's cold instances; None if it states no rate.
+    """The rates for a service's cold instances; None if it states no rate, or they are never cold.
 
     Example:
         >>> cold_rate_of(Service("s", 128, 4, cold_per_s=10.0), Bounds())
         ColdRate(most_per_s=16, trickle_per_s=2)
     """
-    if service is None or service.cold_per_s is None:
+    if service is None or service.cold_per_s is None or is_never_cold(service):
         return None
     return ColdRate.within(service.cold_per_s * bounds.cold_overshoot + bounds.cold_start_slack)
 
--- a/spokeroute/dispatch/scaling/service_scaling.py
+++ b/spokeroute/dispatch/scaling/service_scaling.py
@@ -7,7 +7,7 @@
 from spokeroute.dispatch.configuration.configuration import Service
 from spokeroute.dispatch.placement.planning_pass import PlanningPass
 from spokeroute.dispatch.placement.table import DRAINING, STARTING, UP, Placed
-from spokeroute.dispatch.scaling.cold_rate import cold_rate_of, is_never_cold
+from spokeroute.dispatch.scaling.cold_rate import cold_rate_of
 from spokeroute.dispatch.scaling.sizing import (
     ALL_WARM,
     Demand,
@@ -92,7 +92,7 @@
 def _warming(work: PlanningPass, service: Service, counted_instances: list[Placed]) -> Warming:
     """How many instances are warm, for a service that states what a cold one handles."""
     rate = cold_rate_of(service, work.seen.bounds)
-    if rate is None or is_never_cold(service):
+    if rate is None:
         return ALL_WARM
     return Warming(sum(1 for p in counted_instances if p.state == UP and p.warm), rate.most_per_s)
 
--- a/tests/test_cold_rates.py
+++ b/tests/test_cold_rates.py
@@ -234,6 +234,7 @@
 def test_no_rate_is_another_thing_than_a_rate_of_zero() -> None:
     """Zero beside a cold time is a rate: the slack alone. Zero without one is never cold."""
     assert cold_rate_of(Service("s", 128, 4), Bounds()) is None
+    assert cold_rate_of(Service("s", 128, 4, cold_ms=0, cold_per_s=0.0), Bounds()) is None
     assert cold_rate_of(Service("s", 128, 4, cold_per_s=0.0), Bounds()) == ColdRate(3, 1)
     assert is_never_cold(Service("s", 128, 4, cold_ms=0, cold_per_s=0.0))
     assert not is_never_cold(Service("s", 128, 4, cold_ms=0, cold_per_s=2.0))
